Fix the interfaces of the decision libraries

Cause: several libraries are built side by side and must fit together. Excluded: interfaces found during integration; they would be settled twice. Conclusion: the parts can be written in parallel against these headers.

--- /dev/null
+++ b/pimentoferry/tickets/messages.hpp
@@ -0,0 +1,47 @@
+/// Messages by which entries pass tickets to one another.
+#ifndef PIMENTOFERRY_TICKETS_MESSAGES_HPP
+#define PIMENTOFERRY_TICKETS_MESSAGES_HPP
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace pimentoferry::tickets {
+
+/// Announces the highest number that the sender has applied.
+struct number_push {
+    std::uint64_t number_{0};
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.number_);
+    }
+};
+
+/// Asks for all tickets after `after_`.
+struct ticket_pull {
+    std::uint64_t after_{0};
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.after_);
+    }
+};
+
+/// Tickets `after_ + 1` onwards, or the whole state at `base_number_` and the
+/// tickets after it where the sender no longer holds the older ones.
+struct ticket_batch {
+    std::uint64_t base_number_{0};
+    std::string base_state_;           ///< JSON; empty when not needed.
+    std::vector<std::string> tickets_; ///< JSON, in number order.
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.base_number_, self.base_state_, self.tickets_);
+    }
+};
+
+using message = std::variant<number_push, ticket_pull, ticket_batch>;
+
+} // namespace pimentoferry::tickets
+
+#endif
