Add peer frames, codec and links between entries

Cause: entries exchange placement, at-most-once, membership and ticket messages. Excluded: one bidirectional link per pair; a link per direction needs no tie break when both sides connect at once. Change: library wire: msgpack codec over the members named by fields(), frames with keyed BLAKE2b bound to both nonces and the direction, peer_hub with links opened on demand.

--- /dev/null
+++ b/pimentoferry/wire/codec_test.cpp
@@ -0,0 +1,104 @@
+#include "pimentoferry/membership/messages.hpp"
+#include "pimentoferry/placement/messages.hpp"
+#include "pimentoferry/wire/codec.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pimentoferry::wire {
+namespace {
+
+using placement::place_request;
+
+place_request sample_request() {
+    place_request request;
+    request.attempt_ = {base::instance_id{7}, 9};
+    request.cell_ = base::cell_name{"verdicts"};
+    request.prefix_hashes_ = {1, 2, 0xFFFFFFFFFFFFFFFFULL};
+    request.first_token_budget_ = base::milliseconds{1600};
+    request.suspect_ = true;
+    return request;
+}
+
+class codec_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(codec_test);
+    CPPUNIT_TEST(decodes_what_it_encoded);
+    CPPUNIT_TEST(keeps_the_alternative_of_a_variant);
+    CPPUNIT_TEST(refuses_truncated_bytes);
+    CPPUNIT_TEST(refuses_bytes_beyond_the_message);
+    CPPUNIT_TEST(refuses_a_number_that_does_not_fit);
+    CPPUNIT_TEST(refuses_an_unknown_alternative);
+    CPPUNIT_TEST(refuses_deep_nesting);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void decodes_what_it_encoded() {
+        const auto decoded = decode<place_request>(encode(sample_request()));
+        const auto* request = std::get_if<place_request>(&decoded);
+        CPPUNIT_ASSERT(request != nullptr);
+        CPPUNIT_ASSERT(request->attempt_ == sample_request().attempt_);
+        CPPUNIT_ASSERT(request->cell_ == sample_request().cell_);
+        CPPUNIT_ASSERT(request->prefix_hashes_ ==
+                       sample_request().prefix_hashes_);
+        CPPUNIT_ASSERT(request->first_token_budget_ ==
+                       base::milliseconds{1600});
+        CPPUNIT_ASSERT(request->suspect_);
+    }
+
+    void keeps_the_alternative_of_a_variant() {
+        const placement::to_owner message =
+            placement::place_release{{base::instance_id{7}, 9},
+                                     placement::release_reason::cancelled,
+                                     12};
+        const auto decoded = decode<placement::to_owner>(encode(message));
+        const auto* found = std::get_if<placement::to_owner>(&decoded);
+        CPPUNIT_ASSERT(found != nullptr);
+        const auto* release = std::get_if<placement::place_release>(found);
+        CPPUNIT_ASSERT(release != nullptr);
+        CPPUNIT_ASSERT(release->reason_ ==
+                       placement::release_reason::cancelled);
+    }
+
+    // Every proper prefix of a message must be refused, not read beyond.
+    void refuses_truncated_bytes() {
+        const std::string bytes = encode(sample_request());
+        for (std::size_t size = 0; size < bytes.size(); ++size) {
+            const auto decoded =
+                decode<place_request>(std::string_view{bytes}.substr(0, size));
+            CPPUNIT_ASSERT(std::holds_alternative<decode_error>(decoded));
+        }
+    }
+
+    void refuses_bytes_beyond_the_message() {
+        const auto decoded =
+            decode<place_request>(encode(sample_request()) + "x");
+        CPPUNIT_ASSERT(std::holds_alternative<decode_error>(decoded));
+    }
+
+    void refuses_a_number_that_does_not_fit() {
+        const auto bytes = encode(std::uint64_t{70000});
+        CPPUNIT_ASSERT(
+            std::holds_alternative<decode_error>(decode<std::uint16_t>(bytes)));
+        CPPUNIT_ASSERT(std::holds_alternative<decode_error>(
+            decode<std::uint32_t>(encode(std::int32_t{-1}))));
+    }
+
+    void refuses_an_unknown_alternative() {
+        using longer = std::variant<bool, std::string, std::uint64_t>;
+        using shorter = std::variant<bool, std::string>;
+        const auto bytes = encode(longer{std::uint64_t{3}});
+        CPPUNIT_ASSERT(
+            std::holds_alternative<decode_error>(decode<shorter>(bytes)));
+    }
+
+    // Guards against stack exhaustion by nested arrays.
+    void refuses_deep_nesting() {
+        const std::string bytes(100000, '\x91');
+        CPPUNIT_ASSERT(std::holds_alternative<decode_error>(
+            decode<membership::message>(bytes)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(codec_test);
+
+} // namespace
+} // namespace pimentoferry::wire
