Add the HTTP client of the store

Cause: tickets, at-most-once records and leases live in the platform's store. Excluded: repeating a failed write inside the client; only its sender can read its own mark back. Conclusion: an answer that does not fit the operation counts as unavailable.

--- /dev/null
+++ b/pimentoferry/store/http_codec.cpp
@@ -0,0 +1,195 @@
+#include "pimentoferry/store/http_codec.hpp"
+
+#include "pimentoferry/base/overloaded.hpp"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <memory>
+#include <optional>
+
+namespace pimentoferry::store::internal {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+
+bool is_plain(char c) {
+    const bool alphanumeric = (c >= 'a' && c <= 'z') ||
+                              (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
+    return alphanumeric ||
+           std::string_view{"-._~/"}.find(c) != std::string_view::npos;
+}
+
+std::string percent_encode(std::string_view text) {
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char c : text) {
+        if (is_plain(c)) {
+            encoded.push_back(c);
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(c);
+        encoded += {'%', digits[byte >> 4U], digits[byte & 0xFU]};
+    }
+    return encoded;
+}
+
+std::optional<std::uint64_t> parse_number(std::string_view text) {
+    std::uint64_t value = 0;
+    const auto [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::optional<Json::Value> parse_object(const std::string& text) {
+    Json::CharReaderBuilder builder;
+    const std::unique_ptr<Json::CharReader> reader{builder.newCharReader()};
+    Json::Value value;
+    if (!reader->parse(text.data(), text.data() + text.size(), &value,
+                       nullptr) ||
+        !value.isObject()) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+std::string kv_target(const std::string& key) {
+    return "/v1/kv/" + percent_encode(key);
+}
+
+outcome parse_revision(const http_answer& answer, auto make) {
+    const auto revision = parse_number(answer.revision_);
+    if (!revision) {
+        return unavailable{};
+    }
+    return make(*revision);
+}
+
+outcome parse_listing(const http_answer& answer) {
+    const auto object = parse_object(answer.body_);
+    if (!object || !(*object)["keys"].isArray()) {
+        return unavailable{};
+    }
+    listed result;
+    for (const auto& entry : (*object)["keys"]) {
+        if (!entry.isObject() || !entry["key"].isString() ||
+            !entry["revision"].isUInt64()) {
+            return unavailable{};
+        }
+        result.keys_.push_back(
+            {entry["key"].asString(), entry["revision"].asUInt64()});
+    }
+    return result;
+}
+
+outcome parse_lease(const http_answer& answer) {
+    const auto object = parse_object(answer.body_);
+    if (!object || !(*object)["lease"].isUInt64()) {
+        return unavailable{};
+    }
+    return lease_granted{lease_id{(*object)["lease"].asUInt64()}};
+}
+
+outcome parse_success(const request& operation, const http_answer& answer) {
+    return std::visit(
+        base::overloaded{
+            [&](const get&) {
+                return parse_revision(answer, [&](revision at) {
+                    return outcome{found{answer.body_, at}};
+                });
+            },
+            [&](const put&) {
+                return parse_revision(
+                    answer, [](revision at) { return outcome{written{at}}; });
+            },
+            [&](const erase&) { return outcome{erased{}}; },
+            [&](const list&) { return parse_listing(answer); },
+            [&](const grant_lease&) { return parse_lease(answer); },
+            [&](const renew_lease& op) {
+                return outcome{lease_granted{op.lease_}};
+            },
+            [&](const revoke_lease&) { return outcome{erased{}}; }},
+        operation);
+}
+
+bool is_lease_call(const request& operation) {
+    return std::holds_alternative<renew_lease>(operation) ||
+           std::holds_alternative<revoke_lease>(operation);
+}
+
+} // namespace
+
+bool is_write(const request& operation) {
+    return !std::holds_alternative<get>(operation) &&
+           !std::holds_alternative<list>(operation);
+}
+
+http_call to_http(const request& operation) {
+    return std::visit(
+        base::overloaded{
+            [](const get& op) {
+                return http_call{"GET", kv_target(op.key_), {}};
+            },
+            [](const put& op) {
+                std::string target = kv_target(op.key_) + "?if_revision=" +
+                                     std::to_string(op.expected_);
+                if (op.lease_ != lease_id{}) {
+                    target += "&lease=" + std::to_string(op.lease_.value_);
+                }
+                return http_call{"PUT", std::move(target), op.value_};
+            },
+            [](const erase& op) {
+                return http_call{"DELETE",
+                                 kv_target(op.key_) + "?if_revision=" +
+                                     std::to_string(op.expected_),
+                                 {}};
+            },
+            [](const list& op) {
+                return http_call{
+                    "GET", "/v1/list?prefix=" + percent_encode(op.prefix_), {}};
+            },
+            [](const grant_lease& op) {
+                return http_call{"POST",
+                                 "/v1/leases?ttl_ms=" +
+                                     std::to_string(op.ttl_.count()),
+                                 {}};
+            },
+            [](const renew_lease& op) {
+                return http_call{"PUT",
+                                 "/v1/leases/" +
+                                     std::to_string(op.lease_.value_),
+                                 {}};
+            },
+            [](const revoke_lease& op) {
+                return http_call{"DELETE",
+                                 "/v1/leases/" +
+                                     std::to_string(op.lease_.value_),
+                                 {}};
+            }},
+        operation);
+}
+
+outcome from_http(const request& operation, const http_answer& answer) {
+    if (answer.status_ == status_ok) {
+        return parse_success(operation, answer);
+    }
+    if (answer.status_ == status_not_found) {
+        return is_lease_call(operation) ? outcome{lease_unknown{}}
+                                        : outcome{not_found{}};
+    }
+    if (answer.status_ == status_conflict) {
+        return parse_revision(
+            answer, [](revision at) { return outcome{conflict{at}}; });
+    }
+    return unavailable{};
+}
+
+} // namespace pimentoferry::store::internal
