--- a/pimentoferry/placement/messages.hpp
+++ b/pimentoferry/placement/messages.hpp
@@ -68,6 +68,18 @@
     }
 };
 
+/// The request waits in the owner's queue; a grant or a refusal follows.
+/// Sent at once when a place request cannot be granted at once, because an
+/// entry takes an owner that is silent for 300 ms for lost.
+struct place_queued {
+    base::attempt_id attempt_;
+
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.attempt_);
+    }
+};
+
 /// The prefill is done; the owner answers with `decode_bound`.
 struct prefill_finished {
     base::attempt_id attempt_;
@@ -169,7 +181,8 @@
                               place_hold>;
 
 /// What a cell owner sends to an entry.
-using to_entry = std::variant<place_grant, place_refusal, decode_bound>;
+using to_entry =
+    std::variant<place_grant, place_refusal, decode_bound, place_queued>;
 
 } // namespace pimentoferry::placement
 
--- a/pimentoferry/requests/events.hpp
+++ b/pimentoferry/requests/events.hpp
@@ -116,6 +116,20 @@
     base::milliseconds remaining_{0};
 };
 
+/// An engine of a cell as this entry last heard of it.
+struct engine_candidate {
+    base::upstream_name engine_;
+    bool decode_{false};           ///< Its role; otherwise prefill.
+    std::uint32_t free_places_{0}; ///< Last known; zero when never heard.
+};
+
+/// The engines of a cell that may receive work, for placement without the
+/// owner. Replaces what was known of the cell; leaving engines are not in it.
+struct engines_known {
+    base::cell_name cell_;
+    std::vector<engine_candidate> engines_;
+};
+
 struct drain_started {};
 
 struct tick {};
@@ -134,6 +148,7 @@
                            cancel_confirmed,
                            engine_crashed,
                            mark_heard,
+                           engines_known,
                            drain_started,
                            tick>;
 
@@ -141,6 +156,8 @@
 struct send_to_owner {
     base::cell_name cell_;
     placement::to_owner message_;
+    /// 0 is the owner, 1 the next owner by this entry's membership view.
+    std::uint8_t rank_{0};
 };
 
 struct start_prefill {
