--- /dev/null
+++ b/pimentoferry/requests/cancel_tracker.hpp
@@ -0,0 +1,91 @@
+/// Cancels that are sent until they are resolved.
+///
+/// An engine keeps memory for an attempt that nobody wants until it hears a
+/// cancel, and a cancel may be lost. Each one stays here and is repeated with
+/// backoff until the engine confirms it, the engine instance is gone, or the
+/// engine's own hold has ended.
+///
+///     cancel_tracker cancels{cancel_limits{}};
+///     cancels.add({attempt, engine, hold_end, fingerprint}, now);
+///     for (const cancel_attempts& c : cancels.due(now)) { send(c); }
+///     cancels.confirmed(engine, {attempt});
+#ifndef PIMENTOFERRY_REQUESTS_CANCEL_TRACKER_HPP
+#define PIMENTOFERRY_REQUESTS_CANCEL_TRACKER_HPP
+
+#include "pimentoferry/base/ids.hpp"
+#include "pimentoferry/base/time.hpp"
+#include "pimentoferry/requests/events.hpp"
+#include "pimentoferry/requests/quarantine.hpp"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace pimentoferry::requests {
+
+struct cancel_limits {
+    base::milliseconds first_repeat_{200};
+    base::milliseconds longest_repeat_{5'000};
+};
+
+/// An attempt to be cancelled at an engine.
+struct cancel_order {
+    base::attempt_id attempt_;
+    base::upstream_name engine_;
+    /// The engine holds nothing for the attempt after this, whatever happens.
+    base::time_point hold_end_;
+    /// What ran, should the engine crash before it confirms; nothing when
+    /// the attempt no longer ran there.
+    std::optional<crash_witness> witness_;
+};
+
+class cancel_tracker {
+public:
+    explicit cancel_tracker(cancel_limits limits);
+
+    /// Starts a cancel; it is due at once. A cancel of the same attempt at
+    /// the same engine is replaced.
+    void add(const cancel_order& order, base::time_point now);
+
+    /// The engine answered. Returns whether any of them was open.
+    bool confirmed(const base::upstream_name& engine,
+                   const std::vector<base::attempt_id>& attempts);
+
+    /// The engine instance is gone, and what it held with it. Returns what
+    /// may still have run there.
+    std::vector<crash_witness> engine_gone(const base::upstream_name& engine);
+
+    /// Cancels to send now, one action for each engine. Those whose hold has
+    /// ended are dropped.
+    std::vector<cancel_attempts> due(base::time_point now);
+
+    /// When `due` has something to do next.
+    std::optional<base::time_point> next_due() const;
+
+    /// Open cancels.
+    std::vector<std::pair<base::attempt_id, base::upstream_name>> open() const;
+    std::size_t size() const { return entries_.size(); }
+
+private:
+    using key = std::pair<base::upstream_name, base::attempt_id>;
+    struct entry {
+        base::time_point hold_end_;
+        base::time_point next_;
+        base::milliseconds delay_{0};
+        std::optional<crash_witness> witness_;
+    };
+
+    void erase(const key& k);
+
+    cancel_limits limits_;
+    std::map<key, entry> entries_;
+    std::set<std::pair<base::time_point, key>> timers_;
+};
+
+} // namespace pimentoferry::requests
+
+#endif
--- a/pimentoferry/requests/events.hpp
+++ b/pimentoferry/requests/events.hpp
@@ -69,11 +69,14 @@
 
 struct import_done {
     base::attempt_id attempt_;
+    /// The engine that answered: an attempt may import at several in turn.
+    base::upstream_name engine_;
 };
 
 struct import_failed {
     base::attempt_id attempt_;
     engine_failure failure_{engine_failure::error};
+    base::upstream_name engine_; ///< As in `import_done`.
 };
 
 struct first_token {
@@ -83,7 +86,7 @@
 /// The stream ended whole.
 struct stream_ended {
     base::attempt_id attempt_;
-    std::uint32_t output_tokens_{0};
+    std::uint32_t output_tokens_{0}; ///< Of the whole answer, from its start.
 };
 
 /// The stream ended early; the caller has `position_` tokens.
--- /dev/null
+++ b/pimentoferry/requests/limits_test.cpp
@@ -0,0 +1,127 @@
+#include "pimentoferry/requests/cancel_tracker.hpp"
+#include "pimentoferry/requests/quarantine.hpp"
+#include "pimentoferry/requests/retry_budget.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+
+namespace pimentoferry::requests {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr base::time_point start{std::chrono::hours{1}};
+const base::upstream_name engine{"d1"};
+constexpr base::attempt_id attempt{base::instance_id{1}, 4};
+
+class limits_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(limits_test);
+    CPPUNIT_TEST(budget_is_a_share_plus_a_constant);
+    CPPUNIT_TEST(second_crash_quarantines_only_the_suspect);
+    CPPUNIT_TEST(quarantine_doubles_up_to_its_limit);
+    CPPUNIT_TEST(completed_run_clears_a_suspect);
+    CPPUNIT_TEST(marks_expire_and_stay_bounded);
+    CPPUNIT_TEST(heard_marks_do_not_add_up);
+    CPPUNIT_TEST(cancel_repeats_until_the_hold_ends);
+    CPPUNIT_TEST(cancel_of_a_crashed_engine_names_what_ran);
+    CPPUNIT_TEST_SUITE_END();
+
+    quarantine marks_{quarantine_limits{}};
+    cancel_tracker cancels_{cancel_limits{}};
+
+public:
+    // Guards against retries that multiply the load of a failing pool.
+    void budget_is_a_share_plus_a_constant() {
+        retry_budget budget{retry_limits{}};
+        for (int i = 0; i < 100; ++i) {
+            budget.note_request(start);
+        }
+        int taken = 0;
+        while (budget.take(start + seconds{5})) {
+            ++taken;
+        }
+        CPPUNIT_ASSERT_EQUAL(34, taken);
+        CPPUNIT_ASSERT(budget.take(start + seconds{17}));
+    }
+
+    // Guards against blaming what ran beside the culprit.
+    void second_crash_quarantines_only_the_suspect() {
+        marks_.engine_crashed({{1, false}, {2, false}}, start);
+        CPPUNIT_ASSERT(marks_.standing_of(2, start) == standing::suspect);
+        marks_.engine_crashed({{1, true}, {3, false}}, start);
+        CPPUNIT_ASSERT(marks_.standing_of(1, start) == standing::quarantined);
+        CPPUNIT_ASSERT(marks_.standing_of(2, start) == standing::suspect);
+        CPPUNIT_ASSERT(marks_.standing_of(3, start) == standing::clear);
+    }
+
+    // Guards against a culprit that returns at the same rate for ever.
+    void quarantine_doubles_up_to_its_limit() {
+        base::time_point now = start;
+        marks_.engine_crashed({{1, false}}, now);
+        minutes expected{10};
+        for (int i = 0; i < 6; ++i) {
+            marks_.engine_crashed({{1, true}}, now);
+            CPPUNIT_ASSERT(marks_.remaining(1, now) == expected);
+            now += expected;
+            CPPUNIT_ASSERT(marks_.standing_of(1, now) == standing::suspect);
+            expected = std::min(expected * 2, minutes{120});
+        }
+    }
+
+    // Guards against an innocent request that stays a suspect.
+    void completed_run_clears_a_suspect() {
+        marks_.engine_crashed({{1, false}}, start);
+        marks_.completed(1, start);
+        CPPUNIT_ASSERT(marks_.standing_of(1, start) == standing::clear);
+    }
+
+    // Guards against a table that callers can grow without bound.
+    void marks_expire_and_stay_bounded() {
+        for (std::uint64_t i = 0; i < 5'000; ++i) {
+            marks_.engine_crashed({{i, false}}, start);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4'096}, marks_.size());
+        marks_.engine_crashed({{9'999, false}}, start + minutes{11});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, marks_.size());
+    }
+
+    // Guards against one crash that counts once for each entry that saw it.
+    void heard_marks_do_not_add_up() {
+        marks_.engine_crashed({{1, false}}, start);
+        CPPUNIT_ASSERT(!marks_.heard({1, 1, minutes{10}}, start));
+        CPPUNIT_ASSERT(marks_.standing_of(1, start) == standing::suspect);
+        CPPUNIT_ASSERT(marks_.heard({1, 2, minutes{10}}, start));
+        CPPUNIT_ASSERT(marks_.standing_of(1, start) == standing::quarantined);
+    }
+
+    // Guards P1: a lost cancel must not leave memory held.
+    void cancel_repeats_until_the_hold_ends() {
+        cancels_.add({attempt, engine, start + seconds{30}, {}}, start);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cancels_.due(start).size());
+        CPPUNIT_ASSERT(cancels_.due(start).empty());
+        CPPUNIT_ASSERT(cancels_.next_due() == start + milliseconds{200});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             cancels_.due(start + seconds{1}).size());
+        CPPUNIT_ASSERT(cancels_.due(start + seconds{30}).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cancels_.size());
+    }
+
+    // Guards against a culprit that escapes because its caller left.
+    void cancel_of_a_crashed_engine_names_what_ran() {
+        cancels_.add(
+            {attempt, engine, start + seconds{30}, crash_witness{5, true}},
+            start);
+        const auto ran = cancels_.engine_gone(engine);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ran.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, ran.front().fingerprint_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cancels_.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(limits_test);
+
+} // namespace
+} // namespace pimentoferry::requests
--- a/pimentoferry/requests/request_table.hpp
+++ b/pimentoferry/requests/request_table.hpp
@@ -18,17 +18,24 @@
 /// What the daemon owes the table:
 ///
 /// * Each `start_prefill` and `start_import` is answered by one `..._done` or
-///   `..._failed` event. A `start_decode` is answered by `stream_ended` or
-///   `stream_broken`, and by `first_token` before either when a token was
-///   received (also when it was received before and is not relayed again).
-///   Missing, late and repeated answers are tolerated.
+///   `..._failed` event; missing, late and repeated ones are tolerated.
+/// * Each `start_decode` is answered by exactly one `stream_ended` or
+///   `stream_broken`, and by `first_token` before it when a token was
+///   received, also one that is not relayed again. The traffic thread counts
+///   the tokens it relayed: `stream_broken` carries that count, and the table
+///   opens no other stream of the request before it knows it. A stream that
+///   yields nothing for some seconds is reported as `timed_out`.
 /// * `not_sent` is reported only when no byte of the call left. The table
 ///   derives `not_run` from it.
 /// * `cancel_attempts` also closes the open calls of these attempts to that
-///   engine, so that none of them reaches a later instance of the engine.
-///   Actions are executed in order: once the cancel is executed, no token of
-///   the attempt is relayed. A connection that is refused is reported as
-///   `engine_crashed`; any other failed cancel is not reported.
+///   engine, so that none of them reaches a later instance of the engine. A
+///   decode stream closed in this way is reported as `stream_broken`. A
+///   cancel whose connection is refused is reported as `engine_crashed`; any
+///   other failed cancel is not reported, and the table repeats it.
+/// * `refuse` and `finish` end the answer of the caller: no token is relayed
+///   after them.
+/// * `engine_crashed` is passed before a call goes to the next instance of
+///   the engine: the table forgets what the old instance held.
 /// * `send_to_owner` is sent once and not repeated by the daemon.
 /// * `engines_known` is passed whenever the engines of a cell or what is
 ///   known of their headroom change.
@@ -38,7 +45,10 @@
 
 #include "pimentoferry/base/ids.hpp"
 #include "pimentoferry/base/time.hpp"
+#include "pimentoferry/requests/cancel_tracker.hpp"
 #include "pimentoferry/requests/events.hpp"
+#include "pimentoferry/requests/quarantine.hpp"
+#include "pimentoferry/requests/retry_budget.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -48,6 +58,10 @@
 
 namespace pimentoferry::requests {
 
+namespace internal {
+class table_core;
+}
+
 /// Limits of the table. The defaults are the constants of the design page;
 /// where the page gives none, the reason stands beside the value.
 struct table_settings {
@@ -68,9 +82,20 @@
     base::milliseconds import_base_{300};
     /// Expected transfer rate; the deadline allows twice the expected time.
     std::uint32_t transfer_tokens_per_ms_{100};
+    /// A prefill result is used for another import for this long; engines
+    /// evict it in under a second.
+    base::milliseconds result_life_{1'000};
     /// Between opening a decode stream and its first token.
     base::milliseconds first_token_limit_{5'000};
+    /// Longest wait for the position of a stream that is being closed. The
+    /// answer comes from the same process, so its lack is a fault.
+    base::milliseconds close_limit_{1'000};
     base::milliseconds request_limit_{300'000};
+    /// Longest hold of an engine without renewal, with 5 s for a cancel or
+    /// call that is still on its way.
+    base::milliseconds engine_hold_{35'000};
+    /// Told to callers where the owner gave no better time.
+    base::milliseconds retry_after_{1'000};
 
     /// A resume is tried this often per attempt, this long after the break.
     /// All tries lie within the 5 s that an engine keeps a broken stream.
@@ -81,6 +106,10 @@
     /// request runs elsewhere. A crash is then known before the next run, so
     /// that a crashing request is blamed after its second engine.
     base::milliseconds news_wait_{250};
+
+    retry_limits retries_;
+    quarantine_limits quarantine_;
+    cancel_limits cancels_;
 };
 
 /// Counters for metrics and tests; all but the first two only grow.
@@ -108,7 +137,7 @@
 /// All model requests that one entry accepted.
 class request_table {
 public:
-    explicit request_table(table_settings settings);
+    explicit request_table(const table_settings& settings);
     request_table(request_table&&) noexcept;
     request_table& operator=(request_table&&) noexcept;
     ~request_table();
@@ -134,8 +163,7 @@
     table_counts counts() const;
 
 private:
-    class state;
-    std::unique_ptr<state> state_;
+    std::unique_ptr<internal::table_core> core_;
 };
 
 } // namespace pimentoferry::requests
--- /dev/null
+++ b/pimentoferry/requests/request_table_test.cpp
@@ -0,0 +1,221 @@
+#include "pimentoferry/requests/request_table.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace pimentoferry::requests {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::request_id request{7};
+const base::cell_name cell{"cell-1"};
+const base::upstream_name prefill{"p1"};
+const base::upstream_name decode{"d1"};
+
+class request_table_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(request_table_test);
+    CPPUNIT_TEST(answers_a_request);
+    CPPUNIT_TEST(says_not_run_only_when_no_engine_was_sent_it);
+    CPPUNIT_TEST(repeats_to_the_next_owner_and_then_places_alone);
+    CPPUNIT_TEST(resumes_at_the_exact_position);
+    CPPUNIT_TEST(keeps_a_queued_request_with_its_owner);
+    CPPUNIT_TEST(gives_back_a_late_grant);
+    CPPUNIT_TEST(ignores_the_import_answer_of_an_earlier_engine);
+    CPPUNIT_TEST(drain_lets_running_requests_end);
+    CPPUNIT_TEST_SUITE_END();
+
+    request_table table_{settings()};
+    base::time_point now_{std::chrono::hours{1}};
+    std::vector<action> last_;
+
+    static table_settings settings() {
+        table_settings s;
+        s.instance_ = base::instance_id{1};
+        return s;
+    }
+
+    void pass(const event& e) { last_ = table_.handle(e, now_); }
+
+    void wait(milliseconds time) {
+        now_ += time;
+        pass(tick{});
+    }
+
+    template <class Action>
+    const Action* last() const {
+        for (const action& a : last_) {
+            if (const auto* found = std::get_if<Action>(&a)) {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+
+    template <class Message>
+    const Message* last_message() const {
+        for (const action& a : last_) {
+            const auto* sent = std::get_if<send_to_owner>(&a);
+            if (sent == nullptr) {
+                continue;
+            }
+            if (const auto* m = std::get_if<Message>(&sent->message_)) {
+                return m;
+            }
+        }
+        return nullptr;
+    }
+
+    base::attempt_id arrive(base::request_id id = request) {
+        arrived e;
+        e.request_ = id;
+        e.cell_ = cell;
+        e.fingerprint_ = id.value_;
+        e.prompt_tokens_ = 2'000;
+        e.first_token_budget_ = milliseconds{1'600};
+        pass(e);
+        const auto* asked = last_message<placement::place_request>();
+        return asked == nullptr ? base::attempt_id{} : asked->attempt_;
+    }
+
+    void grant(base::attempt_id attempt) {
+        pass(placed{placement::place_grant{attempt, prefill, decode, false}});
+    }
+
+    void run_until_import(base::attempt_id attempt) {
+        grant(attempt);
+        pass(prefill_done{attempt, "h", 2'000, 0});
+        pass(placed{placement::decode_bound{attempt, decode}});
+    }
+
+    void run_until_decode(base::attempt_id attempt) {
+        run_until_import(attempt);
+        pass(import_done{attempt, decode});
+    }
+
+public:
+    // Guards against memory or places that outlive a plain request.
+    void answers_a_request() {
+        const auto attempt = arrive();
+        run_until_decode(attempt);
+        CPPUNIT_ASSERT_EQUAL(0U, last<start_decode>()->position_);
+        pass(first_token{attempt});
+        CPPUNIT_ASSERT(last_message<placement::decode_started>() != nullptr);
+        CPPUNIT_ASSERT(last<cancel_attempts>()->engine_ == prefill);
+        pass(cancel_confirmed{prefill, {attempt}});
+        pass(stream_ended{attempt, 9});
+        CPPUNIT_ASSERT(last<finish>() != nullptr);
+        CPPUNIT_ASSERT(last_message<placement::place_release>() != nullptr);
+        CPPUNIT_ASSERT(table_.memory().empty());
+        CPPUNIT_ASSERT(table_.idle());
+    }
+
+    // Guards P4: a refusal that follows a sent call must not claim that
+    // nothing ran.
+    void says_not_run_only_when_no_engine_was_sent_it() {
+        auto attempt = arrive();
+        grant(attempt);
+        pass(prefill_failed{attempt, engine_failure::not_sent});
+        attempt = last_message<placement::place_request>()->attempt_;
+        pass(placed{placement::place_refusal{
+            attempt, base::refusal_code::overloaded, milliseconds{5}}});
+        CPPUNIT_ASSERT(last<refuse>()->refusal_.ran_ ==
+                       base::ran_state::not_run);
+
+        attempt = arrive();
+        grant(attempt);
+        pass(prefill_failed{attempt, engine_failure::full});
+        attempt = last_message<placement::place_request>()->attempt_;
+        pass(placed{placement::place_refusal{attempt}});
+        CPPUNIT_ASSERT(last<refuse>()->refusal_.ran_ ==
+                       base::ran_state::unknown);
+    }
+
+    // Guards against a request that waits for a dead owner.
+    void repeats_to_the_next_owner_and_then_places_alone() {
+        pass(engines_known{cell, {{prefill, false, 3}, {decode, true, 3}}});
+        const auto first = arrive();
+        wait(milliseconds{300});
+        const auto* second = last_message<placement::place_request>();
+        CPPUNIT_ASSERT(second->attempt_ != first);
+        wait(milliseconds{300});
+        CPPUNIT_ASSERT(last<start_prefill>()->engine_ == prefill);
+        const auto own = last<start_prefill>()->attempt_;
+        pass(prefill_done{own, "h", 2'000, 0});
+        CPPUNIT_ASSERT(last<start_import>()->decode_ == decode);
+    }
+
+    // Guards against repeated and missing tokens after a break.
+    void resumes_at_the_exact_position() {
+        const auto attempt = arrive();
+        run_until_decode(attempt);
+        pass(first_token{attempt});
+        pass(stream_broken{attempt, 5, engine_failure::broken});
+        wait(milliseconds{100});
+        const auto* resumed = last<start_decode>();
+        CPPUNIT_ASSERT(resumed->attempt_ == attempt);
+        CPPUNIT_ASSERT_EQUAL(5U, resumed->position_);
+        // The engine no longer holds it, and its answers vary.
+        pass(stream_broken{attempt, 5, engine_failure::gone});
+        CPPUNIT_ASSERT(last<refuse>()->refusal_.ran_ ==
+                       base::ran_state::unknown);
+    }
+
+    // Guards against a patient request that is placed twice because its
+    // owner lets it wait for longer than the timeout of a place request.
+    void keeps_a_queued_request_with_its_owner() {
+        const auto attempt = arrive();
+        pass(placed{placement::place_queued{attempt}});
+        wait(milliseconds{1'500});
+        CPPUNIT_ASSERT(last_.empty());
+        grant(attempt);
+        CPPUNIT_ASSERT(last<start_prefill>() != nullptr);
+    }
+
+    // Guards against a place that stays reserved by a slow owner.
+    void gives_back_a_late_grant() {
+        const auto attempt = arrive();
+        wait(milliseconds{300});
+        grant(attempt);
+        CPPUNIT_ASSERT(last<start_prefill>() == nullptr);
+        CPPUNIT_ASSERT(last_message<placement::place_release>()->attempt_ ==
+                       attempt);
+    }
+
+    // Guards against decoding at an engine whose own import is not done.
+    void ignores_the_import_answer_of_an_earlier_engine() {
+        const base::upstream_name other{"d2"};
+        const auto attempt = arrive();
+        run_until_import(attempt);
+        wait(milliseconds{340});
+        CPPUNIT_ASSERT(last_message<placement::engine_lost>() != nullptr);
+        pass(placed{placement::decode_bound{attempt, other}});
+        pass(import_done{attempt, decode});
+        CPPUNIT_ASSERT(last<start_decode>() == nullptr);
+        pass(import_done{attempt, other});
+        CPPUNIT_ASSERT(last<start_decode>()->engine_ == other);
+    }
+
+    // Guards P7: a drain refuses what is new and ends only with the rest.
+    void drain_lets_running_requests_end() {
+        const auto attempt = arrive();
+        run_until_decode(attempt);
+        pass(drain_started{});
+        CPPUNIT_ASSERT(!table_.idle());
+        arrive(base::request_id{8});
+        CPPUNIT_ASSERT(last<refuse>()->refusal_.code_ ==
+                       base::refusal_code::draining);
+        pass(first_token{attempt});
+        pass(stream_ended{attempt, 3});
+        CPPUNIT_ASSERT(last<finish>() != nullptr);
+        pass(cancel_confirmed{prefill, {attempt}});
+        CPPUNIT_ASSERT(table_.idle());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_table_test);
+
+} // namespace
+} // namespace pimentoferry::requests
--- /dev/null
+++ b/pimentoferry/requests/table_core.cpp
@@ -0,0 +1,390 @@
+#include "pimentoferry/requests/table_core.hpp"
+
+#include "pimentoferry/base/overloaded.hpp"
+
+#include <algorithm>
+
+namespace pimentoferry::requests::internal {
+
+table_core::table_core(const table_settings& settings)
+    : settings_(settings), quarantine_(settings.quarantine_),
+      cancels_(settings.cancels_), picker_(settings.seed_) {}
+
+std::vector<action> table_core::handle(const event& e, base::time_point now) {
+    now_ = now;
+    out_.clear();
+    std::visit([this](const auto& each) { on(each); }, e);
+    for (cancel_attempts& due : cancels_.due(now_)) {
+        out_.emplace_back(std::move(due));
+    }
+    return std::move(out_);
+}
+
+std::optional<base::time_point> table_core::next_deadline() const {
+    std::optional<base::time_point> next = cancels_.next_due();
+    if (!timers_.empty()) {
+        const base::time_point first = timers_.begin()->first;
+        next = next ? std::min(*next, first) : first;
+    }
+    return next;
+}
+
+bool table_core::idle() const {
+    return requests_.empty() && cancels_.size() == 0;
+}
+
+std::vector<memory_hold> table_core::memory() const {
+    std::vector<memory_hold> all;
+    for (const auto& [unused, r] : requests_) {
+        for (const base::upstream_name& engine : r.attempt_.holds_) {
+            all.push_back({r.attempt_.id_, engine, false});
+        }
+    }
+    for (auto& [attempt, engine] : cancels_.open()) {
+        all.push_back({attempt, engine, true});
+    }
+    return all;
+}
+
+table_counts table_core::counts() const {
+    table_counts result = counts_;
+    result.running_ = requests_.size();
+    result.cancels_pending_ = cancels_.size();
+    return result;
+}
+
+void table_core::on(const arrived& e) {
+    const auto [entry, added] = requests_.try_emplace(e.request_);
+    if (!added) {
+        ++counts_.dropped_events_;
+        return;
+    }
+    request_state& r = entry->second;
+    r.request_ = e;
+    r.limit_ = now_ + settings_.request_limit_;
+    enter(r, stage::placing, r.limit_);
+    if (draining_) {
+        refuse_request(r, base::refusal_code::draining, true);
+        return;
+    }
+    budgets_.try_emplace(e.deployment_, settings_.retries_)
+        .first->second.note_request(now_);
+    place(r, 0);
+}
+
+void table_core::on(const caller_gone& e) {
+    const auto found = requests_.find(e.request_);
+    if (found == requests_.end()) {
+        ++counts_.dropped_events_;
+        return;
+    }
+    ++counts_.cancelled_;
+    end_attempt(found->second, placement::release_reason::cancelled);
+    erase(found->second);
+}
+
+void table_core::on(const cancel_confirmed& e) {
+    if (!cancels_.confirmed(e.engine_, e.attempts_)) {
+        ++counts_.dropped_events_;
+    }
+    for (const base::attempt_id attempt : e.attempts_) {
+        const auto found = recovering_.find(attempt);
+        if (found == recovering_.end()) {
+            continue;
+        }
+        request_state& r = requests_.at(found->second);
+        if (r.lost_engine_ == e.engine_) {
+            place(r, 0);
+        }
+    }
+}
+
+void table_core::on(const mark_heard& e) {
+    if (!quarantine_.heard({e.fingerprint_, e.crashes_, e.remaining_}, now_)) {
+        return;
+    }
+    if (quarantine_.standing_of(e.fingerprint_, now_) ==
+        standing::quarantined) {
+        refuse_copies(e.fingerprint_);
+    }
+}
+
+void table_core::on(const drain_started&) {
+    draining_ = true;
+}
+
+void table_core::on(const tick&) {
+    while (!timers_.empty() && timers_.begin()->first <= now_) {
+        expire(requests_.at(timers_.begin()->second));
+    }
+}
+
+void table_core::expire(request_state& r) {
+    if (r.limit_ <= now_) {
+        refuse_request(r, base::refusal_code::upstream_timeout, false);
+        return;
+    }
+    switch (r.stage_) {
+    case stage::placing:
+    case stage::queued:
+        place_next(r);
+        break;
+    case stage::prefilling:
+        lose_prefill(r, engine_failure::timed_out);
+        break;
+    case stage::binding:
+        bind_without_owner(r);
+        break;
+    case stage::transferring:
+        log(r, "rebind", "the transfer missed its deadline");
+        lose_decode(r, placement::loss_reason::stalled);
+        break;
+    case stage::opening:
+        log(r, "close", "no token within the limit");
+        close_stream(r);
+        break;
+    case stage::resuming:
+        open_stream(r);
+        break;
+    case stage::recovering:
+        place(r, 0);
+        break;
+    case stage::decoding:
+    case stage::closing:
+        refuse_request(r, base::refusal_code::upstream_timeout, false);
+        break;
+    }
+}
+
+void table_core::end_attempt(request_state& r,
+                             placement::release_reason reason) {
+    if (r.attempt_.id_ == base::attempt_id{}) {
+        return;
+    }
+    if (r.stage_ == stage::placing || r.stage_ == stage::queued) {
+        withdraw_place(r);
+        return;
+    }
+    tell_owner(r, placement::place_release{r.attempt_.id_, reason, 0});
+    forget_attempt(r);
+}
+
+void table_core::forget_attempt(request_state& r) {
+    const std::vector<base::upstream_name> holds = r.attempt_.holds_;
+    for (const base::upstream_name& engine : holds) {
+        cancel(r, engine);
+    }
+    attempts_.erase(r.attempt_.id_);
+    r.attempt_ = {};
+}
+
+void table_core::run_again_after(request_state& r,
+                                 const base::upstream_name& engine,
+                                 engine_failure failure) {
+    const bool unanswered = failure == engine_failure::broken ||
+                            failure == engine_failure::timed_out;
+    const base::attempt_id lost = r.attempt_.id_;
+    forget_attempt(r);
+    if (!may_run_again(r)) {
+        return;
+    }
+    if (!unanswered) {
+        place(r, 0);
+        return;
+    }
+    r.lost_attempt_ = lost;
+    r.lost_engine_ = engine;
+    recovering_[lost] = r.request_.request_;
+    enter(r, stage::recovering, settings_.news_wait_);
+}
+
+void table_core::run_again(request_state& r) {
+    forget_attempt(r);
+    if (may_run_again(r)) {
+        place(r, 0);
+    }
+}
+
+bool table_core::may_run_again(request_state& r) {
+    if (r.position_ > 0 && !r.request_.deterministic_) {
+        refuse_request(r, base::refusal_code::upstream_failed, false);
+        return false;
+    }
+    if (r.reruns_ >= settings_.reruns_) {
+        refuse_request(r, base::refusal_code::upstream_failed, true);
+        return false;
+    }
+    if (standing_of(r) == standing::quarantined) {
+        refuse_request(r, base::refusal_code::quarantined, true);
+        return false;
+    }
+    if (!budgets_.at(r.request_.deployment_).take(now_)) {
+        ++counts_.budget_denied_;
+        refuse_request(r, base::refusal_code::upstream_failed, true);
+        return false;
+    }
+    ++r.reruns_;
+    ++counts_.reruns_;
+    log(r, "retry", "the attempt was lost");
+    return true;
+}
+
+void table_core::refuse_request(request_state& r,
+                                base::refusal_code code,
+                                bool retry) {
+    std::optional<base::milliseconds> retry_after;
+    if (code == base::refusal_code::quarantined) {
+        retry_after = quarantine_.remaining(r.request_.fingerprint_, now_);
+    } else if (retry) {
+        retry_after = settings_.retry_after_;
+    }
+    refuse_request(r, code, retry_after);
+}
+
+void table_core::refuse_request(request_state& r,
+                                base::refusal_code code,
+                                std::optional<base::milliseconds> retry_after) {
+    end_attempt(r, placement::release_reason::failed);
+    base::refusal refusal{code, base::ran_state::unknown, retry_after, {}};
+    const bool sent = r.calls_sent_ > 0;
+    if (!sent && code != base::refusal_code::quarantined) {
+        refusal.ran_ = base::ran_state::not_run;
+    }
+    if (code == base::refusal_code::quarantined) {
+        ++counts_.quarantined_;
+    }
+    ++counts_.refused_;
+    log(r, "refuse", std::string{base::to_string(code)});
+    out_.emplace_back(refuse{r.request_.request_, std::move(refusal)});
+    erase(r);
+}
+
+void table_core::erase(request_state& r) {
+    timers_.erase({r.timer_, r.request_.request_});
+    recovering_.erase(r.lost_attempt_);
+    requests_.erase(r.request_.request_);
+}
+
+void table_core::hold(request_state& r, const base::upstream_name& engine) {
+    auto& holds = r.attempt_.holds_;
+    if (std::ranges::find(holds, engine) == holds.end()) {
+        holds.push_back(engine);
+    }
+}
+
+void table_core::release(request_state& r, const base::upstream_name& engine) {
+    std::erase(r.attempt_.holds_, engine);
+}
+
+void table_core::cancel(request_state& r, const base::upstream_name& engine) {
+    cancel_hold(r, engine,
+                crash_witness{r.request_.fingerprint_, r.attempt_.suspect_});
+}
+
+void table_core::cancel_idle(request_state& r,
+                             const base::upstream_name& engine) {
+    cancel_hold(r, engine, std::nullopt);
+}
+
+void table_core::cancel_hold(request_state& r,
+                             const base::upstream_name& engine,
+                             const std::optional<crash_witness>& witness) {
+    auto& holds = r.attempt_.holds_;
+    if (std::ranges::find(holds, engine) == holds.end()) {
+        return;
+    }
+    const base::milliseconds longest = std::max(
+        settings_.engine_hold_, prefill_limit(r) + settings_.result_life_);
+    cancels_.add({r.attempt_.id_, engine, now_ + longest, witness}, now_);
+    release(r, engine);
+}
+
+request_state* table_core::find(base::attempt_id attempt,
+                                std::initializer_list<stage> stages) {
+    const auto found = attempts_.find(attempt);
+    if (found != attempts_.end()) {
+        request_state& r = requests_.at(found->second);
+        if (std::ranges::find(stages, r.stage_) != stages.end()) {
+            return &r;
+        }
+    }
+    ++counts_.dropped_events_;
+    return nullptr;
+}
+
+std::vector<base::request_id> table_core::request_ids() const {
+    std::vector<base::request_id> ids;
+    ids.reserve(requests_.size());
+    for (const auto& [id, unused] : requests_) {
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+void table_core::enter(request_state& r,
+                       stage next,
+                       base::time_point deadline) {
+    timers_.erase({r.timer_, r.request_.request_});
+    if (r.stage_ == stage::recovering) {
+        recovering_.erase(r.lost_attempt_);
+    }
+    r.stage_ = next;
+    r.deadline_ = deadline;
+    r.timer_ = std::min(deadline, r.limit_);
+    timers_.emplace(r.timer_, r.request_.request_);
+}
+
+void table_core::enter(request_state& r, stage next, base::milliseconds wait) {
+    enter(r, next, now_ + wait);
+}
+
+void table_core::tell_owner(const request_state& r,
+                            placement::to_owner message) {
+    out_.emplace_back(
+        send_to_owner{r.request_.cell_, std::move(message), r.attempt_.rank_});
+}
+
+void table_core::log(const request_state& r,
+                     std::string decision,
+                     std::string reason) {
+    out_.emplace_back(log_decision{r.request_.request_, r.attempt_.id_,
+                                   std::move(decision), std::move(reason)});
+}
+
+standing table_core::standing_of(const request_state& r) const {
+    return quarantine_.standing_of(r.request_.fingerprint_, now_);
+}
+
+} // namespace pimentoferry::requests::internal
+
+namespace pimentoferry::requests {
+
+request_table::request_table(const table_settings& settings)
+    : core_(std::make_unique<internal::table_core>(settings)) {}
+
+request_table::request_table(request_table&&) noexcept = default;
+request_table& request_table::operator=(request_table&&) noexcept = default;
+request_table::~request_table() = default;
+
+std::vector<action> request_table::handle(const event& e,
+                                          base::time_point now) {
+    return core_->handle(e, now);
+}
+
+std::optional<base::time_point> request_table::next_deadline() const {
+    return core_->next_deadline();
+}
+
+bool request_table::idle() const {
+    return core_->idle();
+}
+
+std::vector<memory_hold> request_table::memory() const {
+    return core_->memory();
+}
+
+table_counts request_table::counts() const {
+    return core_->counts();
+}
+
+} // namespace pimentoferry::requests
--- /dev/null
+++ b/pimentoferry/requests/table_core.hpp
@@ -0,0 +1,197 @@
+/// State and rules behind `request_table`; not for use by other libraries.
+#ifndef PIMENTOFERRY_REQUESTS_TABLE_CORE_HPP
+#define PIMENTOFERRY_REQUESTS_TABLE_CORE_HPP
+
+#include "pimentoferry/requests/cancel_tracker.hpp"
+#include "pimentoferry/requests/engine_picker.hpp"
+#include "pimentoferry/requests/events.hpp"
+#include "pimentoferry/requests/quarantine.hpp"
+#include "pimentoferry/requests/request_table.hpp"
+#include "pimentoferry/requests/retry_budget.hpp"
+
+#include <cstdint>
+#include <initializer_list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pimentoferry::requests::internal {
+
+enum class stage : std::uint8_t {
+    placing,      ///< An owner was asked and has not answered.
+    queued,       ///< Waits in the owner's queue.
+    prefilling,   ///< The prefill call is open.
+    binding,      ///< The prefill is done; the owner chooses the decode engine.
+    transferring, ///< The import call is open.
+    opening,      ///< The decode stream is open, without a token yet.
+    decoding,     ///< Tokens arrive.
+    closing,      ///< The stream is being closed; its position is awaited.
+    resuming,     ///< Waits to open the stream again at the same engine.
+    recovering,   ///< No attempt; waits for news of the engine it lost.
+};
+
+struct attempt_state {
+    base::attempt_id id_;
+    std::uint8_t rank_{0};   ///< The owner that was asked.
+    bool autonomous_{false}; ///< Placed without the owner.
+    bool suspect_{false};    ///< Declared to the owner.
+    bool prefill_at_decode_{false};
+    bool stream_sent_{false}; ///< A decode call reached the engine.
+    bool started_{false};     ///< The owner knows of the first token.
+    bool decode_gone_{false}; ///< The decode engine crashed.
+    std::uint8_t resumes_{0};
+    base::upstream_name prefill_;
+    base::upstream_name decode_;
+    std::string handle_;
+    std::uint32_t prompt_tokens_{0};
+    base::time_point result_until_;
+    std::vector<base::upstream_name> holds_; ///< May hold memory here.
+    std::vector<base::upstream_name> lost_;  ///< Decode engines that failed it.
+};
+
+struct request_state {
+    arrived request_;
+    base::time_point limit_; ///< The request is refused at this time.
+    base::time_point deadline_;
+    base::time_point timer_; ///< As entered in the timers.
+    stage stage_{stage::placing};
+    attempt_state attempt_;
+    std::uint32_t position_{0}; ///< Tokens that the caller has.
+    std::uint32_t calls_sent_{0};
+    std::uint8_t reruns_{0};
+    base::attempt_id lost_attempt_; ///< While recovering.
+    base::upstream_name lost_engine_;
+};
+
+class table_core {
+public:
+    explicit table_core(const table_settings& settings);
+
+    std::vector<action> handle(const event& e, base::time_point now);
+    std::optional<base::time_point> next_deadline() const;
+    bool idle() const;
+    std::vector<memory_hold> memory() const;
+    table_counts counts() const;
+
+private:
+    // Events of callers, of the control thread and of time (table_core.cpp).
+    void on(const arrived& e);
+    void on(const caller_gone& e);
+    void on(const cancel_confirmed& e);
+    void on(const mark_heard& e);
+    void on(const drain_started& e);
+    void on(const tick& e);
+    void expire(request_state& r);
+
+    // Events of the cell owner (table_placing.cpp).
+    void on(const placed& e);
+    void on(const owner_changed& e);
+    void on(const engines_known& e);
+    void on_owner(const placement::place_grant& m);
+    void on_owner(const placement::place_refusal& m);
+    void on_owner(const placement::decode_bound& m);
+    void on_owner(const placement::place_queued& m);
+
+    // Events of engines (table_running.cpp, table_crash.cpp).
+    void on(const prefill_done& e);
+    void on(const prefill_failed& e);
+    void on(const import_done& e);
+    void on(const import_failed& e);
+    void on(const first_token& e);
+    void on(const stream_ended& e);
+    void on(const stream_broken& e);
+    void on(const engine_crashed& e);
+
+    // Placing.
+    void place(request_state& r, std::uint8_t rank);
+    void place_next(request_state& r);
+    void place_autonomously(request_state& r);
+    void withdraw_place(request_state& r);
+    void give_back_late_grant(base::attempt_id attempt);
+    bool copy_is_running(const request_state& r) const;
+    void announce(request_state& r);
+    base::milliseconds budget_left(const request_state& r) const;
+    engine_load own_load() const;
+
+    // Running.
+    void start(request_state& r);
+    void bind(request_state& r);
+    void bind_without_owner(request_state& r);
+    void start_transfer(request_state& r, const base::upstream_name& engine);
+    void open_stream(request_state& r);
+    void resume_or_lose(request_state& r, engine_failure failure);
+    void lose_stream(request_state& r, engine_failure failure);
+    void lose_decode(request_state& r, placement::loss_reason reason);
+    void lose_prefill(request_state& r, engine_failure failure);
+    void close_stream(request_state& r);
+    void crash_attempt(request_state& r, const base::upstream_name& engine);
+    void refuse_copies(std::uint64_t fingerprint);
+    std::vector<crash_witness> witnesses(const base::upstream_name& engine);
+    base::milliseconds prefill_limit(const request_state& r) const;
+
+    // Ends of attempts and of requests.
+    void end_attempt(request_state& r, placement::release_reason reason);
+    void forget_attempt(request_state& r);
+    void run_again(request_state& r);
+    void run_again_after(request_state& r,
+                         const base::upstream_name& engine,
+                         engine_failure failure);
+    bool may_run_again(request_state& r);
+    void refuse_request(request_state& r, base::refusal_code code, bool retry);
+    void refuse_request(request_state& r,
+                        base::refusal_code code,
+                        std::optional<base::milliseconds> retry_after);
+    void erase(request_state& r);
+
+    // Memory.
+    void hold(request_state& r, const base::upstream_name& engine);
+    void release(request_state& r, const base::upstream_name& engine);
+    void cancel(request_state& r, const base::upstream_name& engine);
+    void cancel_idle(request_state& r, const base::upstream_name& engine);
+    void cancel_hold(request_state& r,
+                     const base::upstream_name& engine,
+                     const std::optional<crash_witness>& witness);
+
+    // Helpers.
+    request_state* find(base::attempt_id attempt,
+                        std::initializer_list<stage> stages);
+    std::vector<base::request_id> request_ids() const;
+    void enter(request_state& r, stage next, base::time_point deadline);
+    void enter(request_state& r, stage next, base::milliseconds wait);
+    void tell_owner(const request_state& r, placement::to_owner message);
+    void log(const request_state& r, std::string decision, std::string reason);
+    standing standing_of(const request_state& r) const;
+
+    table_settings settings_;
+    base::time_point now_;
+    std::vector<action> out_;
+    bool draining_{false};
+    std::uint64_t next_sequence_{1};
+
+    std::map<base::request_id, request_state> requests_;
+    std::map<base::attempt_id, base::request_id> attempts_;
+    /// Lost attempts of recovering requests.
+    std::map<base::attempt_id, base::request_id> recovering_;
+    std::set<std::pair<base::time_point, base::request_id>> timers_;
+
+    /// Attempts withdrawn before their owner answered, for the return of a
+    /// late grant.
+    struct withdrawn {
+        base::cell_name cell_;
+        std::uint8_t rank_{0};
+    };
+    std::map<base::attempt_id, withdrawn> withdrawn_;
+
+    std::map<base::deployment_name, retry_budget> budgets_;
+    quarantine quarantine_;
+    cancel_tracker cancels_;
+    engine_picker picker_;
+    table_counts counts_;
+};
+
+} // namespace pimentoferry::requests::internal
+
+#endif
--- /dev/null
+++ b/pimentoferry/requests/table_placing.cpp
@@ -0,0 +1,277 @@
+// Placing a request: the dialogue with the cell owner, and placement without
+// it.
+
+#include "pimentoferry/requests/table_core.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace pimentoferry::requests::internal {
+
+namespace {
+
+// Withdrawn attempts that are remembered. A late grant follows within
+// seconds; a daemon accepts 52 requests/s, so this is ample.
+constexpr std::size_t withdrawn_limit = 1'024;
+
+placement::hold_stage hold_stage_of(stage s) {
+    switch (s) {
+    case stage::binding:
+    case stage::transferring:
+        return placement::hold_stage::transferring;
+    case stage::opening:
+    case stage::decoding:
+    case stage::closing:
+    case stage::resuming:
+        return placement::hold_stage::decoding;
+    default:
+        return placement::hold_stage::prefilling;
+    }
+}
+
+} // namespace
+
+base::milliseconds table_core::budget_left(const request_state& r) const {
+    const auto left = r.request_.first_token_budget_ -
+                      (now_ - (r.limit_ - settings_.request_limit_));
+    return std::max(std::chrono::ceil<base::milliseconds>(left),
+                    base::milliseconds{0});
+}
+
+bool table_core::copy_is_running(const request_state& r) const {
+    return std::ranges::any_of(requests_, [&](const auto& entry) {
+        const request_state& other = entry.second;
+        return other.request_.request_ != r.request_.request_ &&
+               other.request_.fingerprint_ == r.request_.fingerprint_ &&
+               other.attempt_.id_ != base::attempt_id{};
+    });
+}
+
+void table_core::place(request_state& r, std::uint8_t rank) {
+    const standing mark = standing_of(r);
+    if (mark == standing::quarantined) {
+        refuse_request(r, base::refusal_code::quarantined, true);
+        return;
+    }
+    // Copies of a suspect would each crash an engine of their own.
+    if (mark == standing::suspect && copy_is_running(r)) {
+        refuse_request(r, base::refusal_code::overloaded, true);
+        return;
+    }
+    attempt_state& attempt = r.attempt_;
+    attempt = {};
+    attempt.id_ = {settings_.instance_, next_sequence_++};
+    attempt.rank_ = rank;
+    attempt.suspect_ = mark == standing::suspect;
+    attempts_[attempt.id_] = r.request_.request_;
+    enter(r, stage::placing, settings_.place_timeout_);
+    tell_owner(r, placement::place_request{
+                      attempt.id_,
+                      r.request_.request_,
+                      r.request_.cell_,
+                      r.request_.caller_,
+                      settings_.failure_domain_,
+                      r.request_.prompt_tokens_,
+                      r.request_.max_output_tokens_,
+                      r.request_.prefix_hashes_,
+                      budget_left(r),
+                      r.request_.priority_,
+                      attempt.suspect_,
+                  });
+}
+
+void table_core::place_next(request_state& r) {
+    const auto next = static_cast<std::uint8_t>(r.attempt_.rank_ + 1);
+    withdraw_place(r);
+    if (next < settings_.owners_asked_) {
+        log(r, "next_owner", "the owner is silent");
+        place(r, next);
+    } else {
+        place_autonomously(r);
+    }
+}
+
+// A repeated place request is a new attempt, so that the grants of two owners
+// cannot both count. The silent owner is told in case it only was slow.
+void table_core::withdraw_place(request_state& r) {
+    const base::attempt_id attempt = r.attempt_.id_;
+    tell_owner(r, placement::place_release{
+                      attempt, placement::release_reason::cancelled, 0});
+    withdrawn_[attempt] = {r.request_.cell_, r.attempt_.rank_};
+    if (withdrawn_.size() > withdrawn_limit) {
+        withdrawn_.erase(withdrawn_.begin());
+    }
+    forget_attempt(r);
+}
+
+void table_core::give_back_late_grant(base::attempt_id attempt) {
+    const auto found = withdrawn_.find(attempt);
+    if (found == withdrawn_.end()) {
+        return;
+    }
+    out_.emplace_back(
+        send_to_owner{found->second.cell_,
+                      placement::place_release{
+                          attempt, placement::release_reason::cancelled, 0},
+                      found->second.rank_});
+    withdrawn_.erase(found);
+}
+
+engine_load table_core::own_load() const {
+    engine_load load;
+    for (const memory_hold& held : memory()) {
+        ++load[held.engine_];
+    }
+    return load;
+}
+
+void table_core::place_autonomously(request_state& r) {
+    // Nobody keeps suspects apart without the owner.
+    if (standing_of(r) != standing::clear) {
+        refuse_request(r, base::refusal_code::no_upstream, true);
+        return;
+    }
+    const engine_load load = own_load();
+    const base::cell_name& cell = r.request_.cell_;
+    const auto prefill = picker_.pick(cell, engine_role::prefill, {}, load);
+    const auto decode = picker_.pick(cell, engine_role::decode, {}, load);
+    if (!prefill || !decode) {
+        refuse_request(r, base::refusal_code::no_upstream, true);
+        return;
+    }
+    attempt_state& attempt = r.attempt_;
+    attempt = {};
+    attempt.id_ = {settings_.instance_, next_sequence_++};
+    attempt.autonomous_ = true;
+    attempt.prefill_ = *prefill;
+    attempt.decode_ = *decode;
+    attempts_[attempt.id_] = r.request_.request_;
+    ++counts_.autonomous_;
+    log(r, "autonomous", "no owner answers");
+    // The owner counts it as soon as it hears again.
+    announce(r);
+    start(r);
+}
+
+void table_core::announce(request_state& r) {
+    const attempt_state& attempt = r.attempt_;
+    tell_owner(r, placement::place_hold{
+                      attempt.id_,
+                      r.request_.cell_,
+                      r.request_.caller_,
+                      attempt.prefill_,
+                      attempt.decode_,
+                      hold_stage_of(r.stage_),
+                      attempt.prompt_tokens_ > 0 ? attempt.prompt_tokens_
+                                                 : r.request_.prompt_tokens_,
+                      r.request_.max_output_tokens_,
+                      attempt.suspect_,
+                  });
+}
+
+void table_core::on(const engines_known& e) {
+    picker_.update(e);
+}
+
+void table_core::on(const owner_changed& e) {
+    for (const base::request_id id : request_ids()) {
+        const auto found = requests_.find(id);
+        if (found == requests_.end() ||
+            found->second.request_.cell_ != e.cell_) {
+            continue;
+        }
+        request_state& r = found->second;
+        switch (r.stage_) {
+        case stage::placing:
+        case stage::queued:
+            withdraw_place(r);
+            place(r, 0);
+            break;
+        case stage::recovering:
+            break;
+        case stage::binding:
+            r.attempt_.rank_ = 0;
+            announce(r);
+            tell_owner(r, placement::prefill_finished{
+                              r.attempt_.id_, r.attempt_.prompt_tokens_, 0});
+            break;
+        default:
+            r.attempt_.rank_ = 0;
+            announce(r);
+            break;
+        }
+    }
+}
+
+void table_core::on(const placed& e) {
+    std::visit([this](const auto& message) { on_owner(message); }, e.answer_);
+}
+
+void table_core::on_owner(const placement::place_grant& m) {
+    request_state* r = find(m.attempt_, {stage::placing, stage::queued});
+    if (r == nullptr) {
+        give_back_late_grant(m.attempt_);
+        return;
+    }
+    const standing mark = standing_of(*r);
+    const bool undeclared = mark == standing::suspect && !r->attempt_.suspect_;
+    if (undeclared || mark == standing::quarantined) {
+        // The mark is newer than the question, so the owner may have granted
+        // a place beside another suspect.
+        const std::uint8_t rank = r->attempt_.rank_;
+        withdraw_place(*r);
+        place(*r, rank);
+        return;
+    }
+    r->attempt_.prefill_ = m.prefill_;
+    r->attempt_.decode_ = m.decode_;
+    r->attempt_.prefill_at_decode_ = m.prefill_at_decode_;
+    start(*r);
+}
+
+void table_core::on_owner(const placement::place_refusal& m) {
+    request_state* r =
+        find(m.attempt_, {stage::placing, stage::queued, stage::binding});
+    if (r == nullptr) {
+        return;
+    }
+    if (r->stage_ == stage::binding) {
+        log(*r, "retry", "no decode place for the prefill result");
+        end_attempt(*r, placement::release_reason::failed);
+        run_again(*r);
+        return;
+    }
+    if (m.code_ == base::refusal_code::not_owner) {
+        place_next(*r);
+        return;
+    }
+    std::optional<base::milliseconds> retry_after;
+    if (m.retry_after_.count() > 0) {
+        retry_after = m.retry_after_;
+    }
+    forget_attempt(*r);
+    refuse_request(*r, m.code_, retry_after);
+}
+
+void table_core::on_owner(const placement::decode_bound& m) {
+    request_state* r = find(m.attempt_, {stage::binding});
+    if (r == nullptr) {
+        return;
+    }
+    // A late answer to an earlier question names an engine lost since.
+    if (std::ranges::find(r->attempt_.lost_, m.decode_) !=
+        r->attempt_.lost_.end()) {
+        ++counts_.dropped_events_;
+        return;
+    }
+    start_transfer(*r, m.decode_);
+}
+
+void table_core::on_owner(const placement::place_queued& m) {
+    request_state* r = find(m.attempt_, {stage::placing});
+    if (r != nullptr) {
+        enter(*r, stage::queued, budget_left(*r) + settings_.queue_margin_);
+    }
+}
+
+} // namespace pimentoferry::requests::internal
--- /dev/null
+++ b/pimentoferry/requests/table_running.cpp
@@ -0,0 +1,324 @@
+// An attempt on its engines: prefill, transfer, decode, and their failures.
+
+#include "pimentoferry/requests/table_core.hpp"
+
+#include <algorithm>
+
+namespace pimentoferry::requests::internal {
+
+namespace {
+
+// The engine answered that it holds nothing, or was not asked.
+bool holds_nothing(engine_failure failure) {
+    return failure == engine_failure::not_sent ||
+           failure == engine_failure::full || failure == engine_failure::gone;
+}
+
+// Without an answer, the engine may have crashed on this request.
+bool unanswered(engine_failure failure) {
+    return failure == engine_failure::broken ||
+           failure == engine_failure::timed_out;
+}
+
+placement::loss_reason loss_of(engine_failure failure) {
+    switch (failure) {
+    case engine_failure::full:
+        return placement::loss_reason::refused;
+    case engine_failure::timed_out:
+        return placement::loss_reason::stalled;
+    default:
+        return placement::loss_reason::failed;
+    }
+}
+
+} // namespace
+
+base::milliseconds table_core::prefill_limit(const request_state& r) const {
+    return settings_.prefill_base_ +
+           base::milliseconds{r.request_.prompt_tokens_};
+}
+
+void table_core::start(request_state& r) {
+    attempt_state& attempt = r.attempt_;
+    if (attempt.prefill_at_decode_) {
+        open_stream(r);
+        return;
+    }
+    ++r.calls_sent_;
+    hold(r, attempt.prefill_);
+    enter(r, stage::prefilling, prefill_limit(r));
+    out_.emplace_back(
+        start_prefill{attempt.id_, r.request_.request_, attempt.prefill_});
+}
+
+void table_core::on(const prefill_done& e) {
+    request_state* r = find(e.attempt_, {stage::prefilling});
+    if (r == nullptr) {
+        return;
+    }
+    r->attempt_.handle_ = e.handle_;
+    r->attempt_.prompt_tokens_ = e.prompt_tokens_;
+    r->attempt_.result_until_ = now_ + settings_.result_life_;
+    tell_owner(*r, placement::prefill_finished{e.attempt_, e.prompt_tokens_,
+                                               e.cached_tokens_});
+    bind(*r);
+}
+
+void table_core::on(const prefill_failed& e) {
+    request_state* r = find(e.attempt_, {stage::prefilling});
+    if (r == nullptr) {
+        return;
+    }
+    if (e.failure_ == engine_failure::not_sent) {
+        --r->calls_sent_;
+    }
+    lose_prefill(*r, e.failure_);
+}
+
+void table_core::lose_prefill(request_state& r, engine_failure failure) {
+    const base::upstream_name engine = r.attempt_.prefill_;
+    if (holds_nothing(failure)) {
+        release(r, engine);
+    }
+    // A lost prefill engine ends the attempt for the owner.
+    tell_owner(
+        r, placement::engine_lost{r.attempt_.id_, engine, loss_of(failure)});
+    run_again_after(r, engine, failure);
+}
+
+void table_core::bind(request_state& r) {
+    if (r.attempt_.autonomous_) {
+        bind_without_owner(r);
+        return;
+    }
+    enter(r, stage::binding,
+          std::min(now_ + settings_.place_timeout_, r.attempt_.result_until_));
+}
+
+void table_core::bind_without_owner(request_state& r) {
+    const attempt_state& attempt = r.attempt_;
+    const auto lost = [&](const base::upstream_name& engine) {
+        return std::ranges::find(attempt.lost_, engine) != attempt.lost_.end();
+    };
+    std::optional<base::upstream_name> engine;
+    if (attempt.result_until_ > now_) {
+        if (attempt.decode_ != base::upstream_name{} &&
+            !lost(attempt.decode_)) {
+            engine = attempt.decode_;
+        } else if (!attempt.suspect_) {
+            engine = picker_.pick(r.request_.cell_, engine_role::decode,
+                                  attempt.lost_, own_load());
+        }
+    }
+    if (engine) {
+        start_transfer(r, *engine);
+        return;
+    }
+    end_attempt(r, placement::release_reason::failed);
+    run_again(r);
+}
+
+void table_core::start_transfer(request_state& r,
+                                const base::upstream_name& engine) {
+    attempt_state& attempt = r.attempt_;
+    const std::uint32_t expected_ms =
+        attempt.prompt_tokens_ / settings_.transfer_tokens_per_ms_;
+    const base::milliseconds deadline =
+        settings_.import_base_ + 2 * base::milliseconds{expected_ms};
+    attempt.decode_ = engine;
+    ++r.calls_sent_;
+    hold(r, engine);
+    enter(r, stage::transferring, deadline);
+    out_.emplace_back(start_import{
+        attempt.id_,
+        r.request_.request_,
+        engine,
+        attempt.prefill_,
+        attempt.handle_,
+        attempt.prompt_tokens_,
+        r.request_.max_output_tokens_,
+        deadline,
+    });
+}
+
+void table_core::on(const import_done& e) {
+    request_state* r = find(e.attempt_, {stage::transferring});
+    if (r == nullptr) {
+        return;
+    }
+    if (e.engine_ != r->attempt_.decode_) {
+        ++counts_.dropped_events_;
+        return;
+    }
+    open_stream(*r);
+}
+
+void table_core::on(const import_failed& e) {
+    request_state* r = find(e.attempt_, {stage::transferring});
+    if (r == nullptr) {
+        return;
+    }
+    if (e.engine_ != r->attempt_.decode_) {
+        ++counts_.dropped_events_;
+        return;
+    }
+    if (e.failure_ == engine_failure::not_sent) {
+        --r->calls_sent_;
+    }
+    if (holds_nothing(e.failure_)) {
+        release(*r, e.engine_);
+    }
+    // An evicted result is of no use elsewhere, and an engine that may have
+    // crashed on the request must be heard of before it runs again.
+    if (e.failure_ == engine_failure::gone ||
+        e.failure_ == engine_failure::broken) {
+        tell_owner(*r, placement::place_release{
+                           e.attempt_, placement::release_reason::failed, 0});
+        run_again_after(*r, e.engine_, e.failure_);
+        return;
+    }
+    lose_decode(*r, loss_of(e.failure_));
+}
+
+void table_core::lose_decode(request_state& r, placement::loss_reason reason) {
+    attempt_state& attempt = r.attempt_;
+    const base::upstream_name engine = attempt.decode_;
+    cancel(r, engine);
+    if (attempt.result_until_ <= now_) {
+        end_attempt(r, placement::release_reason::failed);
+        run_again(r);
+        return;
+    }
+    attempt.lost_.push_back(engine);
+    tell_owner(r, placement::engine_lost{attempt.id_, engine, reason});
+    bind(r);
+}
+
+void table_core::open_stream(request_state& r) {
+    const attempt_state& attempt = r.attempt_;
+    const bool with_prompt =
+        attempt.prefill_at_decode_ && !attempt.stream_sent_;
+    base::milliseconds limit = settings_.first_token_limit_;
+    if (with_prompt) {
+        limit += prefill_limit(r);
+    }
+    ++r.calls_sent_;
+    hold(r, attempt.decode_);
+    enter(r, stage::opening, limit);
+    out_.emplace_back(start_decode{attempt.id_, r.request_.request_,
+                                   attempt.decode_, r.position_, with_prompt});
+}
+
+void table_core::on(const first_token& e) {
+    request_state* r = find(e.attempt_, {stage::opening});
+    if (r == nullptr) {
+        return;
+    }
+    r->attempt_.stream_sent_ = true;
+    enter(*r, stage::decoding, r->limit_);
+    if (r->attempt_.started_) {
+        return;
+    }
+    r->attempt_.started_ = true;
+    tell_owner(*r, placement::decode_started{e.attempt_});
+    if (!r->attempt_.prefill_at_decode_) {
+        cancel_idle(*r, r->attempt_.prefill_);
+    }
+}
+
+void table_core::on(const stream_ended& e) {
+    request_state* r =
+        find(e.attempt_, {stage::opening, stage::decoding, stage::closing});
+    if (r == nullptr) {
+        return;
+    }
+    // The engine freed the attempt with the last token.
+    release(*r, r->attempt_.decode_);
+    if (e.output_tokens_ < r->position_) {
+        // The caller has more tokens than the whole answer of this run.
+        refuse_request(*r, base::refusal_code::upstream_failed, false);
+        return;
+    }
+    quarantine_.completed(r->request_.fingerprint_, now_);
+    tell_owner(*r, placement::place_release{
+                       e.attempt_, placement::release_reason::completed,
+                       e.output_tokens_});
+    cancel_idle(*r, r->attempt_.prefill_);
+    forget_attempt(*r);
+    ++counts_.finished_;
+    out_.emplace_back(finish{r->request_.request_});
+    erase(*r);
+}
+
+void table_core::on(const stream_broken& e) {
+    request_state* r =
+        find(e.attempt_, {stage::opening, stage::decoding, stage::closing});
+    if (r == nullptr) {
+        return;
+    }
+    // The count of the traffic thread only grows, so a lower one is old.
+    if (e.position_ < r->position_) {
+        ++counts_.dropped_events_;
+        return;
+    }
+    if (e.failure_ == engine_failure::not_sent) {
+        --r->calls_sent_;
+    } else {
+        r->attempt_.stream_sent_ = true;
+    }
+    if (e.position_ > r->position_) {
+        r->position_ = e.position_;
+        r->attempt_.resumes_ = 0;
+    }
+    resume_or_lose(*r, e.failure_);
+}
+
+void table_core::resume_or_lose(request_state& r, engine_failure failure) {
+    attempt_state& attempt = r.attempt_;
+    if (r.stage_ == stage::closing) {
+        lose_stream(r, attempt.decode_gone_ ? engine_failure::error
+                                            : engine_failure::timed_out);
+        return;
+    }
+    const bool held = attempt.stream_sent_ || !attempt.prefill_at_decode_;
+    const bool interrupted =
+        unanswered(failure) || failure == engine_failure::not_sent;
+    if (!held || !interrupted || attempt.resumes_ >= settings_.resumes_) {
+        lose_stream(r, failure);
+        return;
+    }
+    const base::milliseconds delay =
+        settings_.resume_delay_ * (1 << attempt.resumes_);
+    ++attempt.resumes_;
+    ++counts_.resumes_;
+    log(r, "resume", "the stream broke");
+    enter(r, stage::resuming, delay);
+}
+
+void table_core::lose_stream(request_state& r, engine_failure failure) {
+    const attempt_state& attempt = r.attempt_;
+    const base::upstream_name engine = attempt.decode_;
+    if (failure == engine_failure::not_sent && attempt.prefill_at_decode_ &&
+        !attempt.stream_sent_) {
+        release(r, engine);
+    }
+    const bool transferable = !attempt.prefill_at_decode_ &&
+                              !attempt.started_ && r.position_ == 0 &&
+                              !attempt.decode_gone_ && !unanswered(failure);
+    if (transferable && attempt.result_until_ > now_) {
+        lose_decode(r, loss_of(failure));
+        return;
+    }
+    tell_owner(r, placement::place_release{
+                      attempt.id_, placement::release_reason::failed, 0});
+    run_again_after(r, engine, failure);
+}
+
+// The next run starts only after the traffic thread has told the position:
+// tokens relayed until then would otherwise reach the caller twice.
+void table_core::close_stream(request_state& r) {
+    cancel(r, r.attempt_.decode_);
+    enter(r, stage::closing, settings_.close_limit_);
+}
+
+} // namespace pimentoferry::requests::internal
