--- a/pimentoferry/once/messages.hpp
+++ b/pimentoferry/once/messages.hpp
@@ -73,14 +73,17 @@
     base::attempt_id attempt_;
     verdict verdict_{verdict::unavailable};
     stored_result result_; ///< Only for `replay`.
+    /// An entry that no longer knows the attempt of a `run` abandons it.
+    key_id key_;
 
     template <class Self>
     static auto fields(Self& self) {
-        return std::tie(self.attempt_, self.verdict_, self.result_);
+        return std::tie(self.attempt_, self.verdict_, self.result_, self.key_);
     }
 };
 
-/// The upstream's answer; the owner stores it for replay.
+/// The upstream's answer; the owner stores it for replay. Repeated until
+/// `report_confirmed`.
 struct report_result {
     base::attempt_id attempt_;
     shard_number shard_{0};
@@ -114,6 +117,7 @@
 };
 
 /// The call was sent and its result was lost: the answer stays `unknown`.
+/// Repeated until `report_confirmed`.
 struct report_lost {
     base::attempt_id attempt_;
     shard_number shard_{0};
@@ -125,8 +129,18 @@
     }
 };
 
+/// The result, or its loss, is durable; the entry may forget the attempt.
+struct report_confirmed {
+    base::attempt_id attempt_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.attempt_);
+    }
+};
+
 using to_owner = std::variant<claim, report_result, abandon, report_lost>;
-using to_entry = std::variant<claim_answer, abandon_confirmed>;
+using to_entry =
+    std::variant<claim_answer, abandon_confirmed, report_confirmed>;
 
 } // namespace pimentoferry::once
 
