--- a/pimentoferry/once/context.cpp
+++ b/pimentoferry/once/context.cpp
@@ -32,6 +32,7 @@
         learn(ownership);
     }
     choose_candidates();
+    ++version_;
 }
 
 bool entry_view::learn(const shard_ownership& ownership) {
@@ -40,6 +41,7 @@
         return false;
     }
     owners_[ownership.shard_] = ownership;
+    ++version_;
     return true;
 }
 
--- a/pimentoferry/once/context.hpp
+++ b/pimentoferry/once/context.hpp
@@ -34,7 +34,8 @@
     [[nodiscard]] base::instance_id candidate(shard_number shard) const;
     /// Where messages for the shard go; none if no entry could own it.
     [[nodiscard]] base::instance_id route(shard_number shard) const;
-    [[nodiscard]] base::instance_id self() const { return self_; }
+    /// Changes whenever `route` may answer differently.
+    [[nodiscard]] std::uint64_t version() const { return version_; }
 
 private:
     void choose_candidates();
@@ -44,6 +45,7 @@
     std::unordered_set<base::instance_id> seen_;
     std::vector<shard_ownership> owners_;
     std::vector<base::instance_id> candidates_;
+    std::uint64_t version_{0};
 };
 
 /// Collects the actions of one event.
--- a/pimentoferry/once/once_service.hpp
+++ b/pimentoferry/once/once_service.hpp
@@ -35,7 +35,10 @@
 
 #include "pimentoferry/base/ids.hpp"
 #include "pimentoferry/base/time.hpp"
+#include "pimentoferry/once/claimant.hpp"
+#include "pimentoferry/once/context.hpp"
 #include "pimentoferry/once/events.hpp"
+#include "pimentoferry/once/shard_set.hpp"
 
 #include <cstddef>
 #include <optional>
@@ -68,6 +71,16 @@
 
     /// Records that the owned shards hold in memory.
     [[nodiscard]] std::size_t record_count() const;
+
+private:
+    void dispatch(const event& event, internal::context& ctx);
+    void deliver_local(internal::context& ctx);
+
+    internal::entry_view view_;
+    internal::outbox out_;
+    internal::claimant calls_;
+    internal::shard_set shards_;
+    base::wall_time wall_{};
 };
 
 } // namespace pimentoferry::once
--- a/pimentoferry/once/shard_log.cpp
+++ b/pimentoferry/once/shard_log.cpp
@@ -389,8 +389,8 @@
         next_segment_ = number_ + 1;
         break;
     default:
-        close();
         out.emplace_back(log_released{next_head_.epoch_});
+        close();
         break;
     }
 }
