--- a/pimentoferry/once/context.cpp
+++ b/pimentoferry/once/context.cpp
@@ -109,13 +109,8 @@
     return static_cast<shard_number>(token.value_ & shard_mask);
 }
 
-std::optional<outbox::local_message> outbox::next_local() {
-    if (local_.empty()) {
-        return std::nullopt;
-    }
-    auto message = std::move(local_.front());
-    local_.pop_front();
-    return message;
+std::deque<outbox::local_message> outbox::take_local() {
+    return std::exchange(local_, {});
 }
 
 std::vector<action> outbox::take_actions() {
--- a/pimentoferry/once/context.hpp
+++ b/pimentoferry/once/context.hpp
@@ -62,7 +62,7 @@
 
     /// Messages of this entry to itself; they are handled at once.
     using local_message = std::variant<to_owner, to_entry>;
-    std::optional<local_message> next_local();
+    std::deque<local_message> take_local();
     std::vector<action> take_actions();
 
 private:
--- a/pimentoferry/once/once_service.cpp
+++ b/pimentoferry/once/once_service.cpp
@@ -64,11 +64,15 @@
 }
 
 void once_service::deliver_local(context& ctx) {
-    while (const auto message = out_.next_local()) {
-        std::visit(base::overloaded{
-                       [&](const to_owner& m) { shards_.receive(m, ctx); },
-                       [&](const to_entry& m) { calls_.receive(m, ctx); }},
-                   *message);
+    // Answers may be messages to this entry in turn.
+    for (auto messages = out_.take_local(); !messages.empty();
+         messages = out_.take_local()) {
+        for (const auto& message : messages) {
+            std::visit(base::overloaded{
+                           [&](const to_owner& m) { shards_.receive(m, ctx); },
+                           [&](const to_entry& m) { calls_.receive(m, ctx); }},
+                       message);
+        }
     }
 }
 
--- a/pimentoferry/once/shard_log.cpp
+++ b/pimentoferry/once/shard_log.cpp
@@ -132,7 +132,7 @@
     operation_ = {};
     if (reading_back_) {
         on_read_back(result.outcome_, out, ctx);
-    } else if (pending_) {
+    } else if (is_writing()) {
         on_write(result.outcome_, out, ctx);
     } else {
         on_read(result.outcome_, out, ctx);
@@ -147,7 +147,7 @@
     retry_at_.reset();
     if (reading_back_) {
         read_back(ctx);
-    } else if (pending_) {
+    } else if (is_writing()) {
         write_again(ctx);
     } else if (step_ == step::reading_head) {
         send(store::get{head_key(shard_)}, ctx);
@@ -167,13 +167,13 @@
 }
 
 void shard_log::write_again(context& ctx) {
-    ++pending_->tries_;
-    send(pending_->put_, ctx);
+    ++pending_.tries_;
+    send(pending_.put_, ctx);
 }
 
 void shard_log::read_back(context& ctx) {
     reading_back_ = true;
-    send(store::get{pending_->put_.key_}, ctx);
+    send(store::get{pending_.put_.key_}, ctx);
 }
 
 void shard_log::retry_later(context& ctx) {
@@ -319,7 +319,7 @@
     }
     reading_back_ = false;
     const auto* found = std::get_if<store::found>(&outcome);
-    const auto& put = pending_->put_;
+    const auto& put = pending_.put_;
     if (found != nullptr && found->value_ == put.value_) {
         on_written(found->revision_, out, ctx);
         return;
@@ -333,7 +333,7 @@
 }
 
 void shard_log::on_not_written(events& out, context& ctx) {
-    if (pending_->tries_ == 1) {
+    if (pending_.tries_ == 1) {
         write_again(ctx);
         return;
     }
@@ -344,7 +344,7 @@
 void shard_log::on_superseded(events& out, context& ctx) {
     if (step_ == step::fencing) {
         // The old owner appended between the read and this write.
-        pending_.reset();
+        pending_ = {};
         read_segment(number_, ctx);
         return;
     }
@@ -361,7 +361,7 @@
     case step::raising:
         head_ = next_head_;
         head_revision_ = revision;
-        pending_.reset();
+        pending_ = {};
         if (written == step::raising) {
             erase_sealed(ctx);
             out.emplace_back(floor_raised{});
@@ -396,9 +396,9 @@
 }
 
 void shard_log::on_segment_written(store::revision revision) {
-    content_ = std::move(pending_->put_.value_);
+    content_ = std::move(pending_.put_.value_);
     revision_ = revision;
-    pending_.reset();
+    pending_ = {};
 }
 
 void shard_log::lose(events& out) {
--- a/pimentoferry/once/shard_log.hpp
+++ b/pimentoferry/once/shard_log.hpp
@@ -120,7 +120,7 @@
     /// A write whose outcome is not known yet.
     struct pending_write {
         store::put put_;
-        int tries_{0};
+        int tries_{0}; ///< 0: no write is pending.
     };
 
     struct sealed_segment {
@@ -131,6 +131,8 @@
 
     using events = std::vector<log_event>;
 
+    [[nodiscard]] bool is_writing() const { return pending_.tries_ > 0; }
+
     void send(store::request request, context& ctx);
     void write(step next, store::put put, context& ctx);
     void write_again(context& ctx);
@@ -165,7 +167,7 @@
     store::token garbage_list_;
     std::optional<base::time_point> retry_at_;
     bool reading_back_{false};
-    std::optional<pending_write> pending_;
+    pending_write pending_;
 
     log_head head_;
     store::revision head_revision_{0};
