Add stand-ins of the outside systems

Cause: the router is to run and be tested without any outside system. Excluded: third-party servers; a JSON library of our own (cxxtools parses and writes it, as C++17). Change: standins/ with engine, plain service, store, instance list and weight store over Beast coroutines, a blocking HTTP client for tests, and the program pimentoferry-standins.

--- /dev/null
+++ b/standins/engine.hpp
@@ -0,0 +1,147 @@
+/// An engine of the design page, section 9.3, without a model.
+///
+/// One token is one word of the prompt, and the answer is that of
+/// `expected_answer.hpp`. All calls of section 9.3 are served, and besides:
+///
+/// * `GET /stats`: what is held now, exactly and by attempt, and counters.
+/// * `GET /orders`: every order received, with what became of it.
+/// * `POST /control`: the switches of `engine_settings.hpp`.
+///
+/// Rules where section 9.3 is open:
+/// * A call is refused with 409 (`wrong_role`, `not_loaded`, `duplicate`) or
+///   503 (`draining`) besides the statuses of the table.
+/// * A running prefill holds a slot; a finished one holds only its pieces. A
+///   running export puts off the eviction of the result.
+/// * A reservation that has not begun to decode ends at its `deadline_ms`,
+///   counted from the receipt of the import.
+/// * Decoding goes on while the stream is broken. A second stream of an
+///   attempt takes over from the first. On a new import, a `position` above 0
+///   skips the tokens before it but still takes their steps.
+/// * `inline` is the prompt, or an object with the members of a prefill call.
+/// * An order is answered at once and carried out in order of receipt; one
+///   for a model, version or role waits until no attempt is left and refuses
+///   new work meanwhile.
+#ifndef PIMENTOFERRY_STANDINS_ENGINE_HPP
+#define PIMENTOFERRY_STANDINS_ENGINE_HPP
+
+#include "standins/engine_attempts.hpp"
+#include "standins/engine_settings.hpp"
+#include "standins/http_server.hpp"
+#include "standins/json.hpp"
+#include "standins/link.hpp"
+#include "standins/prefix_cache.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pimentoferry::standins {
+
+class engine : public std::enable_shared_from_this<engine> {
+public:
+    engine(net::io_context& context, const json& switches);
+
+    /// Starts the decode batch and the expiry of holds.
+    void start();
+    net::awaitable<void> handle(exchange& call);
+
+private:
+    struct order {
+        std::int64_t fencing_{0};
+        std::string kind_;
+        std::string value_;
+        unsigned status_{200};
+        bool changed_{false};
+    };
+
+    struct counters {
+        std::int64_t prefills_{0};
+        std::int64_t prefill_tokens_{0}; ///< Computed, without cached ones.
+        std::int64_t cached_tokens_{0};
+        std::int64_t wasted_tokens_{0}; ///< Computed and never exported.
+        std::int64_t imports_{0};
+        std::int64_t decode_tokens_{0};
+        std::int64_t completed_{0};
+        std::int64_t cancelled_{0};
+        std::int64_t refused_full_{0};
+    };
+
+    // engine.cpp
+    net::awaitable<void> serve_v1(exchange& call);
+    net::awaitable<void> maintain(std::shared_ptr<engine> self);
+    net::awaitable<void> refuse(exchange& call, unsigned status, json body);
+    net::awaitable<void> refuse_released(exchange& call, attempt_ptr which);
+    /// Answers with the refusal if the attempt is not admitted.
+    net::awaitable<bool> admit(exchange& call, attempt_ptr added);
+    /// Answers with the refusal if the engine does not serve this request.
+    net::awaitable<bool> accepts(exchange& call, std::string role, json target);
+    attempt_ptr make_attempt(const json& body) const;
+    void release(const attempt_ptr& which);
+    void cancel(const std::string& id);
+    void count_release(const attempt_ptr& released);
+    net::awaitable<void> cancel_attempts(exchange& call);
+    std::int64_t free_pieces() const;
+
+    // engine_prefill.cpp
+    net::awaitable<void> prefill(exchange& call);
+    net::awaitable<bool> compute(attempt_ptr which);
+    bool may_compute(const attempt_ptr& which) const;
+    void start_next_prefill();
+
+    // engine_transfer.cpp
+    net::awaitable<void> export_result(exchange& call, std::string handle);
+    net::awaitable<void> import(exchange& call);
+    net::awaitable<unsigned>
+    pull(attempt_ptr which, std::string source, std::string handle);
+
+    // engine_decode.cpp
+    net::awaitable<void> decode(exchange& call);
+    net::awaitable<attempt_ptr> prefill_inline(exchange& call, json body);
+    net::awaitable<void>
+    stream(exchange& call, attempt_ptr which, std::uint32_t position);
+    net::awaitable<bool>
+    write_tokens(exchange& call, attempt_ptr which, std::uint32_t position);
+    net::awaitable<void> run_batch(std::shared_ptr<engine> self);
+    std::vector<attempt_ptr> batch() const;
+
+    // engine_orders.cpp
+    net::awaitable<void> receive_order(exchange& call);
+    order accept_order(const json& body);
+    bool would_change(const order& wanted) const;
+    void carry_out(const order& wanted);
+    net::awaitable<void> run_orders(std::shared_ptr<engine> self);
+    net::awaitable<void> load_weights(order wanted);
+    json orders_json() const;
+
+    // engine_reports.cpp
+    json load_report() const;
+    json stats() const;
+    json cache_events(std::uint64_t after) const;
+    void refresh_load(time_point now);
+
+    net::io_context& context_;
+    engine_settings settings_;
+    attempt_table attempts_;
+    prefix_cache cache_;
+    counters counters_;
+    std::string instance_; ///< New at each start.
+    std::uint64_t next_handle_{0};
+    std::uint64_t next_stream_{0};
+    std::deque<attempt_ptr> queue_; ///< Prefills that wait, oldest first.
+    std::int64_t computing_{0};
+    net::steady_timer batch_wake_;
+    link link_;
+    json load_published_;
+    json load_next_;
+    time_point load_refreshed_;
+    std::vector<order> orders_;
+    std::deque<order> pending_orders_;
+    std::int64_t highest_fencing_{0};
+    bool draining_{false};
+};
+
+} // namespace pimentoferry::standins
+
+#endif
--- /dev/null
+++ b/standins/engine_test.cpp
@@ -0,0 +1,1 @@
+#include <cppunit/extensions/HelperMacros.h>
--- /dev/null
+++ b/standins/http_server.hpp
@@ -0,0 +1,101 @@
+/// HTTP/1.1 server of the stand-ins, on coroutines of one `io_context`.
+///
+///     net::awaitable<void> answer(exchange& call) {
+///         if (call.path() == "/stats") {
+///             co_await call.reply(200, stats());
+///         }
+///     }
+///     const auto port = listen(context, "127.0.0.1", 0, answer);
+///
+/// The handler runs once per request. A request that it leaves unanswered
+/// gets a 404; `close_unanswered` closes the connection instead. A write to a
+/// peer that is gone throws `boost::system::system_error`, which ends the
+/// connection unless the handler catches it.
+#ifndef PIMENTOFERRY_STANDINS_HTTP_SERVER_HPP
+#define PIMENTOFERRY_STANDINS_HTTP_SERVER_HPP
+
+#include "standins/asio.hpp"
+#include "standins/json.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pimentoferry::standins {
+
+using headers = std::vector<std::pair<std::string, std::string>>;
+
+/// Time for a peer to accept one write, unless the handler sets another.
+inline constexpr milliseconds default_write_limit{30000};
+
+/// One request and the means to answer it.
+class exchange {
+public:
+    exchange(beast::tcp_stream& stream,
+             http::request<http::string_body> request);
+
+    /// `GET`, `PUT`, ...
+    std::string method() const;
+    /// Without the query, percent-decoded.
+    const std::string& path() const { return path_; }
+    /// A query parameter, percent-decoded; empty when absent.
+    std::string query(const std::string& name) const;
+    bool has_query(const std::string& name) const;
+    std::string header(const std::string& name) const;
+    const std::string& body() const { return request_.body(); }
+    /// The body as JSON; null when it is none.
+    json body_json() const;
+
+    net::awaitable<void> reply(unsigned status, json body);
+    net::awaitable<void> reply_bytes(unsigned status,
+                                     std::string type,
+                                     std::string body,
+                                     headers extra);
+
+    /// Starts a chunked answer with status 200; `write_chunk` continues it.
+    net::awaitable<void> begin_chunks(std::string type);
+    net::awaitable<void> write_chunk(std::string bytes);
+    /// Ends a chunked answer. A chunked answer that is not ended is broken
+    /// off: its connection is closed.
+    net::awaitable<void> end_chunks();
+
+    /// Closes the connection after the handler instead of answering.
+    void close_unanswered() { close_ = true; }
+    void set_write_limit(milliseconds limit) { write_limit_ = limit; }
+    /// Size of the socket's send buffer; 0 leaves it as it is.
+    void set_send_buffer(int bytes);
+    /// True when the peer has closed its side of the connection.
+    bool peer_closed();
+    bool answered() const { return answered_; }
+    bool must_close() const { return close_; }
+    bool keep_alive() const { return request_.keep_alive(); }
+
+private:
+    beast::tcp_stream& stream_;
+    http::request<http::string_body> request_;
+    std::string path_;
+    std::map<std::string, std::string> query_;
+    milliseconds write_limit_{default_write_limit};
+    bool answered_{false};
+    bool close_{false};
+};
+
+using handler = std::function<net::awaitable<void>(exchange&)>;
+
+/// Listens and serves on the context; returns the port, which the system
+/// chooses when `port` is 0. Throws `boost::system::system_error` when the
+/// address cannot be bound.
+std::uint16_t listen(net::io_context& context,
+                     const std::string& ip,
+                     std::uint16_t port,
+                     handler answer);
+
+/// The rest of `text` after `prefix`, or empty when it does not start so.
+std::string_view after_prefix(std::string_view text, std::string_view prefix);
+
+} // namespace pimentoferry::standins
+
+#endif
