Add the command line of operators

Cause: operators drive the system by tickets and need checks, status and drain. Excluded: a second parser in the program; the ticket file is checked by library config before it is sent.

--- /dev/null
+++ b/pimentoferry/cli/commands.hpp
@@ -0,0 +1,17 @@
+/// Commands of operators. Each returns an exit code.
+#ifndef PIMENTOFERRY_CLI_COMMANDS_HPP
+#define PIMENTOFERRY_CLI_COMMANDS_HPP
+
+#include "pimentoferry/cli/arguments.hpp"
+
+namespace pimentoferry::cli {
+
+int run_check_settings(const arguments& args);
+int run_ticket(const arguments& args);
+int run_status(const arguments& args);
+int run_drain(const arguments& args);
+int run_entry(const arguments& args);
+
+} // namespace pimentoferry::cli
+
+#endif
--- /dev/null
+++ b/pimentoferry/cli/exit_codes.hpp
@@ -0,0 +1,19 @@
+/// Exit codes of the program; `docs/cli.md` lists them for operators.
+#ifndef PIMENTOFERRY_CLI_EXIT_CODES_HPP
+#define PIMENTOFERRY_CLI_EXIT_CODES_HPP
+
+namespace pimentoferry::cli {
+
+inline constexpr int exit_ok = 0;
+/// The command was understood and refused, or a check failed.
+inline constexpr int exit_refused = 1;
+/// The command line is wrong.
+inline constexpr int exit_usage = 2;
+/// A drain ended at its limit and cut requests off.
+inline constexpr int exit_cut_off = 3;
+/// No answer arrived; whether the command took effect is not known.
+inline constexpr int exit_no_answer = 4;
+
+} // namespace pimentoferry::cli
+
+#endif
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -13,5 +13,5 @@
 mkdir -p build/tidy
 export tidy_settings_hash
 tidy_settings_hash=$(sha256sum .clang-tidy | cut -d' ' -f1)
-git ls-files '*.cpp' | xargs -P "$(nproc)" -n 1 tools/tidy_one.sh
+git ls-files '*.cpp' | xargs -P "$(( $(nproc) / 2 ))" -n 1 tools/tidy_one.sh
 echo "lint: $(git ls-files '*.cpp' | wc -l) units clean"
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 
 packages=(
-  g++ cmake ninja-build make ccache git pkg-config
+  g++ cmake ninja-build make ccache git pkg-config python3
   clang-format-16 clang-tidy-16 clang-16 libclang-rt-16-dev
   libcxxtools-dev
   libboost-dev libmsgpack-cxx-dev
