Share clean lint results between work trees

Cause: a full lint run took 6 min 35 s beside five other builds, because every work tree linted the same files again. Excluded: a lighter set of checks. Change: clean results are cached by the hash of the preprocessed text, the file and the settings in the user's cache. Conclusion: a file is linted once for each content.

--- a/tools/tidy_one.sh
+++ b/tools/tidy_one.sh
@@ -1,8 +1,12 @@
 #!/usr/bin/env bash
-# Lints one source file unless the same preprocessed unit was clean before.
+# Lints one source file unless the same preprocessed text was clean before.
 # Usage: tools/tidy_one.sh FILE
+# Clean results are kept in the user's cache under the hash of the text and of
+# the linter's settings, so that all work trees of this user share them.
 set -euo pipefail
 file=$1
+cache=${XDG_CACHE_HOME:-$HOME/.cache}/pimentoferry-tidy
+mkdir -p "$cache"
 command=$(python3 - "$file" <<'PY'
 import json, os, shlex, sys
 path = os.path.abspath(sys.argv[1])
@@ -14,7 +18,7 @@
         out = words.index("-o")
         del words[out:out + 2]
         words.remove("-c")
-        print(shlex.join(words + ["-E"]))
+        print(shlex.join(words + ["-E", "-P"]))
         break
 PY
 )
@@ -22,10 +26,11 @@
   echo "lint: $file is in no target"
   exit 1
 fi
-hash=$( (cd build && eval "$command" 2>/dev/null; echo "$tidy_settings_hash") |
+# The preprocessor drops the comments that silence single findings, so the
+# file's own text is part of the hash.
+hash=$( (cd build && eval "$command" 2>/dev/null; cd ..; cat "$file" .clang-tidy) |
   sha256sum | cut -d' ' -f1)
-stamp=build/tidy/$(echo "$file" | tr '/' '_')
-[[ -f $stamp && $(cat "$stamp") == "$hash" ]] && exit 0
+[[ -e $cache/$hash ]] && exit 0
 log=$(mktemp)
 if ! clang-tidy-16 --quiet -p build "$file" >"$log" 2>/dev/null; then
   cat "$log"
@@ -33,4 +38,4 @@
   exit 1
 fi
 rm -f "$log"
-echo "$hash" >"$stamp"
+touch "$cache/$hash"
