--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -79,8 +79,10 @@
     } else if (path == "/v1/orders") {
         co_await receive_order(call);
     } else if (path == "/v1/load") {
-        const bool current = settings_.load_lag_ms_ <= 0;
-        co_await call.reply(200, current ? load_report() : load_published_);
+        // GCC 12 destroys a conditional operand of co_await twice.
+        json report =
+            settings_.load_lag_ms_ <= 0 ? load_report() : load_published_;
+        co_await call.reply(200, std::move(report));
     } else if (path == "/v1/cache_events") {
         const auto text = call.query("after");
         std::uint64_t after = 0;
