--- a/pimentoferry/requests/cancel_tracker.cpp
+++ b/pimentoferry/requests/cancel_tracker.cpp
@@ -12,6 +12,9 @@
     entries_[k] =
         entry{order.hold_end_, now, limits_.first_repeat_, order.witness_};
     timers_.emplace(now, k);
+    if (order.unanswered_) {
+        unanswered_.emplace(order.attempt_, order.engine_);
+    }
 }
 
 void cancel_tracker::erase(const key& k) {
@@ -20,9 +23,31 @@
         return;
     }
     timers_.erase({found->second.next_, k});
+    unanswered_.erase({k.second, k.first});
     entries_.erase(found);
 }
 
+void cancel_tracker::answered(base::attempt_id attempt,
+                              const std::optional<base::upstream_name>& engine,
+                              bool sent) {
+    const auto found = unanswered_.lower_bound(
+        {attempt, engine.value_or(base::upstream_name{})});
+    if (found == unanswered_.end() || found->first != attempt ||
+        (engine && found->second != *engine)) {
+        return;
+    }
+    const base::upstream_name at = found->second;
+    unanswered_.erase(found);
+    if (!sent) {
+        erase({at, attempt});
+    }
+}
+
+bool cancel_tracker::awaits_answer(base::attempt_id attempt,
+                                   const base::upstream_name& engine) const {
+    return unanswered_.contains({attempt, engine});
+}
+
 bool cancel_tracker::confirmed(const base::upstream_name& engine,
                                const std::vector<base::attempt_id>& attempts) {
     const std::size_t before = entries_.size();
@@ -33,17 +58,19 @@
 }
 
 std::vector<crash_witness>
-cancel_tracker::engine_gone(const base::upstream_name& engine) {
+cancel_tracker::engine_gone(const base::upstream_name& engine,
+                            const std::set<base::attempt_id>& attempts) {
     std::vector<crash_witness> witnesses;
-    auto next = entries_.lower_bound({engine, {}});
-    while (next != entries_.end() && next->first.first == engine) {
-        const std::optional<crash_witness>& witness = next->second.witness_;
+    for (const base::attempt_id attempt : attempts) {
+        const auto found = entries_.find({engine, attempt});
+        if (found == entries_.end()) {
+            continue;
+        }
+        const std::optional<crash_witness>& witness = found->second.witness_;
         if (witness) {
             witnesses.push_back(*witness);
         }
-        const key k = next->first;
-        ++next;
-        erase(k);
+        erase({engine, attempt});
     }
     return witnesses;
 }
--- a/pimentoferry/requests/cancel_tracker.hpp
+++ b/pimentoferry/requests/cancel_tracker.hpp
@@ -41,6 +41,9 @@
     /// What ran, should the engine crash before it confirms; nothing when
     /// the attempt no longer ran there.
     std::optional<crash_witness> witness_;
+    /// The first call of the attempt to the engine is not answered yet, so it
+    /// is not known whether the engine received it.
+    bool unanswered_{false};
 };
 
 class cancel_tracker {
@@ -55,9 +58,21 @@
     bool confirmed(const base::upstream_name& engine,
                    const std::vector<base::attempt_id>& attempts);
 
-    /// The engine instance is gone, and what it held with it. Returns what
-    /// may still have run there.
-    std::vector<crash_witness> engine_gone(const base::upstream_name& engine);
+    /// The open call of a cancelled attempt was answered, or failed. One that
+    /// was never sent needs no cancel and takes no blame. Without `engine`,
+    /// the answer is of the only open call of the attempt.
+    void answered(base::attempt_id attempt,
+                  const std::optional<base::upstream_name>& engine,
+                  bool sent);
+
+    bool awaits_answer(base::attempt_id attempt,
+                       const base::upstream_name& engine) const;
+
+    /// The engine instance is gone, and what it held of these attempts with
+    /// it. Returns what may still have run there.
+    std::vector<crash_witness>
+    engine_gone(const base::upstream_name& engine,
+                const std::set<base::attempt_id>& attempts);
 
     /// Cancels to send now, one action for each engine. Those whose hold has
     /// ended are dropped.
@@ -84,6 +99,8 @@
     cancel_limits limits_;
     std::map<key, entry> entries_;
     std::set<std::pair<base::time_point, key>> timers_;
+    /// Entries whose call is not answered.
+    std::set<std::pair<base::attempt_id, base::upstream_name>> unanswered_;
 };
 
 } // namespace pimentoferry::requests
--- /dev/null
+++ b/pimentoferry/requests/fuzz/world.hpp
@@ -0,0 +1,194 @@
+/// Entries, engines and cell owners in simulated time, for the invariant
+/// tests of `request_table`.
+///
+/// Everything that happens later is a closure on the agenda, so that any two
+/// events can cross. Each public function is one command of the tests; its
+/// numbers choose among what exists, so every sequence of commands is valid
+/// and a failing sequence can be shortened.
+#ifndef PIMENTOFERRY_REQUESTS_FUZZ_WORLD_HPP
+#define PIMENTOFERRY_REQUESTS_FUZZ_WORLD_HPP
+
+#include "pimentoferry/requests/fuzz/fake_engine.hpp"
+#include "pimentoferry/requests/fuzz/fake_owner.hpp"
+#include "pimentoferry/requests/fuzz/oracle.hpp"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace pimentoferry::requests::fuzz {
+
+/// Totals over all cases, to show that the tests reach each path.
+struct coverage {
+    std::uint64_t commands_{0};
+    std::uint64_t requests_{0};
+    std::uint64_t crashes_{0};
+    std::uint64_t not_run_{0};
+    std::uint64_t cancels_lost_{0};
+    table_counts tables_;
+};
+
+class world {
+public:
+    explicit world(coverage& totals);
+
+    // Commands. `seed` feeds every random choice within the command.
+    void seed(std::uint32_t seed) { random_.seed(seed); }
+    void arrive(unsigned entry, poison kind, bool deterministic);
+    void send_again(unsigned entry, unsigned which);
+    void leave(unsigned which);
+    void pass(base::milliseconds time);
+    void kill_entry(unsigned entry);
+    void toggle_pause(unsigned entry);
+    void drain_entry(unsigned entry);
+    void crash_engine(unsigned engine);
+    void toggle_stall(unsigned engine);
+    void toggle_full(unsigned engine);
+    void toggle_slow(unsigned engine);
+    void evict_results(unsigned engine);
+    void break_streams(unsigned engine);
+    void lose_cancels(unsigned count) { cancels_to_lose_ = count; }
+    void toggle_owner(unsigned rank);
+    void change_owner();
+    void toggle_duplicates() { duplicates_ = !duplicates_; }
+    void set_jitter(unsigned ms) { jitter_ = ms; }
+
+    /// Ends all faults, lets time pass and checks that every request has an
+    /// outcome and every slot and piece is free.
+    void settle();
+
+private:
+    struct entry {
+        std::unique_ptr<request_table> table_;
+        base::instance_id instance_;
+        bool alive_{false};
+        bool paused_{false};
+        bool draining_{false};
+        base::time_point paused_at_;
+        base::time_point last_stream_event_;
+        std::deque<std::function<void()>> backlog_;
+        std::map<base::upstream_name, std::uint64_t> known_instance_;
+        std::map<base::upstream_name, std::uint64_t> crash_noticed_;
+        std::map<base::request_id, stream_broken> last_broken_;
+    };
+    struct call {
+        std::size_t entry_{0};
+        base::instance_id from_;
+        base::attempt_id attempt_;
+        base::request_id request_;
+        fake_engine* engine_{nullptr};
+        std::uint64_t engine_instance_{0}; ///< 0 until delivered.
+        bool is_stream_{false};
+        std::function<event(engine_failure)> failed_;
+        std::uint32_t next_{0}; ///< Next token of a stream.
+        std::uint32_t relay_from_{0};
+        bool with_prompt_{false};
+        bool told_first_{false};
+        base::time_point accepted_; ///< When the reader last took a byte.
+    };
+    struct owner {
+        fake_owner state_;
+        bool silent_{false};
+        std::deque<std::pair<base::instance_id, placement::to_owner>> waiting_;
+        std::uint64_t generation_{0};
+    };
+
+    // Time.
+    void after(base::milliseconds delay, std::function<void()> what);
+    void run_until(base::time_point end);
+    base::milliseconds latency(unsigned least = 1);
+    std::uint32_t draw(std::uint32_t below) { return random_() % below; }
+
+    // Entries (world_entries.cpp).
+    void start_entry(std::size_t index);
+    void post(std::size_t index, const event& e);
+    void post_stream(std::size_t index, const event& e);
+    void deliver(std::size_t index,
+                 base::instance_id instance,
+                 std::function<void()> what);
+    void handle(std::size_t index, const event& e);
+    void arm_timer(std::size_t index);
+    void accept(unsigned chosen, const body& content);
+    void execute(std::size_t index, const action& a);
+    void notice_crash(std::size_t index, fake_engine& engine, bool soon);
+    void check_memory(std::size_t index);
+    void cancel_dead_attempts();
+    bool entry_is_current(base::instance_id instance) const;
+    entry* entry_of(base::instance_id instance);
+    std::size_t index_of(const entry& e) const;
+
+    // Cell owners (world_entries.cpp).
+    void to_owner(std::size_t rank,
+                  base::instance_id from,
+                  const placement::to_owner& message);
+    void answer(const owner_answers& answers);
+    void serve_queues();
+    std::vector<engine_view> views();
+
+    // Calls and engines (world_engines.cpp).
+    std::uint64_t open_call(std::size_t index, call c);
+    bool reachable(std::size_t index, const fake_engine& engine);
+    bool deliver_call(std::uint64_t id);
+    void fail_call(std::uint64_t id, engine_failure failure);
+    void answer_call(std::uint64_t id, const event& e);
+    void close_calls(std::size_t index,
+                     const base::upstream_name& engine,
+                     base::attempt_id attempt);
+    void do_prefill(std::size_t index, const start_prefill& a);
+    void do_import(std::size_t index, const start_import& a);
+    void do_decode(std::size_t index, const start_decode& a);
+    void do_cancel(std::size_t index, const cancel_attempts& a);
+    void prefill_arrived(std::uint64_t id, const start_prefill& a);
+    void import_arrived(std::uint64_t id, const start_import& a);
+    void decode_arrived(std::uint64_t id, const start_decode& a);
+    void import_progress(std::uint64_t id,
+                         const start_import& a,
+                         base::time_point reserved_until);
+    void pump(std::uint64_t id);
+    void crash(fake_engine& engine,
+               std::optional<base::attempt_id> culprit = std::nullopt);
+    void expire_holds();
+    fake_engine& engine_named(const base::upstream_name& name);
+    held hold_for(holding kind, base::request_id request);
+
+    void check_settled();
+
+    static constexpr std::size_t entry_count = 3;
+
+    coverage& totals_;
+    std::mt19937_64 random_{1};
+    base::time_point now_{std::chrono::hours{1}};
+    base::time_point start_{now_};
+    std::multimap<base::time_point, std::function<void()>> agenda_;
+    oracle oracle_;
+    std::array<entry, entry_count> entries_;
+    std::array<owner, 2> owners_;
+    std::vector<fake_engine> engines_;
+    std::map<std::uint64_t, call> calls_;
+    std::vector<body> bodies_;
+    std::vector<std::pair<std::size_t, base::request_id>> asked_;
+    std::map<base::instance_id, base::time_point> dead_since_;
+    /// Who crashed each instance of an engine.
+    std::map<std::pair<base::upstream_name, std::uint64_t>,
+             std::optional<base::attempt_id>>
+        culprits_;
+    /// What ran on an engine when it crashed, over all its instances.
+    std::map<base::upstream_name, std::set<base::attempt_id>> ran_at_crash_;
+    std::uint64_t next_instance_{1};
+    std::uint64_t next_request_{1};
+    std::uint64_t next_call_{1};
+    unsigned jitter_{0};
+    unsigned cancels_to_lose_{0};
+    bool duplicates_{false};
+    bool queue_timer_{false};
+};
+
+} // namespace pimentoferry::requests::fuzz
+
+#endif
--- /dev/null
+++ b/pimentoferry/requests/fuzz/world_engines.cpp
@@ -0,0 +1,439 @@
+// Calls to engines, and the engines' work.
+
+#include "pimentoferry/requests/fuzz/world.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentoferry::requests::fuzz {
+
+using base::milliseconds;
+
+namespace {
+
+constexpr milliseconds token_time{20};
+constexpr milliseconds result_hold{900};
+constexpr milliseconds broken_stream_hold{5'000};
+constexpr milliseconds unread_hold{30'000};
+
+milliseconds work_time(std::uint32_t tokens) {
+    return milliseconds{10 + tokens / 100};
+}
+
+} // namespace
+
+fake_engine& world::engine_named(const base::upstream_name& name) {
+    return *std::ranges::find(engines_, name, &fake_engine::name_);
+}
+
+held world::hold_for(holding kind, base::request_id request) {
+    held h;
+    h.kind_ = kind;
+    h.body_ = oracle_.request(request).body_;
+    h.pieces_ = 1 + h.body_.prompt_tokens_ / 1'000;
+    h.until_ = base::time_point::max();
+    h.run_ = h.body_.deterministic_ ? 0 : next_call_++;
+    return h;
+}
+
+void world::expire_holds() {
+    for (fake_engine& engine : engines_) {
+        std::erase_if(engine.held_, [&](const auto& entry) {
+            return entry.second.until_ <= now_;
+        });
+    }
+}
+
+std::uint64_t world::open_call(std::size_t index, call c) {
+    const std::uint64_t id = next_call_++;
+    c.entry_ = index;
+    c.from_ = entries_.at(index).instance_;
+    calls_[id] = std::move(c);
+    return id;
+}
+
+// Until the table has handled a crash, calls do not reach the next instance.
+bool world::reachable(std::size_t index, const fake_engine& engine) {
+    entry& e = entries_.at(index);
+    const std::uint64_t known = e.known_instance_[engine.name_];
+    return engine.alive_ && known == engine.instance_ &&
+           e.crash_noticed_[engine.name_] < known;
+}
+
+// False when the engine does not receive the call.
+bool world::deliver_call(std::uint64_t id) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return false;
+    }
+    call& c = found->second;
+    fake_engine& engine = *c.engine_;
+    const std::size_t index = c.entry_;
+    if (!reachable(index, engine)) {
+        fail_call(id, engine_failure::not_sent);
+        notice_crash(index, engine, true);
+        return false;
+    }
+    c.engine_instance_ = engine.instance_;
+    oracle_.engine_received(c.request_, c.attempt_, engine.name_);
+    return true;
+}
+
+void world::fail_call(std::uint64_t id, engine_failure failure) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    const call c = found->second;
+    calls_.erase(found);
+    if (!c.is_stream_) {
+        post(c.entry_, c.failed_(failure));
+        return;
+    }
+    held* memory = c.engine_->find(c.attempt_);
+    if (memory != nullptr && memory->stream_ == id) {
+        memory->stream_ = 0;
+        memory->until_ = now_ + broken_stream_hold;
+        after(broken_stream_hold, [this] { expire_holds(); });
+    }
+    const auto position = static_cast<std::uint32_t>(
+        oracle_.request(c.request_).received_.size());
+    const stream_broken report{c.attempt_, position, failure};
+    post_stream(c.entry_, report);
+    stream_broken& last = entries_.at(c.entry_).last_broken_[c.request_];
+    if (duplicates_ && last.position_ < position &&
+        last.attempt_ != base::attempt_id{}) {
+        post_stream(c.entry_, last);
+    }
+    last = report;
+}
+
+void world::answer_call(std::uint64_t id, const event& e) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    const std::size_t index = found->second.entry_;
+    calls_.erase(found);
+    post(index, e);
+}
+
+void world::close_calls(std::size_t index,
+                        const base::upstream_name& engine,
+                        base::attempt_id attempt) {
+    std::vector<std::uint64_t> closed;
+    for (const auto& [id, c] : calls_) {
+        if (c.entry_ == index && c.attempt_ == attempt &&
+            c.engine_->name_ == engine) {
+            closed.push_back(id);
+        }
+    }
+    for (const std::uint64_t id : closed) {
+        const bool sent = calls_.at(id).engine_instance_ != 0;
+        fail_call(id, sent ? engine_failure::broken : engine_failure::not_sent);
+    }
+}
+
+void world::do_prefill(std::size_t index, const start_prefill& a) {
+    call c;
+    c.attempt_ = a.attempt_;
+    c.request_ = a.request_;
+    c.engine_ = &engine_named(a.engine_);
+    c.failed_ = [attempt = a.attempt_](engine_failure f) {
+        return prefill_failed{attempt, f};
+    };
+    const std::uint64_t id = open_call(index, std::move(c));
+    after(latency(), [this, id, a] { prefill_arrived(id, a); });
+}
+
+void world::prefill_arrived(std::uint64_t id, const start_prefill& a) {
+    if (!deliver_call(id)) {
+        return;
+    }
+    fake_engine& engine = engine_named(a.engine_);
+    const held wanted = hold_for(holding::prefill, a.request_);
+    if (const auto failure = engine.admit(a.attempt_, wanted)) {
+        fail_call(id, *failure);
+        return;
+    }
+    milliseconds time = work_time(wanted.body_.prompt_tokens_);
+    if (engine.slow_) {
+        time += milliseconds{2'000 + wanted.body_.prompt_tokens_};
+    }
+    after(time, [this, id, a, &engine, instance = engine.instance_] {
+        if (engine.instance_ != instance || !engine.alive_) {
+            return;
+        }
+        held* memory = engine.find(a.attempt_);
+        if (memory == nullptr) {
+            fail_call(id, engine_failure::gone);
+            return;
+        }
+        if (memory->body_.poison_ == poison::in_prefill) {
+            crash(engine, a.attempt_);
+            return;
+        }
+        memory->kind_ = holding::result;
+        memory->until_ = now_ + result_hold;
+        after(result_hold, [this] { expire_holds(); });
+        answer_call(id, prefill_done{a.attempt_, "result",
+                                     memory->body_.prompt_tokens_, 0});
+    });
+}
+
+void world::do_import(std::size_t index, const start_import& a) {
+    call c;
+    c.attempt_ = a.attempt_;
+    c.request_ = a.request_;
+    c.engine_ = &engine_named(a.decode_);
+    c.failed_ = [a](engine_failure f) {
+        return import_failed{a.attempt_, f, a.decode_};
+    };
+    const std::uint64_t id = open_call(index, std::move(c));
+    after(latency(), [this, id, a] { import_arrived(id, a); });
+}
+
+void world::import_arrived(std::uint64_t id, const start_import& a) {
+    if (!deliver_call(id)) {
+        return;
+    }
+    fake_engine& engine = engine_named(a.decode_);
+    const held* source = engine_named(a.prefill_).find(a.attempt_);
+    if (source == nullptr || source->kind_ != holding::result) {
+        fail_call(id, engine_failure::gone);
+        return;
+    }
+    held wanted = hold_for(holding::import, a.request_);
+    wanted.until_ = now_ + a.deadline_;
+    if (const auto failure = engine.admit(a.attempt_, wanted)) {
+        fail_call(id, *failure);
+        return;
+    }
+    after(a.deadline_, [this] { expire_holds(); });
+    after(work_time(a.prompt_tokens_), [this, id, a, until = wanted.until_] {
+        import_progress(id, a, until);
+    });
+}
+
+void world::import_progress(std::uint64_t id,
+                            const start_import& a,
+                            base::time_point reserved_until) {
+    fake_engine& engine = engine_named(a.decode_);
+    held* memory = engine.find(a.attempt_);
+    if (memory == nullptr || memory->kind_ != holding::import) {
+        if (now_ >= reserved_until) {
+            fail_call(id, engine_failure::error);
+        } else if (engine.alive_) {
+            fail_call(id, engine_failure::gone);
+        }
+        return;
+    }
+    if (engine.stalled_) {
+        after(milliseconds{40}, [this, id, a, reserved_until] {
+            import_progress(id, a, reserved_until);
+        });
+        return;
+    }
+    memory->kind_ = holding::decode;
+    memory->until_ = now_ + broken_stream_hold;
+    after(broken_stream_hold, [this] { expire_holds(); });
+    answer_call(id, import_done{a.attempt_, a.decode_});
+}
+
+void world::do_decode(std::size_t index, const start_decode& a) {
+    for (const auto& [unused, open] : calls_) {
+        if (open.is_stream_ && open.request_ == a.request_) {
+            throw violation{"two streams of a request are open"};
+        }
+    }
+    call c;
+    c.attempt_ = a.attempt_;
+    c.request_ = a.request_;
+    c.engine_ = &engine_named(a.engine_);
+    c.is_stream_ = true;
+    c.relay_from_ = a.position_;
+    c.with_prompt_ = a.with_prompt_;
+    const std::uint64_t id = open_call(index, std::move(c));
+    after(latency(), [this, id, a] { decode_arrived(id, a); });
+}
+
+void world::decode_arrived(std::uint64_t id, const start_decode& a) {
+    if (!deliver_call(id)) {
+        return;
+    }
+    fake_engine& engine = engine_named(a.engine_);
+    held* memory = engine.find(a.attempt_);
+    milliseconds time = token_time;
+    // A held stream continues where the caller is; a new run starts over.
+    std::uint32_t from = a.position_;
+    if (memory == nullptr) {
+        if (!a.with_prompt_) {
+            fail_call(id, engine_failure::gone);
+            return;
+        }
+        const held wanted = hold_for(holding::decode, a.request_);
+        if (const auto failure = engine.admit(a.attempt_, wanted)) {
+            fail_call(id, *failure);
+            return;
+        }
+        memory = engine.find(a.attempt_);
+        time += work_time(wanted.body_.prompt_tokens_);
+    }
+    if (!memory->streamed_) {
+        from = 0;
+    }
+    memory->streamed_ = true;
+    memory->stream_ = id;
+    memory->until_ = base::time_point::max();
+    call& c = calls_.at(id);
+    c.next_ = from;
+    c.accepted_ = now_;
+    after(time, [this, id] { pump(id); });
+}
+
+void world::pump(std::uint64_t id) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        return;
+    }
+    call& c = found->second;
+    fake_engine& engine = *c.engine_;
+    held* memory = engine.find(c.attempt_);
+    if (memory == nullptr || memory->stream_ != id) {
+        fail_call(id, engine_failure::gone);
+        return;
+    }
+    if (entries_.at(c.entry_).paused_) {
+        if (now_ - c.accepted_ >= unread_hold) {
+            engine.held_.erase(c.attempt_);
+            fail_call(id, engine_failure::broken);
+            return;
+        }
+        after(milliseconds{500}, [this, id] { pump(id); });
+        return;
+    }
+    c.accepted_ = now_;
+    const body& content = memory->body_;
+    const std::uint32_t fatal = content.fingerprint_ % 3;
+    if (content.poison_ == poison::in_decode && c.next_ >= fatal) {
+        crash(engine, c.attempt_);
+        return;
+    }
+    const std::uint32_t length = answer_length(content, memory->run_);
+    if (c.next_ >= length) {
+        const stream_ended report{c.attempt_, length};
+        const std::size_t index = c.entry_;
+        engine.held_.erase(c.attempt_);
+        calls_.erase(id);
+        post_stream(index, report);
+        return;
+    }
+    const bool open = oracle_.request(c.request_).outcome_ == outcome::none;
+    if (c.next_ >= c.relay_from_ && open) {
+        oracle_.relayed(c.request_,
+                        {content.fingerprint_, memory->run_, c.next_});
+    }
+    ++c.next_;
+    if (!c.told_first_) {
+        c.told_first_ = true;
+        post_stream(c.entry_, first_token{c.attempt_});
+    }
+    after(token_time, [this, id] { pump(id); });
+}
+
+void world::do_cancel(std::size_t index, const cancel_attempts& a) {
+    for (const base::attempt_id attempt : a.attempts_) {
+        close_calls(index, a.engine_, attempt);
+    }
+    if (cancels_to_lose_ > 0) {
+        --cancels_to_lose_;
+        ++totals_.cancels_lost_;
+        return;
+    }
+    const base::instance_id from = entries_.at(index).instance_;
+    after(latency(), [this, index, from, a] {
+        const entry& e = entries_.at(index);
+        if (!e.alive_ || e.instance_ != from) {
+            return;
+        }
+        fake_engine& engine = engine_named(a.engine_);
+        if (!reachable(index, engine)) {
+            notice_crash(index, engine, true);
+            return;
+        }
+        for (const base::attempt_id attempt : a.attempts_) {
+            engine.cancel(attempt);
+        }
+        post(index, cancel_confirmed{a.engine_, a.attempts_});
+    });
+}
+
+// Tells an entry once of each engine instance that is gone.
+void world::notice_crash(std::size_t index, fake_engine& engine, bool soon) {
+    entry& e = entries_.at(index);
+    const std::uint64_t gone = e.known_instance_[engine.name_];
+    if (e.crash_noticed_[engine.name_] >= gone) {
+        return;
+    }
+    e.crash_noticed_[engine.name_] = gone;
+    const milliseconds delay = soon ? latency() : milliseconds{draw(200)};
+    const base::instance_id instance = e.instance_;
+    const auto tell = [this, index, gone, &engine] {
+        entry& to = entries_.at(index);
+        std::vector<std::uint64_t> unsent;
+        for (const auto& [id, c] : calls_) {
+            if (c.entry_ == index && c.engine_ == &engine &&
+                c.engine_instance_ == 0) {
+                unsent.push_back(id);
+            }
+        }
+        for (const std::uint64_t id : unsent) {
+            fail_call(id, engine_failure::not_sent);
+        }
+        to.known_instance_[engine.name_] =
+            std::max(gone + 1, engine.alive_ ? engine.instance_ : 0);
+        const auto culprit = culprits_.find({engine.name_, gone});
+        oracle_.crash_known(to.instance_, engine.name_,
+                            culprit == culprits_.end() ? std::nullopt
+                                                       : culprit->second,
+                            to.table_->memory(), ran_at_crash_[engine.name_]);
+        handle(index, engine_crashed{engine.name_});
+    };
+    after(delay,
+          [this, index, instance, tell] { deliver(index, instance, tell); });
+}
+
+void world::crash(fake_engine& engine,
+                  std::optional<base::attempt_id> culprit) {
+    ++totals_.crashes_;
+    culprits_[{engine.name_, engine.instance_}] = culprit;
+    std::set<base::attempt_id>& ran = ran_at_crash_[engine.name_];
+    for (const auto& [attempt, memory] : engine.held_) {
+        if (memory.kind_ != holding::result) {
+            ran.insert(attempt);
+        }
+    }
+    engine.crash();
+    std::vector<std::uint64_t> broken;
+    std::set<std::size_t> callers;
+    for (const auto& [id, c] : calls_) {
+        if (c.engine_ == &engine && c.engine_instance_ != 0) {
+            broken.push_back(id);
+            callers.insert(c.entry_);
+        }
+    }
+    for (const std::uint64_t id : broken) {
+        fail_call(id, engine_failure::broken);
+    }
+    for (const std::size_t index : callers) {
+        notice_crash(index, engine, false);
+    }
+    after(milliseconds{1'000 + draw(3'000)},
+          [&engine, gone = engine.instance_] {
+              if (!engine.alive_ && engine.instance_ == gone) {
+                  engine.restart();
+              }
+          });
+}
+
+} // namespace pimentoferry::requests::fuzz
--- /dev/null
+++ b/pimentoferry/requests/fuzz/world_entries.cpp
@@ -0,0 +1,385 @@
+// Entries, their callers and the cell owners.
+
+#include "pimentoferry/base/overloaded.hpp"
+#include "pimentoferry/requests/fuzz/world.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentoferry::requests::fuzz {
+
+using base::milliseconds;
+
+namespace {
+
+const base::cell_name cell{"cell"};
+// From death to the cancels of the cell owner.
+constexpr milliseconds dead_after{3'000};
+
+} // namespace
+
+void world::start_entry(std::size_t index) {
+    entry& e = entries_.at(index);
+    e = entry{};
+    e.instance_ = base::instance_id{next_instance_++};
+    e.alive_ = true;
+    table_settings settings;
+    settings.instance_ = e.instance_;
+    settings.seed_ = e.instance_.value_;
+    // Small, so that the tests meet the limit.
+    settings.retries_.constant_ = 4;
+    e.table_ = std::make_unique<request_table>(settings);
+    engines_known known{cell, {}};
+    for (const fake_engine& engine : engines_) {
+        e.known_instance_[engine.name_] = engine.instance_;
+        known.engines_.push_back({engine.name_, engine.decode_, 4});
+    }
+    handle(index, known);
+}
+
+world::entry* world::entry_of(base::instance_id instance) {
+    const auto found = std::ranges::find_if(entries_, [&](const entry& e) {
+        return e.alive_ && e.instance_ == instance;
+    });
+    return found == entries_.end() ? nullptr : &*found;
+}
+
+std::size_t world::index_of(const entry& e) const {
+    return static_cast<std::size_t>(&e - entries_.data());
+}
+
+void world::deliver(std::size_t index,
+                    base::instance_id instance,
+                    std::function<void()> what) {
+    entry& e = entries_.at(index);
+    if (!e.alive_ || e.instance_ != instance) {
+        return;
+    }
+    if (e.paused_) {
+        e.backlog_.push_back(std::move(what));
+        return;
+    }
+    what();
+}
+
+void world::post(std::size_t index, const event& e) {
+    const base::instance_id instance = entries_.at(index).instance_;
+    const auto send = [this, index, instance, e](milliseconds delay) {
+        after(delay, [this, index, instance, e] {
+            deliver(index, instance, [this, index, e] { handle(index, e); });
+        });
+    };
+    send(latency());
+    if (duplicates_ && draw(2) == 0) {
+        send(milliseconds{1 + draw(2'000)});
+    }
+}
+
+// Reports of the traffic thread keep their order.
+void world::post_stream(std::size_t index, const event& e) {
+    entry& to = entries_.at(index);
+    const base::instance_id instance = to.instance_;
+    to.last_stream_event_ = std::max(to.last_stream_event_, now_ + latency());
+    agenda_.emplace(to.last_stream_event_, [this, index, instance, e] {
+        deliver(index, instance, [this, index, e] { handle(index, e); });
+    });
+}
+
+void world::handle(std::size_t index, const event& e) {
+    entry& to = entries_.at(index);
+    const auto actions = to.table_->handle(e, now_);
+    oracle_.acted(to.instance_, e, actions, to.table_->memory(), now_);
+    retry_limits limits;
+    limits.constant_ = 4;
+    oracle_.retried(to.instance_, to.table_->counts().reruns_, limits, now_);
+    for (const action& each : actions) {
+        execute(index, each);
+    }
+    check_memory(index);
+    arm_timer(index);
+}
+
+void world::arm_timer(std::size_t index) {
+    const auto due = entries_.at(index).table_->next_deadline();
+    if (!due) {
+        return;
+    }
+    const base::instance_id instance = entries_.at(index).instance_;
+    agenda_.emplace(std::max(*due, now_), [this, index, instance] {
+        const entry& e = entries_.at(index);
+        if (!e.alive_ || e.paused_ || e.instance_ != instance) {
+            return;
+        }
+        const auto still = e.table_->next_deadline();
+        if (still && *still <= now_) {
+            handle(index, tick{});
+        }
+    });
+}
+
+void world::check_memory(std::size_t index) {
+    const entry& e = entries_.at(index);
+    const auto memory = e.table_->memory();
+    for (const fake_engine& engine : engines_) {
+        for (const auto& [attempt, unused] : engine.held_) {
+            const bool known =
+                attempt.instance_ != e.instance_ ||
+                std::ranges::any_of(memory, [&](const memory_hold& held) {
+                    return held.attempt_ == attempt &&
+                           held.engine_ == engine.name_;
+                });
+            if (!known) {
+                throw violation{"the entry forgot memory at " +
+                                engine.name_.value_};
+            }
+        }
+    }
+}
+
+void world::accept(unsigned chosen, const body& content) {
+    const std::size_t index = chosen % entry_count;
+    entry& e = entries_.at(index);
+    if (!e.alive_ || e.paused_) {
+        return;
+    }
+    arrived a;
+    a.request_ = base::request_id{next_request_++};
+    a.caller_ = base::caller_name{"caller"};
+    a.deployment_ = base::deployment_name{"model"};
+    a.cell_ = cell;
+    a.fingerprint_ = content.fingerprint_;
+    a.prompt_tokens_ = content.prompt_tokens_;
+    a.max_output_tokens_ = 20;
+    a.first_token_budget_ = milliseconds{1'600};
+    a.deterministic_ = content.deterministic_;
+    oracle_.arrived_at(e.instance_, a.request_, content, now_);
+    asked_.emplace_back(index, a.request_);
+    ++totals_.requests_;
+    handle(index, a);
+    const asked& known = oracle_.request(a.request_);
+    if (e.draining_ && known.outcome_ != outcome::refused) {
+        throw violation{"a draining entry took new work"};
+    }
+}
+
+void world::leave(unsigned which) {
+    if (asked_.empty()) {
+        return;
+    }
+    const auto [index, request] = asked_[which % asked_.size()];
+    const entry& e = entries_.at(index);
+    after(latency(),
+          [this, index = index, request = request, instance = e.instance_] {
+              deliver(index, instance, [this, index, request] {
+                  const auto& known = oracle_.requests();
+                  if (known.at(request).outcome_ == outcome::none) {
+                      oracle_.caller_left(request);
+                  }
+                  handle(index, caller_gone{request});
+              });
+          });
+}
+
+void world::kill_entry(unsigned entry) {
+    const std::size_t index = entry % entry_count;
+    auto& e = entries_.at(index);
+    if (!e.alive_) {
+        return;
+    }
+    const table_counts counts = e.table_->counts();
+    totals_.tables_.finished_ += counts.finished_;
+    totals_.tables_.refused_ += counts.refused_;
+    totals_.tables_.cancelled_ += counts.cancelled_;
+    totals_.tables_.reruns_ += counts.reruns_;
+    totals_.tables_.resumes_ += counts.resumes_;
+    totals_.tables_.budget_denied_ += counts.budget_denied_;
+    totals_.tables_.autonomous_ += counts.autonomous_;
+    totals_.tables_.dropped_events_ += counts.dropped_events_;
+    totals_.tables_.quarantined_ += counts.quarantined_;
+    e.alive_ = false;
+    dead_since_[e.instance_] = now_;
+    for (auto& [at, request] : asked_) {
+        if (at == index && oracle_.request(request).outcome_ == outcome::none) {
+            oracle_.cut_off(request);
+        }
+    }
+    for (auto next = calls_.begin(); next != calls_.end();) {
+        const call& c = next->second;
+        held* memory = c.engine_->find(c.attempt_);
+        if (c.entry_ == index && memory != nullptr &&
+            memory->stream_ == next->first) {
+            memory->stream_ = 0;
+            memory->until_ = now_ + milliseconds{5'000};
+        }
+        next = c.entry_ == index ? calls_.erase(next) : std::next(next);
+    }
+    after(milliseconds{500 + draw(2'000)}, [this, index] {
+        if (!entries_.at(index).alive_) {
+            start_entry(index);
+        }
+    });
+}
+
+void world::toggle_pause(unsigned entry) {
+    const std::size_t index = entry % entry_count;
+    auto& e = entries_.at(index);
+    if (!e.alive_) {
+        return;
+    }
+    e.paused_ = !e.paused_;
+    e.paused_at_ = now_;
+    while (!e.paused_ && !e.backlog_.empty()) {
+        const auto next = std::move(e.backlog_.front());
+        e.backlog_.pop_front();
+        next();
+    }
+    if (!e.paused_) {
+        arm_timer(index);
+    }
+}
+
+void world::drain_entry(unsigned entry) {
+    const std::size_t index = entry % entry_count;
+    auto& e = entries_.at(index);
+    if (e.alive_ && !e.paused_) {
+        e.draining_ = true;
+        handle(index, drain_started{});
+    }
+}
+
+bool world::entry_is_current(base::instance_id instance) const {
+    return std::ranges::any_of(entries_, [&](const entry& e) {
+        const bool lost = e.paused_ && now_ - e.paused_at_ >= dead_after;
+        return e.instance_ == instance && e.alive_ && !lost;
+    });
+}
+
+// The cell owner cancels what dead instances left behind.
+void world::cancel_dead_attempts() {
+    after(milliseconds{1'000}, [this] { cancel_dead_attempts(); });
+    if (owners_[0].silent_) {
+        return;
+    }
+    std::set<base::instance_id> dead;
+    for (fake_engine& engine : engines_) {
+        std::vector<base::attempt_id> lost;
+        for (const auto& [attempt, unused] : engine.held_) {
+            const auto died = dead_since_.find(attempt.instance_);
+            const bool recent =
+                died != dead_since_.end() && now_ - died->second < dead_after;
+            if (!recent && !entry_is_current(attempt.instance_)) {
+                lost.push_back(attempt);
+            }
+        }
+        for (const base::attempt_id attempt : lost) {
+            engine.cancel(attempt);
+            dead.insert(attempt.instance_);
+        }
+    }
+    for (const base::instance_id instance : dead) {
+        owners_[0].state_.instance_gone(instance);
+    }
+}
+
+std::vector<engine_view> world::views() {
+    std::vector<engine_view> all;
+    for (const fake_engine& engine : engines_) {
+        // The load reports lag, so full and dead engines are granted too.
+        if (engine.alive_ || draw(4) == 0) {
+            all.push_back({engine.name_, engine.decode_, engine.slots_});
+        }
+    }
+    return all;
+}
+
+void world::to_owner(std::size_t rank,
+                     base::instance_id from,
+                     const placement::to_owner& message) {
+    after(latency(), [this, rank, from, message] {
+        owner& o = owners_.at(rank);
+        if (o.silent_) {
+            o.waiting_.emplace_back(from, message);
+            return;
+        }
+        answer(o.state_.handle(message, views(), now_, random_));
+        serve_queues();
+    });
+}
+
+void world::answer(const owner_answers& answers) {
+    for (const auto& [instance, message] : answers) {
+        if (const entry* e = entry_of(instance)) {
+            post(index_of(*e), placed{message});
+        }
+    }
+}
+
+void world::serve_queues() {
+    const bool waiting = std::ranges::any_of(
+        owners_, [](const owner& o) { return o.state_.has_queue(); });
+    if (queue_timer_ || !waiting) {
+        return;
+    }
+    queue_timer_ = true;
+    after(milliseconds{50}, [this] {
+        queue_timer_ = false;
+        for (owner& o : owners_) {
+            if (!o.silent_) {
+                answer(o.state_.serve_queue(views(), now_, random_));
+            }
+        }
+        serve_queues();
+    });
+}
+
+void world::toggle_owner(unsigned rank) {
+    owner& o = owners_.at(rank % owners_.size());
+    o.silent_ = !o.silent_;
+    while (!o.silent_ && !o.waiting_.empty()) {
+        const auto message = o.waiting_.front().second;
+        o.waiting_.pop_front();
+        answer(o.state_.handle(message, views(), now_, random_));
+    }
+    serve_queues();
+}
+
+void world::change_owner() {
+    std::swap(owners_[0], owners_[1]);
+    owners_[0] = owner{};
+    owners_[0].state_.suspects_from(now_ + milliseconds{1'000});
+    for (std::size_t index = 0; index < entry_count; ++index) {
+        post(index, owner_changed{cell});
+    }
+}
+
+void world::execute(std::size_t index, const action& a) {
+    std::visit(
+        base::overloaded{
+            [&](const send_to_owner& each) {
+                to_owner(each.rank_, entries_.at(index).instance_,
+                         each.message_);
+            },
+            [&](const start_prefill& each) { do_prefill(index, each); },
+            [&](const start_import& each) { do_import(index, each); },
+            [&](const start_decode& each) { do_decode(index, each); },
+            [&](const cancel_attempts& each) { do_cancel(index, each); },
+            [&](const spread_mark& each) {
+                const mark_heard heard{each.fingerprint_, each.crashes_,
+                                       each.remaining_};
+                for (std::size_t other = 0; other < entry_count; ++other) {
+                    if (other != index) {
+                        after(milliseconds{draw(1'500)},
+                              [this, other, heard] { post(other, heard); });
+                    }
+                }
+            },
+            [&](const refuse& each) {
+                totals_.not_run_ +=
+                    each.refusal_.ran_ == base::ran_state::not_run ? 1 : 0;
+            },
+            [](const auto&) {},
+        },
+        a);
+}
+
+} // namespace pimentoferry::requests::fuzz
--- a/pimentoferry/requests/limits_test.cpp
+++ b/pimentoferry/requests/limits_test.cpp
@@ -114,7 +114,7 @@
         cancels_.add(
             {attempt, engine, start + seconds{30}, crash_witness{5, true}},
             start);
-        const auto ran = cancels_.engine_gone(engine);
+        const auto ran = cancels_.engine_gone(engine, {attempt});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ran.size());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{5}, ran.front().fingerprint_);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cancels_.size());
--- a/pimentoferry/requests/request_table.hpp
+++ b/pimentoferry/requests/request_table.hpp
@@ -34,8 +34,12 @@
 ///   other failed cancel is not reported, and the table repeats it.
 /// * `refuse` and `finish` end the answer of the caller: no token is relayed
 ///   after them.
-/// * `engine_crashed` is passed before a call goes to the next instance of
-///   the engine: the table forgets what the old instance held.
+/// * The calls that were open to an engine when it crashed are reported as
+///   failed within 250 ms of `engine_crashed`, before or after it. One that
+///   is reported as `not_sent` takes no blame for the crash.
+/// * From the detection of a crash until `engine_crashed` was handled, calls
+///   to that engine fail as `not_sent`: the table forgets what the old
+///   instance held, so nothing may reach the next one before.
 /// * `send_to_owner` is sent once and not repeated by the daemon.
 /// * `engines_known` is passed whenever the engines of a cell or what is
 ///   known of their headroom change.
--- /dev/null
+++ b/pimentoferry/requests/request_table_fuzz_test.cpp
@@ -0,0 +1,198 @@
+// Random commands against several request tables, fake engines and cell
+// owners; the oracle checks the promises after each event.
+//
+// The seed is fixed in CMakeLists.txt. A longer run with a new, printed seed:
+//     make build && tools/fuzz_requests.sh [cases] [seed]
+
+#include "pimentoferry/requests/fuzz/world.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <array>
+#include <cstdint>
+#include <iostream>
+#include <ostream>
+
+namespace pimentoferry::requests::fuzz {
+namespace {
+
+using base::milliseconds;
+
+enum class kind : std::uint8_t {
+    pass,
+    pass_long,
+    arrive,
+    arrive_poison,
+    send_again,
+    leave,
+    kill_entry,
+    toggle_pause,
+    drain_entry,
+    crash_engine,
+    toggle_stall,
+    toggle_full,
+    toggle_slow,
+    evict_results,
+    break_streams,
+    lose_cancels,
+    toggle_owner,
+    change_owner,
+    toggle_duplicates,
+    set_jitter,
+};
+
+constexpr std::array<const char*, 20> kind_names{"pass",
+                                                 "pass_long",
+                                                 "arrive",
+                                                 "arrive_poison",
+                                                 "send_again",
+                                                 "leave",
+                                                 "kill_entry",
+                                                 "toggle_pause",
+                                                 "drain_entry",
+                                                 "crash_engine",
+                                                 "toggle_stall",
+                                                 "toggle_full",
+                                                 "toggle_slow",
+                                                 "evict_results",
+                                                 "break_streams",
+                                                 "lose_cancels",
+                                                 "toggle_owner",
+                                                 "change_owner",
+                                                 "toggle_duplicates",
+                                                 "set_jitter"};
+
+/// Every command is possible in every state, so the model is empty.
+struct model {};
+
+struct command : rc::state::Command<model, world> {
+    kind kind_{*rc::gen::weightedElement<kind>({
+        {30, kind::pass},
+        {3, kind::pass_long},
+        {30, kind::arrive},
+        {3, kind::arrive_poison},
+        {6, kind::send_again},
+        {4, kind::leave},
+        {1, kind::kill_entry},
+        {2, kind::toggle_pause},
+        {1, kind::drain_entry},
+        {2, kind::crash_engine},
+        {2, kind::toggle_stall},
+        {2, kind::toggle_full},
+        {2, kind::toggle_slow},
+        {2, kind::evict_results},
+        {4, kind::break_streams},
+        {3, kind::lose_cancels},
+        {3, kind::toggle_owner},
+        {2, kind::change_owner},
+        {2, kind::toggle_duplicates},
+        {2, kind::set_jitter},
+    })};
+    std::uint32_t which_{*rc::gen::inRange<std::uint32_t>(0, 60)};
+    std::uint32_t amount_{*rc::gen::inRange<std::uint32_t>(0, 400)};
+    std::uint32_t seed_{*rc::gen::inRange<std::uint32_t>(0, 1'000'000)};
+
+    void run(const model&, world& w) const override {
+        w.seed(seed_);
+        apply(w);
+        w.pass(milliseconds{0});
+    }
+
+    void apply(world& w) const {
+        const bool even = amount_ % 2 == 0;
+        switch (kind_) {
+        case kind::pass:
+            return w.pass(milliseconds{amount_});
+        case kind::pass_long:
+            return w.pass(milliseconds{amount_ * 100});
+        case kind::arrive:
+            return w.arrive(which_, poison::none, even);
+        case kind::arrive_poison:
+            return w.arrive(
+                which_, seed_ % 2 == 0 ? poison::in_prefill : poison::in_decode,
+                even);
+        case kind::send_again:
+            return w.send_again(amount_, which_);
+        case kind::leave:
+            return w.leave(which_);
+        case kind::kill_entry:
+            return w.kill_entry(which_);
+        case kind::toggle_pause:
+            return w.toggle_pause(which_);
+        case kind::drain_entry:
+            return w.drain_entry(which_);
+        case kind::crash_engine:
+            return w.crash_engine(which_);
+        case kind::toggle_stall:
+            return w.toggle_stall(which_);
+        case kind::toggle_full:
+            return w.toggle_full(which_);
+        case kind::toggle_slow:
+            return w.toggle_slow(which_);
+        case kind::evict_results:
+            return w.evict_results(which_);
+        case kind::break_streams:
+            return w.break_streams(which_);
+        case kind::lose_cancels:
+            return w.lose_cancels(which_ % 4);
+        case kind::toggle_owner:
+            return w.toggle_owner(which_);
+        case kind::change_owner:
+            return w.change_owner();
+        case kind::toggle_duplicates:
+            return w.toggle_duplicates();
+        case kind::set_jitter:
+            return w.set_jitter(amount_ / 8);
+        }
+    }
+
+    void show(std::ostream& out) const override {
+        out << kind_names.at(static_cast<std::size_t>(kind_)) << '(' << which_
+            << ", " << amount_ << ", " << seed_ << ')';
+    }
+};
+
+class request_table_fuzz_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(request_table_fuzz_test);
+    CPPUNIT_TEST(keeps_its_promises);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void keeps_its_promises() {
+        coverage totals;
+        const bool kept = rc::check("request tables keep their promises", [&] {
+            const auto commands =
+                *rc::state::gen::commands(model{}, [](const model&) {
+                    return rc::gen::exec([] {
+                        return std::shared_ptr<
+                            const rc::state::Command<model, world>>(
+                            std::make_shared<const command>());
+                    });
+                });
+            totals.commands_ += commands.size();
+            world w{totals};
+            rc::state::runAll(commands, model{}, w);
+            w.settle();
+        });
+        const table_counts& tables = totals.tables_;
+        std::cout << "commands " << totals.commands_ << ", requests "
+                  << totals.requests_ << ", finished " << tables.finished_
+                  << ", refused " << tables.refused_ << " (not_run "
+                  << totals.not_run_ << ", quarantined " << tables.quarantined_
+                  << ", budget " << tables.budget_denied_ << "), callers gone "
+                  << tables.cancelled_ << ", re-runs " << tables.reruns_
+                  << ", resumes " << tables.resumes_ << ", autonomous "
+                  << tables.autonomous_ << ", dropped events "
+                  << tables.dropped_events_ << ", engine crashes "
+                  << totals.crashes_ << ", cancels lost "
+                  << totals.cancels_lost_ << std::endl;
+        CPPUNIT_ASSERT(kept);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(request_table_fuzz_test);
+
+} // namespace
+} // namespace pimentoferry::requests::fuzz
--- a/pimentoferry/requests/table_core.cpp
+++ b/pimentoferry/requests/table_core.cpp
@@ -14,6 +14,7 @@
     now_ = now;
     out_.clear();
     std::visit([this](const auto& each) { on(each); }, e);
+    judge_crashes();
     for (cancel_attempts& due : cancels_.due(now_)) {
         out_.emplace_back(std::move(due));
     }
@@ -22,9 +23,14 @@
 
 std::optional<base::time_point> table_core::next_deadline() const {
     std::optional<base::time_point> next = cancels_.next_due();
+    const auto consider = [&](base::time_point time) {
+        next = next ? std::min(*next, time) : time;
+    };
     if (!timers_.empty()) {
-        const base::time_point first = timers_.begin()->first;
-        next = next ? std::min(*next, first) : first;
+        consider(timers_.begin()->first);
+    }
+    for (const auto& [unused, crash] : crashes_) {
+        consider(crash.deadline_);
     }
     return next;
 }
@@ -114,6 +120,9 @@
 }
 
 void table_core::on(const tick&) {
+    // Before the deadlines: a request that waits for news runs again after
+    // the judgement.
+    judge_crashes();
     while (!timers_.empty() && timers_.begin()->first <= now_) {
         expire(requests_.at(timers_.begin()->second));
     }
@@ -277,8 +286,11 @@
 }
 
 void table_core::cancel(request_state& r, const base::upstream_name& engine) {
-    cancel_hold(r, engine,
-                crash_witness{r.request_.fingerprint_, r.attempt_.suspect_});
+    std::optional<crash_witness> witness;
+    if (runs_at(r, engine)) {
+        witness = {r.request_.fingerprint_, r.attempt_.suspect_};
+    }
+    cancel_hold(r, engine, witness);
 }
 
 void table_core::cancel_idle(request_state& r,
@@ -295,7 +307,9 @@
     }
     const base::milliseconds longest = std::max(
         settings_.engine_hold_, prefill_limit(r) + settings_.result_life_);
-    cancels_.add({r.attempt_.id_, engine, now_ + longest, witness}, now_);
+    cancels_.add({r.attempt_.id_, engine, now_ + longest, witness,
+                  awaits_answer_of(r, engine)},
+                 now_);
     release(r, engine);
 }
 
--- a/pimentoferry/requests/table_core.hpp
+++ b/pimentoferry/requests/table_core.hpp
@@ -39,6 +39,7 @@
     bool autonomous_{false}; ///< Placed without the owner.
     bool suspect_{false};    ///< Declared to the owner.
     bool prefill_at_decode_{false};
+    bool answered_{false};    ///< The last call got its answer.
     bool stream_sent_{false}; ///< A decode call reached the engine.
     bool started_{false};     ///< The owner knows of the first token.
     bool decode_gone_{false}; ///< The decode engine crashed.
@@ -129,7 +130,18 @@
     void close_stream(request_state& r);
     void crash_attempt(request_state& r, const base::upstream_name& engine);
     void refuse_copies(std::uint64_t fingerprint);
-    std::vector<crash_witness> witnesses(const base::upstream_name& engine);
+    bool runs_at(const request_state& r,
+                 const base::upstream_name& engine) const;
+    bool awaits_answer_of(const request_state& r,
+                          const base::upstream_name& engine) const;
+    bool decided(const base::upstream_name& engine,
+                 const std::set<base::attempt_id>& attempts) const;
+    void judge_crashes();
+    void judge_crash(const base::upstream_name& engine,
+                     const std::set<base::attempt_id>& attempts);
+    std::vector<crash_witness>
+    witnesses(const base::upstream_name& engine,
+              const std::set<base::attempt_id>& attempts);
     base::milliseconds prefill_limit(const request_state& r) const;
 
     // Ends of attempts and of requests.
@@ -185,6 +197,13 @@
     };
     std::map<base::attempt_id, withdrawn> withdrawn_;
 
+    /// Crashes that are not judged yet.
+    struct open_crash {
+        std::set<base::attempt_id> attempts_; ///< Held memory there.
+        base::time_point deadline_;
+    };
+    std::map<base::upstream_name, open_crash> crashes_;
+
     std::map<base::deployment_name, retry_budget> budgets_;
     quarantine quarantine_;
     cancel_tracker cancels_;
--- a/pimentoferry/requests/table_crash.cpp
+++ b/pimentoferry/requests/table_crash.cpp
@@ -6,34 +6,117 @@
 
 namespace pimentoferry::requests::internal {
 
+namespace {
+
+bool contains(const std::vector<base::upstream_name>& names,
+              const base::upstream_name& name) {
+    return std::ranges::find(names, name) != names.end();
+}
+
+} // namespace
+
+void table_core::on(const engine_crashed& e) {
+    // An engine that stays down is reported again with each refused call, so
+    // a report joins the one that is still open.
+    open_crash& crash = crashes_[e.engine_];
+    crash.deadline_ = now_ + settings_.news_wait_;
+    for (const memory_hold& held : memory()) {
+        if (held.engine_ == e.engine_) {
+            crash.attempts_.insert(held.attempt_);
+        }
+    }
+    judge_crashes();
+}
+
+// An engine that only keeps a finished prefill result does not run it.
+bool table_core::runs_at(const request_state& r,
+                         const base::upstream_name& engine) const {
+    return engine == r.attempt_.decode_ || r.stage_ == stage::prefilling ||
+           r.stage_ == stage::transferring;
+}
+
+// Whether the first call of the attempt to the engine is open, so that it is
+// not known yet whether the engine received it.
+bool table_core::awaits_answer_of(const request_state& r,
+                                  const base::upstream_name& engine) const {
+    const attempt_state& attempt = r.attempt_;
+    if (attempt.answered_) {
+        return false;
+    }
+    switch (r.stage_) {
+    case stage::prefilling:
+        return attempt.prefill_ == engine;
+    case stage::transferring:
+        return attempt.decode_ == engine;
+    case stage::opening:
+        return attempt.decode_ == engine && attempt.prefill_at_decode_ &&
+               !attempt.stream_sent_;
+    default:
+        return false;
+    }
+}
+
+bool table_core::decided(const base::upstream_name& engine,
+                         const std::set<base::attempt_id>& attempts) const {
+    return std::ranges::none_of(attempts, [&](base::attempt_id attempt) {
+        if (cancels_.awaits_answer(attempt, engine)) {
+            return true;
+        }
+        const auto found = attempts_.find(attempt);
+        return found != attempts_.end() &&
+               awaits_answer_of(requests_.at(found->second), engine);
+    });
+}
+
+// A call that was never sent is no witness of the crash. Its failure may
+// follow the news of the crash, so the judgement waits for it.
+void table_core::judge_crashes() {
+    for (auto next = crashes_.begin(); next != crashes_.end();) {
+        const auto& [engine, crash] = *next;
+        if (crash.deadline_ > now_ && !decided(engine, crash.attempts_)) {
+            ++next;
+            continue;
+        }
+        const auto judged = crashes_.extract(next++);
+        judge_crash(judged.key(), judged.mapped().attempts_);
+    }
+}
+
 std::vector<crash_witness>
-table_core::witnesses(const base::upstream_name& engine) {
+table_core::witnesses(const base::upstream_name& engine,
+                      const std::set<base::attempt_id>& attempts) {
     // Cancelled attempts count until the engine confirms: callers that send
     // again often leave before the crash is known.
-    std::vector<crash_witness> all = cancels_.engine_gone(engine);
+    std::vector<crash_witness> all = cancels_.engine_gone(engine, attempts);
     for (const auto& [unused, r] : requests_) {
-        const auto& holds = r.attempt_.holds_;
-        if (std::ranges::find(holds, engine) != holds.end()) {
-            all.push_back({r.request_.fingerprint_, r.attempt_.suspect_});
+        const attempt_state& attempt = r.attempt_;
+        if (attempts.contains(attempt.id_) &&
+            contains(attempt.holds_, engine) && runs_at(r, engine)) {
+            all.push_back({r.request_.fingerprint_, attempt.suspect_});
         }
     }
     return all;
 }
 
-void table_core::on(const engine_crashed& e) {
+void table_core::judge_crash(const base::upstream_name& engine,
+                             const std::set<base::attempt_id>& attempts) {
     const std::vector<crash_mark> marks =
-        quarantine_.engine_crashed(witnesses(e.engine_), now_);
+        quarantine_.engine_crashed(witnesses(engine, attempts), now_);
     std::vector<base::request_id> hit;
     for (auto& [id, r] : requests_) {
-        const auto& holds = r.attempt_.holds_;
-        const bool held = std::ranges::find(holds, e.engine_) != holds.end();
-        const bool awaited =
-            r.stage_ == stage::recovering && r.lost_engine_ == e.engine_;
+        const bool held = attempts.contains(r.attempt_.id_) &&
+                          contains(r.attempt_.holds_, engine);
+        const bool awaited = r.stage_ == stage::recovering &&
+                             r.lost_engine_ == engine &&
+                             attempts.contains(r.lost_attempt_);
         if (held || awaited) {
             hit.push_back(id);
         }
-        release(r, e.engine_);
+        if (held) {
+            release(r, engine);
+        }
     }
+    out_.emplace_back(log_decision{{}, {}, "crash", engine.value_});
     for (const crash_mark& mark : marks) {
         out_.emplace_back(
             spread_mark{mark.fingerprint_, mark.crashes_, mark.remaining_});
@@ -45,7 +128,7 @@
     for (const base::request_id id : hit) {
         const auto found = requests_.find(id);
         if (found != requests_.end()) {
-            crash_attempt(found->second, e.engine_);
+            crash_attempt(found->second, engine);
         }
     }
 }
--- a/pimentoferry/requests/table_running.cpp
+++ b/pimentoferry/requests/table_running.cpp
@@ -54,8 +54,10 @@
 void table_core::on(const prefill_done& e) {
     request_state* r = find(e.attempt_, {stage::prefilling});
     if (r == nullptr) {
+        cancels_.answered(e.attempt_, std::nullopt, true);
         return;
     }
+    r->attempt_.answered_ = true;
     r->attempt_.handle_ = e.handle_;
     r->attempt_.prompt_tokens_ = e.prompt_tokens_;
     r->attempt_.result_until_ = now_ + settings_.result_life_;
@@ -65,11 +67,14 @@
 }
 
 void table_core::on(const prefill_failed& e) {
+    const bool sent = e.failure_ != engine_failure::not_sent;
     request_state* r = find(e.attempt_, {stage::prefilling});
     if (r == nullptr) {
+        cancels_.answered(e.attempt_, std::nullopt, sent);
         return;
     }
-    if (e.failure_ == engine_failure::not_sent) {
+    r->attempt_.answered_ = true;
+    if (!sent) {
         --r->calls_sent_;
     }
     lose_prefill(*r, e.failure_);
@@ -126,6 +131,7 @@
     const base::milliseconds deadline =
         settings_.import_base_ + 2 * base::milliseconds{expected_ms};
     attempt.decode_ = engine;
+    attempt.answered_ = false;
     ++r.calls_sent_;
     hold(r, engine);
     enter(r, stage::transferring, deadline);
@@ -143,26 +149,23 @@
 
 void table_core::on(const import_done& e) {
     request_state* r = find(e.attempt_, {stage::transferring});
-    if (r == nullptr) {
-        return;
-    }
-    if (e.engine_ != r->attempt_.decode_) {
-        ++counts_.dropped_events_;
+    if (r == nullptr || e.engine_ != r->attempt_.decode_) {
+        cancels_.answered(e.attempt_, e.engine_, true);
         return;
     }
+    r->attempt_.answered_ = true;
     open_stream(*r);
 }
 
 void table_core::on(const import_failed& e) {
+    const bool sent = e.failure_ != engine_failure::not_sent;
     request_state* r = find(e.attempt_, {stage::transferring});
-    if (r == nullptr) {
+    if (r == nullptr || e.engine_ != r->attempt_.decode_) {
+        cancels_.answered(e.attempt_, e.engine_, sent);
         return;
     }
-    if (e.engine_ != r->attempt_.decode_) {
-        ++counts_.dropped_events_;
-        return;
-    }
-    if (e.failure_ == engine_failure::not_sent) {
+    r->attempt_.answered_ = true;
+    if (!sent) {
         --r->calls_sent_;
     }
     if (holds_nothing(e.failure_)) {
@@ -195,7 +198,8 @@
 }
 
 void table_core::open_stream(request_state& r) {
-    const attempt_state& attempt = r.attempt_;
+    attempt_state& attempt = r.attempt_;
+    attempt.answered_ = false;
     const bool with_prompt =
         attempt.prefill_at_decode_ && !attempt.stream_sent_;
     base::milliseconds limit = settings_.first_token_limit_;
@@ -254,6 +258,8 @@
     request_state* r =
         find(e.attempt_, {stage::opening, stage::decoding, stage::closing});
     if (r == nullptr) {
+        cancels_.answered(e.attempt_, std::nullopt,
+                          e.failure_ != engine_failure::not_sent);
         return;
     }
     // The count of the traffic thread only grows, so a lower one is old.
@@ -261,6 +267,7 @@
         ++counts_.dropped_events_;
         return;
     }
+    r->attempt_.answered_ = true;
     if (e.failure_ == engine_failure::not_sent) {
         --r->calls_sent_;
     } else {
