Add the decision libraries tickets and membership

Cause: sections 6 and 7 of the design page have no code yet.

Interfaces: ticket_pull and ticket_batch carry a request number, so that an answer that waited while its receiver was paused is not taken for a fresh one; ticket_batch carries the head's revision, so that the poll lists the key instead of reading up to 100 tickets. membership::member_update is a new rumor of about 35 bytes, because state changes as whole members do not fit into 1,200 bytes a message at 330 entries.

--- a/pimentoferry/membership/messages.hpp
+++ b/pimentoferry/membership/messages.hpp
@@ -91,9 +91,33 @@
     }
 };
 
+/// What changes of a known member, without the addresses and names that make
+/// up most of a `member`: at 330 entries the state changes of a partition and
+/// the numbers after each ticket would not fit into the messages otherwise.
+struct member_update {
+    base::instance_id instance_;
+    std::uint32_t incarnation_{0};
+    member_state state_{member_state::alive};
+    bool draining_{false};
+    std::uint64_t applied_ticket_{0};
+    std::uint32_t in_flight_{0};
+    std::uint32_t version_{0};
+
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.instance_, self.incarnation_, self.state_,
+                        self.draining_, self.applied_ticket_, self.in_flight_,
+                        self.version_);
+    }
+};
+
 /// One piece of gossip, retransmitted a bounded number of times.
-using rumor = std::
-    variant<member, shard_owner, cell_headroom, crash_mark, leaving_upstream>;
+using rumor = std::variant<member,
+                           shard_owner,
+                           cell_headroom,
+                           crash_mark,
+                           leaving_upstream,
+                           member_update>;
 
 struct ping {
     std::uint64_t sequence_{0};
--- /dev/null
+++ b/pimentoferry/membership/ownership.cpp
@@ -0,0 +1,116 @@
+#include "pimentoferry/membership/ownership.hpp"
+
+#include "pimentoferry/base/hash.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+
+namespace pimentoferry::membership {
+namespace {
+
+/// By falling score; equal scores are ordered by id, so that every entry
+/// agrees.
+std::vector<base::instance_id> by_score(const std::string& key,
+                                        std::vector<base::instance_id> nodes) {
+    std::ranges::sort(nodes, std::ranges::greater{}, [&](auto node) {
+        return std::pair{base::rendezvous_score(key, node.value_), node.value_};
+    });
+    return nodes;
+}
+
+std::string cell_key(const base::cell_name& cell) {
+    return "cell/" + cell.value_;
+}
+
+template <class Filter>
+std::vector<base::instance_id> usable(const std::vector<member>& live,
+                                      Filter filter) {
+    std::vector<base::instance_id> nodes;
+    for (const auto& entry : live) {
+        if (!entry.draining_ && filter(entry)) {
+            nodes.push_back(entry.instance_);
+        }
+    }
+    return nodes;
+}
+
+std::vector<base::instance_id> in_region(const std::vector<member>& live,
+                                         const std::string& region) {
+    return usable(live,
+                  [&](const member& entry) { return entry.region_ == region; });
+}
+
+} // namespace
+
+std::map<base::cell_name, base::instance_id>
+assign_cells(std::vector<cell_place> cells, const std::vector<member>& live) {
+    std::ranges::sort(
+        cells, [](const auto& a, const auto& b) { return a.cell_ < b.cell_; });
+    std::map<base::cell_name, base::instance_id> owners;
+    std::set<base::instance_id> owning;
+    for (const auto& place : cells) {
+        const auto ranked =
+            by_score(cell_key(place.cell_), in_region(live, place.region_));
+        if (ranked.empty()) {
+            continue;
+        }
+        const auto free = std::ranges::find_if(
+            ranked, [&](auto node) { return !owning.contains(node); });
+        const auto owner = free == ranked.end() ? ranked.front() : *free;
+        owners.emplace(place.cell_, owner);
+        owning.insert(owner);
+    }
+    return owners;
+}
+
+std::vector<base::instance_id>
+cell_candidates(const cell_place& place,
+                const std::vector<cell_place>& cells,
+                const std::vector<member>& live) {
+    auto ranked =
+        by_score(cell_key(place.cell_), in_region(live, place.region_));
+    const auto owners = assign_cells(cells, live);
+    const auto assigned = owners.find(place.cell_);
+    if (assigned != owners.end()) {
+        const auto at = std::ranges::find(ranked, assigned->second);
+        std::rotate(ranked.begin(), at, std::next(at));
+    }
+    return ranked;
+}
+
+std::vector<base::instance_id>
+shard_candidates(std::uint32_t shard, const std::vector<member>& live) {
+    return by_score("shard/" + std::to_string(shard),
+                    usable(live, [](const member&) { return true; }));
+}
+
+std::vector<weighted_address> address_list(const std::vector<member>& live) {
+    constexpr std::uint64_t least_capacity = 8;
+    constexpr std::uint64_t most_weight = 100;
+    std::uint64_t load = 0;
+    std::uint64_t entries = 0;
+    for (const auto& entry : live) {
+        load += entry.draining_ ? 0 : entry.in_flight_;
+        entries += entry.draining_ ? 0 : 1;
+    }
+    if (entries == 0) {
+        return {};
+    }
+    const auto capacity = std::max(least_capacity, 2 * load / entries);
+    std::vector<weighted_address> list;
+    for (const auto& entry : live) {
+        if (entry.draining_) {
+            continue;
+        }
+        const auto free =
+            capacity - std::min<std::uint64_t>(capacity, entry.in_flight_);
+        const auto weight =
+            std::max<std::uint64_t>(1, most_weight * free / capacity);
+        list.push_back({entry.traffic_address_, entry.instance_,
+                        static_cast<std::uint32_t>(weight)});
+    }
+    return list;
+}
+
+} // namespace pimentoferry::membership
--- /dev/null
+++ b/pimentoferry/membership/rumor_queue.cpp
@@ -0,0 +1,134 @@
+#include "pimentoferry/membership/rumor_queue.hpp"
+
+#include "pimentoferry/base/overloaded.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace pimentoferry::membership {
+namespace {
+
+// Upper bounds in msgpack: an id is 9 bytes, other numbers up to 5, texts have
+// a header of up to 3, and lists and the kind tag take a few more.
+constexpr std::size_t id_bytes = 9;
+constexpr std::size_t number_bytes = 5;
+constexpr std::size_t text_header_bytes = 3;
+constexpr std::size_t rumor_header_bytes = 4;
+
+std::size_t text_bytes(const std::string& text) {
+    return text_header_bytes + text.size();
+}
+
+std::size_t address_bytes(const base::endpoint& address) {
+    return 1 + text_bytes(address.ip_) + number_bytes;
+}
+
+bool is_state_change(const rumor& told) {
+    const auto* update = std::get_if<member_update>(&told);
+    return std::holds_alternative<member>(told) ||
+           std::holds_alternative<shard_owner>(told) ||
+           std::holds_alternative<leaving_upstream>(told) ||
+           (update != nullptr &&
+            (update->state_ != member_state::alive || update->draining_));
+}
+
+} // namespace
+
+std::size_t estimated_bytes(const rumor& told) {
+    const auto content = std::visit(
+        base::overloaded{
+            [](const member& value) {
+                return id_bytes + text_bytes(value.name_) +
+                       address_bytes(value.peer_address_) +
+                       address_bytes(value.traffic_address_) +
+                       text_bytes(value.failure_domain_.value_) +
+                       text_bytes(value.region_) + 5 * number_bytes + 2;
+            },
+            [](const shard_owner&) { return 2 * id_bytes + number_bytes; },
+            [](const cell_headroom& value) {
+                return text_bytes(value.cell_.value_) + id_bytes +
+                       3 * number_bytes;
+            },
+            [](const crash_mark&) { return id_bytes + 1 + number_bytes; },
+            [](const leaving_upstream& value) {
+                return text_bytes(value.upstream_.value_) +
+                       address_bytes(value.address_);
+            },
+            [](const member_update&) {
+                return id_bytes + 4 * number_bytes + 2;
+            },
+        },
+        told);
+    return rumor_header_bytes + content;
+}
+
+std::uint32_t transmissions(std::size_t members) {
+    // Each receiver passes a rumor on as often as its first sender, so twice
+    // the logarithm leaves a negligible part of the fleet without it.
+    constexpr std::uint32_t factor = 2;
+    return factor * static_cast<std::uint32_t>(std::bit_width(members + 1));
+}
+
+void rumor_queue::add(const rumor& told) {
+    const auto key = key_of(told);
+    if (waiting_.size() >= rumor_count_limit && !waiting_.contains(key)) {
+        return;
+    }
+    constexpr std::uint32_t detail_delay = 3;
+    waiting_[key] = entry{told, 0, is_state_change(told) ? 0U : detail_delay,
+                          estimated_bytes(told)};
+}
+
+std::vector<rumor> rumor_queue::take(std::size_t members) {
+    std::vector<std::map<key, entry>::iterator> order;
+    order.reserve(waiting_.size());
+    for (auto place = waiting_.begin(); place != waiting_.end(); ++place) {
+        order.push_back(place);
+    }
+    std::ranges::stable_sort(order, {}, [](const auto& place) {
+        return place->second.sent_ + place->second.delay_;
+    });
+    std::vector<rumor> taken;
+    std::size_t bytes = 0;
+    const auto limit = transmissions(members);
+    for (const auto& place : order) {
+        auto& waiting = place->second;
+        if (bytes + waiting.bytes_ > rumor_bytes_limit) {
+            continue;
+        }
+        bytes += waiting.bytes_;
+        taken.push_back(waiting.rumor_);
+        ++waiting.sent_;
+        if (waiting.sent_ >= limit) {
+            waiting_.erase(place);
+        }
+    }
+    return taken;
+}
+
+rumor_queue::key rumor_queue::key_of(const rumor& told) {
+    return std::visit(base::overloaded{
+                          [](const member& value) {
+                              return key{0, value.instance_.value_, {}};
+                          },
+                          [](const shard_owner& value) {
+                              return key{1, value.shard_, {}};
+                          },
+                          [](const cell_headroom& value) {
+                              return key{2, 0, value.cell_.value_};
+                          },
+                          [](const crash_mark& value) {
+                              return key{3, value.fingerprint_, {}};
+                          },
+                          [](const leaving_upstream& value) {
+                              return key{4, 0, value.upstream_.value_};
+                          },
+                          [](const member_update& value) {
+                              return key{5, value.instance_.value_, {}};
+                          },
+                      },
+                      told);
+}
+
+} // namespace pimentoferry::membership
--- /dev/null
+++ b/pimentoferry/membership/swim.hpp
@@ -0,0 +1,175 @@
+/// Failure detector and gossip of one entry.
+///
+///     membership::swim swim{{self, seed}};
+///     for (auto& action : swim.handle(membership::start{}, now)) { ... }
+///
+/// A decision library: no sockets, no threads, no clock. The driver runs the
+/// actions and feeds messages and about 20 ticks a second back in.
+///
+/// Every 500 ms one member is pinged, in shuffled order. Without an ack in
+/// 150 ms, three others ping it too; without any ack by the end of the period
+/// it is suspected, and 1.5 s later it is dead unless it refutes with a higher
+/// incarnation. Members that ended are contacted now and then, so that the
+/// halves of a healed partition find each other again. See section 7 of
+/// docs/design.md.
+#ifndef PIMENTOFERRY_MEMBERSHIP_SWIM_HPP
+#define PIMENTOFERRY_MEMBERSHIP_SWIM_HPP
+
+#include "pimentoferry/base/ids.hpp"
+#include "pimentoferry/base/time.hpp"
+#include "pimentoferry/membership/events.hpp"
+#include "pimentoferry/membership/gossip_store.hpp"
+#include "pimentoferry/membership/member_view.hpp"
+#include "pimentoferry/membership/ownership.hpp"
+#include "pimentoferry/membership/rumor_queue.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace pimentoferry::membership {
+
+inline constexpr base::milliseconds probe_period{500};
+inline constexpr base::milliseconds ack_timeout{150};
+inline constexpr std::size_t indirect_probes = 3;
+/// Until the first answer, seeds are asked at this interval.
+inline constexpr base::milliseconds join_interval{1000};
+/// One ended member or missing seed is contacted at this interval.
+inline constexpr base::milliseconds reconnect_interval{5000};
+/// The whole view is exchanged with one member at this interval, for gossip
+/// that reached this entry by no message. At 330 entries an exchange is about
+/// 40 KB.
+inline constexpr base::milliseconds exchange_interval{60000};
+/// The load is passed on at most once in this time for each member.
+inline constexpr base::milliseconds load_interval_per_member{100};
+/// A longer gap between two events means that this process was paused and
+/// that missing acks say nothing about others.
+inline constexpr base::milliseconds own_pause{1000};
+
+struct swim_settings {
+    /// Instance, name, addresses, failure domain and region; the rest is 0.
+    member self_;
+    std::uint64_t seed_{0}; ///< Of the random choices; different per instance.
+};
+
+class swim {
+public:
+    explicit swim(const swim_settings& settings);
+
+    std::vector<action> handle(const event& occurred, base::time_point now);
+
+    const member& self() const { return self_; }
+
+    /// Live members with this entry, ordered by instance. Suspects are among
+    /// them unless `without_suspects`.
+    std::vector<member> live(bool without_suspects = false) const;
+
+    /// Names of entries that left in order and have no live successor.
+    std::vector<std::string> left() const;
+
+    const known_member* find(base::instance_id instance) const {
+        return view_.find(instance);
+    }
+
+    /// Gossip other than of members.
+    const gossip_store& gossip() const { return gossip_; }
+
+    /// The owner of a cell among all `cells`; none when its region is empty.
+    base::instance_id cell_owner(const base::cell_name& cell,
+                                 const std::vector<cell_place>& cells) const;
+
+    std::vector<base::instance_id> shard_candidates(std::uint32_t shard) const {
+        return membership::shard_candidates(shard, live());
+    }
+
+    std::vector<weighted_address> address_list() const {
+        return membership::address_list(live());
+    }
+
+private:
+    struct probe {
+        base::instance_id target_;
+        std::uint64_t sequence_{0};
+        base::time_point sent_;
+        bool indirect_{false};
+    };
+    /// A ping on behalf of another entry.
+    struct relayed_ping {
+        base::instance_id asker_;
+        std::uint64_t sequence_{0};
+        base::time_point sent_;
+    };
+
+    void on(const start& event, base::time_point now);
+    void on(const tick& event, base::time_point now);
+    void on(const peer_message& event, base::time_point now);
+    void on(const seeds_known& event, base::time_point now);
+    void on(const self_changed& event, base::time_point now);
+    void on(const publish& event, base::time_point now);
+    void on(const leave& event, base::time_point now);
+
+    void
+    on_message(base::instance_id from, const ping& told, base::time_point now);
+    void
+    on_message(base::instance_id from, const ack& told, base::time_point now);
+    void on_message(base::instance_id from,
+                    const ping_request& told,
+                    base::time_point now);
+    void
+    on_message(base::instance_id from, const join& told, base::time_point now);
+    void on_message(base::instance_id from,
+                    const join_answer& told,
+                    base::time_point now);
+
+    void advance_probe(base::time_point now);
+    void begin_probe(base::time_point now);
+    void ask_others_to_probe(const probe& missing);
+    std::optional<base::instance_id> next_target();
+    void suspect(base::instance_id target, base::time_point now);
+    void declare_overdue_dead(base::time_point now);
+    void contact_seeds(base::time_point now);
+    void reconnect(base::time_point now);
+
+    void learn(const rumor& told, base::time_point now);
+    void learn(const member& told, base::time_point now);
+    void learn(const member_update& told, base::time_point now);
+    void refute(const member_update& told);
+    void replace_predecessor(const member& successor, base::time_point now);
+    void after_merge(merge_result result, base::instance_id instance);
+    void tell_of_self();
+
+    std::vector<rumor> rumors_for(base::instance_id to);
+    void send(base::instance_id to, message value);
+    void send_join(base::instance_id to, const base::endpoint& address);
+    std::vector<base::instance_id> sample(std::vector<base::instance_id> from,
+                                          std::size_t count);
+
+    member self_;
+    std::mt19937_64 random_;
+    member_view view_;
+    rumor_queue rumors_;
+    gossip_store gossip_;
+    std::vector<base::endpoint> seeds_;
+    std::vector<base::instance_id> order_; ///< Targets left in this round.
+    std::optional<probe> probe_;
+    std::map<std::uint64_t, relayed_ping> relayed_;
+    std::uint64_t last_sequence_{0};
+    bool started_{false};
+    bool joined_{false};
+    bool left_{false};
+    base::time_point last_event_;
+    base::time_point next_probe_;
+    base::time_point next_join_;
+    base::time_point next_reconnect_;
+    base::time_point next_exchange_;
+    base::time_point next_load_;
+    std::uint32_t load_{0}; ///< Latest; `self_` has the one passed on.
+    std::vector<action> out_;
+};
+
+} // namespace pimentoferry::membership
+
+#endif
--- a/pimentoferry/tickets/messages.hpp
+++ b/pimentoferry/tickets/messages.hpp
@@ -22,9 +22,12 @@
 /// Asks for all tickets after `after_`.
 struct ticket_pull {
     std::uint64_t after_{0};
+    /// Returned in the answer, so that an answer which waited in a buffer
+    /// while its receiver was paused is not taken for a fresh one.
+    std::uint64_t request_{0};
     template <class Self>
     static auto fields(Self& self) {
-        return std::tie(self.after_);
+        return std::tie(self.after_, self.request_);
     }
 };
 
@@ -34,9 +37,16 @@
     std::uint64_t base_number_{0};
     std::string base_state_;           ///< JSON; empty when not needed.
     std::vector<std::string> tickets_; ///< JSON, in number order.
+    std::uint64_t request_{0};         ///< Of the pull.
+    std::uint64_t number_{0};          ///< The highest the sender applied.
+    /// Revision of `tickets/head` with that number, or 0 where unknown. It
+    /// lets the receiver's next poll see that nothing is missing without
+    /// reading the whole head.
+    std::uint64_t revision_{0};
     template <class Self>
     static auto fields(Self& self) {
-        return std::tie(self.base_number_, self.base_state_, self.tickets_);
+        return std::tie(self.base_number_, self.base_state_, self.tickets_,
+                        self.request_, self.number_, self.revision_);
     }
 };
 
--- /dev/null
+++ b/pimentoferry/tickets/serving_gate.cpp
@@ -0,0 +1,122 @@
+#include "pimentoferry/tickets/serving_gate.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pimentoferry::tickets {
+
+void serving_gate::advance(base::time_point now) {
+    if (!started_) {
+        started_ = true;
+        last_peer_ = now;
+        live_ = {name_};
+        known_ = {name_};
+        unconfirm(now);
+    } else if (now - last_event_ > pause_limit) {
+        note_pause(now);
+    }
+    last_event_ = now;
+    if (confirmed_ && isolated(now)) {
+        unconfirm(now);
+    }
+}
+
+void serving_gate::note_pause(base::time_point now) {
+    // An entry alone in the fleet has nobody to be behind of.
+    if (!alone()) {
+        unconfirm(now);
+    }
+}
+
+void serving_gate::note_store(base::time_point sent, base::time_point now) {
+    last_store_ = std::max(last_store_.value_or(sent), sent);
+    std::erase_if(last_live_, [&](const auto& entry) {
+        return now - entry.second > memory_limit;
+    });
+    known_ = live_;
+    for (const auto& [name, ignored] : last_live_) {
+        known_.insert(name);
+    }
+}
+
+void serving_gate::note_confirmed(base::time_point sent) {
+    confirmed_ = confirmed_ || sent >= unconfirmed_since_;
+}
+
+void serving_gate::note_peers_agreed(base::time_point sent) {
+    if (store_failed_ && *store_failed_ >= unconfirmed_since_) {
+        note_confirmed(sent);
+    }
+}
+
+void serving_gate::note_members(const peers_known& members,
+                                base::time_point now) {
+    live_ = {name_};
+    for (const auto& peer : members.live_) {
+        live_.insert(peer.name_);
+        last_live_[peer.name_] = now;
+    }
+    if (!last_store_) {
+        known_.insert(live_.begin(), live_.end());
+    }
+    for (const auto& name : members.left_) {
+        if (!live_.contains(name)) {
+            known_.erase(name);
+            last_live_.erase(name);
+        }
+    }
+}
+
+void serving_gate::note_numbers(std::uint64_t applied,
+                                std::uint64_t highest,
+                                base::time_point now) {
+    applied_ = applied;
+    if (highest <= applied) {
+        behind_since_.reset();
+    } else if (!behind_since_) {
+        behind_since_ = now;
+    }
+}
+
+serving_allowed serving_gate::evaluate(base::time_point now) const {
+    if (applied_ == 0) {
+        return {false, serving_reason::no_configuration};
+    }
+    const bool paused = now - last_event_ > pause_limit && !alone();
+    if (isolated(now)) {
+        return {false, serving_reason::isolated};
+    }
+    if (!confirmed_ || paused) {
+        return {false, serving_reason::unconfirmed};
+    }
+    if (partitioned(now)) {
+        return {false, serving_reason::partitioned};
+    }
+    if (behind_since_ && now - *behind_since_ > behind_limit) {
+        return {false, serving_reason::behind};
+    }
+    return {true, serving_reason::in_force};
+}
+
+bool serving_gate::partitioned(base::time_point now) const {
+    const bool store_known =
+        last_store_ && now - *last_store_ <= isolation_limit;
+    if (store_known || alone() || policy_ == config::partition_policy::serve) {
+        return false;
+    }
+    const auto heard = std::ranges::count_if(
+        known_, [&](const auto& name) { return live_.contains(name); });
+    return 2 * static_cast<std::size_t>(heard) <= known_.size();
+}
+
+bool serving_gate::isolated(base::time_point now) const {
+    const auto last = std::max(last_peer_, last_store_.value_or(last_peer_));
+    return now - last > isolation_limit && !alone();
+}
+
+void serving_gate::unconfirm(base::time_point now) {
+    confirmed_ = false;
+    unconfirmed_since_ = now;
+}
+
+} // namespace pimentoferry::tickets
