--- a/pimentoferry/once/events.hpp
+++ b/pimentoferry/once/events.hpp
@@ -186,7 +186,8 @@
 };
 
 /// Spread by gossip; every entry puts the highest epoch of each shard into
-/// its `view_changed`.
+/// its `view_changed`. Repeated every `head_poll_` by the owner, to be spread
+/// again each time: it heals gossip that was lost.
 struct announce_owner {
     shard_ownership ownership_;
 };
--- /dev/null
+++ b/pimentoferry/once/fuzz_commands.cpp
@@ -0,0 +1,292 @@
+#include "pimentoferry/once/fuzz_commands.hpp"
+
+#include "pimentoferry/base/hash.hpp"
+
+#include <algorithm>
+#include <ostream>
+#include <string>
+
+namespace pimentoferry::once {
+namespace {
+
+using base::milliseconds;
+
+constexpr milliseconds fuzz_window{60'000};
+/// Small, so that segments are sealed and deleted often.
+constexpr std::size_t fuzz_segment_bytes = 600;
+/// Longer than a claim's timeout, a takeover and the slowest repeat.
+constexpr milliseconds settle_time{60'000};
+constexpr milliseconds ask_again_pause{2'000};
+constexpr int ask_again_limit = 10;
+
+world_settings fuzz_settings(std::uint64_t seed) {
+    world_settings settings;
+    settings.entries_ = 3 + seed % 3;
+    settings.seed_ = seed;
+    settings.once_.shards_ = 2;
+    settings.once_.segment_bytes_ = fuzz_segment_bytes;
+    settings.once_.window_ = fuzz_window;
+    return settings;
+}
+
+constexpr std::array<const char*, 20> command_names{
+    "ask",     "new_key", "pass_moment", "pass_seconds", "pass_window",
+    "leave",   "kill",    "start",       "pause",        "resume",
+    "drain",   "cut",     "mend",        "cut_store",    "mend_store",
+    "network", "store",   "upstream",    "flip_view",    "jump_clock"};
+
+rc::Gen<fuzz_command> command_of(command_kind kind) {
+    const auto operand = rc::gen::inRange<std::uint32_t>(0, 1000);
+    return rc::gen::build<fuzz_command>(
+        rc::gen::set(&fuzz_command::kind_, rc::gen::just(kind)),
+        rc::gen::set(&fuzz_command::a_, operand),
+        rc::gen::set(&fuzz_command::b_, operand),
+        rc::gen::set(&fuzz_command::c_, operand));
+}
+
+} // namespace
+
+std::ostream& operator<<(std::ostream& out, const fuzz_command& command) {
+    return out << command_names[static_cast<std::size_t>(command.kind_)] << "("
+               << command.a_ << "," << command.b_ << "," << command.c_ << ")";
+}
+
+rc::Gen<fuzz_command> command_generator() {
+    using kind = command_kind;
+    const auto one = [](std::size_t weight, kind of) {
+        return std::pair<std::size_t, rc::Gen<fuzz_command>>{weight,
+                                                             command_of(of)};
+    };
+    return rc::gen::weightedOneOf<fuzz_command>(
+        {one(30, kind::ask),         one(3, kind::new_key),
+         one(24, kind::pass_moment), one(10, kind::pass_seconds),
+         one(2, kind::pass_window),  one(2, kind::leave),
+         one(1, kind::kill),         one(2, kind::start),
+         one(3, kind::pause),        one(4, kind::resume),
+         one(1, kind::drain),        one(2, kind::cut),
+         one(3, kind::mend),         one(1, kind::cut_store),
+         one(2, kind::mend_store),   one(4, kind::network),
+         one(6, kind::store),        one(5, kind::upstream),
+         one(5, kind::flip_view),    one(1, kind::jump_clock)});
+}
+
+fuzz_run::fuzz_run(std::uint64_t seed) : world_(fuzz_settings(seed)) {
+    std::ranges::generate(keys_, [&] { return new_key(); });
+}
+
+key_id fuzz_run::new_key() {
+    ++keys_made_;
+    return {base::hash_combine(keys_made_, 1),
+            base::hash_combine(keys_made_, 2), world_.wall()};
+}
+
+void fuzz_run::run(const fuzz_command& command) {
+    switch (command.kind_) {
+    case command_kind::ask:
+        ask(command);
+        break;
+    case command_kind::new_key:
+        keys_[command.a_ % key_slots] = new_key();
+        break;
+    case command_kind::pass_moment:
+        world_.advance(milliseconds{command.a_ % 300});
+        break;
+    case command_kind::pass_seconds:
+        world_.advance(milliseconds{command.a_ * 7});
+        break;
+    case command_kind::pass_window:
+        world_.advance(fuzz_window / 2 + milliseconds{command.a_ * 60});
+        break;
+    case command_kind::leave:
+        if (!requests_.empty()) {
+            world_.leave(requests_.back());
+        }
+        break;
+    default:
+        run_entry_command(command);
+        break;
+    }
+}
+
+void fuzz_run::run_entry_command(const fuzz_command& command) {
+    const auto entry = command.a_ % world_.size();
+    const auto other = command.b_ % world_.size();
+    switch (command.kind_) {
+    case command_kind::kill:
+        world_.kill(entry);
+        break;
+    case command_kind::start:
+        if (world_.live_count() < max_entries) {
+            world_.start_entry();
+        }
+        break;
+    case command_kind::pause:
+        world_.pause(entry);
+        break;
+    case command_kind::resume:
+        world_.resume(entry);
+        break;
+    case command_kind::drain:
+        draining_[entry % draining_.size()] = true;
+        world_.drain(entry);
+        break;
+    case command_kind::cut:
+        world_.set_cut(entry, other, true);
+        break;
+    case command_kind::mend:
+        world_.set_cut(entry, other, false);
+        break;
+    case command_kind::cut_store:
+    case command_kind::mend_store:
+        world_.set_store_cut(entry, command.kind_ == command_kind::cut_store);
+        break;
+    case command_kind::flip_view:
+        world_.flip_view(entry, other);
+        break;
+    default:
+        run_fault_command(command);
+        break;
+    }
+}
+
+void fuzz_run::run_fault_command(const fuzz_command& command) {
+    constexpr int percent_step = 20;
+    constexpr std::uint32_t kinds = 5;
+    switch (command.kind_) {
+    case command_kind::network:
+        world_.set_network({static_cast<int>(command.a_ % 4) * percent_step,
+                            static_cast<int>(command.b_ % 4) * percent_step,
+                            milliseconds{command.c_ * 8}});
+        break;
+    case command_kind::store:
+        world_.set_store(static_cast<store_mode>(command.a_ % kinds));
+        break;
+    case command_kind::upstream:
+        world_.set_upstream(static_cast<upstream_mode>(command.a_ % kinds));
+        break;
+    default: {
+        const milliseconds jump{(static_cast<std::int64_t>(command.b_) - 500) *
+                                100};
+        widest_clock_ += std::max(jump, -jump);
+        world_.jump_wall_clock(command.a_ % world_.size(), jump);
+        break;
+    }
+    }
+}
+
+void fuzz_run::ask(const fuzz_command& command) {
+    const auto entry = command.a_ % world_.size();
+    // One call in eight uses the key for another body.
+    const std::uint64_t body = command.c_ % 8 == 7 ? 2 : 1;
+    if (world_.is_live(entry)) {
+        requests_.push_back(
+            world_.ask(entry, keys_[command.b_ % key_slots], body));
+    }
+}
+
+std::size_t fuzz_run::accepting_entry() {
+    for (std::size_t entry = 0; entry < world_.size(); ++entry) {
+        if (world_.is_live(entry) && !draining_[entry % draining_.size()]) {
+            return entry;
+        }
+    }
+    return world_.start_entry();
+}
+
+void fuzz_run::settle() {
+    accepting_entry();
+    world_.heal();
+    world_.advance(settle_time);
+    world_.check_settled();
+    std::vector<key_id> keys;
+    for (const auto& [key, record] : world_.oracle().keys()) {
+        keys.push_back(key);
+    }
+    for (const auto& key : keys) {
+        settle_key(key);
+    }
+    world_.advance(settle_time);
+    world_.check_settled();
+}
+
+void fuzz_run::settle_key(const key_id& key) {
+    const auto body = body_of(key);
+    const bool ran_before = may_have_run(key);
+    for (int i = 0; i < ask_again_limit; ++i) {
+        const auto request = world_.ask(accepting_entry(), key, body);
+        world_.advance(ask_again_pause);
+        const auto& last = world_.oracle().request(request);
+        const bool waits =
+            last.told_ == told_kind::nothing ||
+            (last.told_ == told_kind::refused &&
+             last.refusal_.code_ == base::refusal_code::in_progress);
+        if (!waits) {
+            const auto fault = fault_of(key, last, ran_before);
+            if (!fault.empty()) {
+                world_.oracle().fail(fault);
+            }
+            return;
+        }
+    }
+    world_.oracle().fail("a key stays in progress without end");
+}
+
+std::string fuzz_run::fault_of(const key_id& key,
+                               const request_record& last,
+                               bool ran_before) {
+    const auto& record = world_.oracle().keys().at(key);
+    if (last.told_ == told_kind::send) {
+        return {};
+    }
+    if (last.told_ == told_kind::replay) {
+        return {};
+    }
+    const auto code = last.refusal_.code_;
+    if (code == base::refusal_code::key_expired && may_be_expired(key)) {
+        return {};
+    }
+    if (code == base::refusal_code::key_reused && !record.bound_body_ &&
+        has_two_bodies(key)) {
+        return {};
+    }
+    const bool is_result_safe =
+        record.result_at_.value_ != 0 && !world_.was_killed(record.result_at_);
+    if (code == base::refusal_code::result_lost && ran_before &&
+        !is_result_safe) {
+        return {};
+    }
+    return "a key is refused at rest: " + std::string{base::to_string(code)};
+}
+
+std::uint64_t fuzz_run::body_of(const key_id& key) const {
+    const auto& record = world_.oracle().keys().at(key);
+    return record.bound_body_.value_or(1);
+}
+
+/// True if a call with the key was sent and not found unsent, or if its entry
+/// died and cannot tell.
+bool fuzz_run::may_have_run(const key_id& key) const {
+    const auto& requests = world_.oracle().requests();
+    return std::ranges::any_of(requests, [&](const auto& entry) {
+        const auto& request = entry.second;
+        const bool is_unsent = request.refused_ && request.refusal_.ran_ ==
+                                                       base::ran_state::not_run;
+        return request.asked_.key_ == key &&
+               (world_.was_killed(request.asked_.entry_) ||
+                (request.told_ == told_kind::send && !is_unsent));
+    });
+}
+
+bool fuzz_run::may_be_expired(const key_id& key) const {
+    return world_.wall() + widest_clock_ - key.issued_ > fuzz_window;
+}
+
+bool fuzz_run::has_two_bodies(const key_id& key) const {
+    const auto& requests = world_.oracle().requests();
+    return std::ranges::any_of(requests, [&](const auto& entry) {
+        return entry.second.asked_.key_ == key &&
+               entry.second.asked_.body_hash_ == 2;
+    });
+}
+
+} // namespace pimentoferry::once
--- /dev/null
+++ b/pimentoferry/once/fuzz_commands.hpp
@@ -0,0 +1,91 @@
+/// Test support: the commands of the stateful fuzzing and their effect.
+#ifndef PIMENTOFERRY_ONCE_FUZZ_COMMANDS_HPP
+#define PIMENTOFERRY_ONCE_FUZZ_COMMANDS_HPP
+
+#include "pimentoferry/once/simulated_world.hpp"
+
+#include <rapidcheck.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace pimentoferry::once {
+
+enum class command_kind : std::uint8_t {
+    ask,
+    new_key,
+    pass_moment,
+    pass_seconds,
+    pass_window,
+    leave,
+    kill,
+    start,
+    pause,
+    resume,
+    drain,
+    cut,
+    mend,
+    cut_store,
+    mend_store,
+    network,
+    store,
+    upstream,
+    flip_view,
+    jump_clock,
+};
+
+/// The operands are reduced to what exists when the command runs.
+struct fuzz_command {
+    command_kind kind_{command_kind::ask};
+    std::uint32_t a_{0};
+    std::uint32_t b_{0};
+    std::uint32_t c_{0};
+};
+
+std::ostream& operator<<(std::ostream& out, const fuzz_command& command);
+
+rc::Gen<fuzz_command> command_generator();
+
+class fuzz_run {
+public:
+    explicit fuzz_run(std::uint64_t seed);
+
+    void run(const fuzz_command& command);
+    /// Ends the faults, lets time pass, and fails the oracle for each key
+    /// that is not in the state that its callers may expect.
+    void settle();
+    [[nodiscard]] const execution_oracle& oracle() { return world_.oracle(); }
+
+private:
+    static constexpr std::size_t key_slots = 5;
+    static constexpr std::size_t max_entries = 5;
+
+    void run_entry_command(const fuzz_command& command);
+    void run_fault_command(const fuzz_command& command);
+    void ask(const fuzz_command& command);
+    key_id new_key();
+    void settle_key(const key_id& key);
+    std::size_t accepting_entry();
+    [[nodiscard]] std::uint64_t body_of(const key_id& key) const;
+    [[nodiscard]] bool may_have_run(const key_id& key) const;
+    [[nodiscard]] bool may_be_expired(const key_id& key) const;
+    [[nodiscard]] bool has_two_bodies(const key_id& key) const;
+    /// Empty if the last answer for the key is what its callers may expect.
+    [[nodiscard]] std::string
+    fault_of(const key_id& key, const request_record& last, bool ran_before);
+
+    simulated_world world_;
+    std::array<key_id, key_slots> keys_;
+    std::uint64_t keys_made_{0};
+    std::vector<base::request_id> requests_;
+    base::milliseconds widest_clock_{0};
+    std::array<bool, 256> draining_{};
+};
+
+} // namespace pimentoferry::once
+
+#endif
--- a/pimentoferry/once/shard_set.cpp
+++ b/pimentoferry/once/shard_set.cpp
@@ -72,9 +72,17 @@
     if (known.epoch_ > held.epoch()) {
         held.step_down(ctx);
         plans_[shard].not_before_ = ctx.now_ + limits_.fenced_pause_;
-    } else if (draining_) {
+        return;
+    }
+    if (draining_) {
         held.drain();
     }
+    if (ctx.now_ >= plans_[shard].poll_at_) {
+        // Gossip that was lost must not leave an entry asking an old owner,
+        // or an old owner idle in its belief.
+        plans_[shard].poll_at_ = ctx.now_ + limits_.head_poll_;
+        ctx.out_.push(announce_owner{{shard, held.epoch(), self_}});
+    }
 }
 
 void shard_set::review_closed(shard_number shard, context& ctx) {
@@ -166,6 +174,9 @@
     std::optional<base::time_point> next;
     for (shard_number shard = 0; shard < shards_.size(); ++shard) {
         next = earliest(next, shards_[shard].next_wakeup());
+        if (shards_[shard].is_open()) {
+            next = earliest(next, plans_[shard].poll_at_);
+        }
         if (shards_[shard].is_closed() && concerns_us(shard, view)) {
             next = earliest(next, look_at(shard, view));
         }
--- a/pimentoferry/once/shard_set.hpp
+++ b/pimentoferry/once/shard_set.hpp
@@ -47,7 +47,8 @@
     struct plan {
         /// No look at the head before this time, whatever the view says.
         base::time_point not_before_{base::time_point::min()};
-        /// Next look at the head of a shard with a live owner.
+        /// Next look at the head of a shard with a live owner; next repeat of
+        /// the announcement of a shard that is held.
         base::time_point poll_at_{base::time_point::min()};
         /// Since when the head names an owner that no view ever held.
         std::optional<base::time_point> unknown_since_;
--- /dev/null
+++ b/pimentoferry/once/simulated_world.hpp
@@ -0,0 +1,173 @@
+/// Test support: entries, network, store, upstream and membership in virtual
+/// time, each with its faults.
+///
+///     simulated_world world{world_settings{}};
+///     world.ask(0, key, body);
+///     world.kill(1);
+///     world.advance(milliseconds{500});
+///     world.heal();                        // faults end, the dead stay dead
+///     world.oracle().violations();         // empty
+///
+/// Everything random follows from `world_settings::seed_` and the order of
+/// the calls. Entries are named by their index; an entry that was killed or
+/// has drained keeps its index and does nothing more.
+#ifndef PIMENTOFERRY_ONCE_SIMULATED_WORLD_HPP
+#define PIMENTOFERRY_ONCE_SIMULATED_WORLD_HPP
+
+#include "pimentoferry/once/events.hpp"
+#include "pimentoferry/once/execution_oracle.hpp"
+#include "pimentoferry/once/once_service.hpp"
+#include "pimentoferry/once/simulated_store.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace pimentoferry::once {
+
+struct world_settings {
+    std::size_t entries_{3};
+    settings once_{};
+    std::uint64_t seed_{1};
+    base::milliseconds message_delay_{1};
+    base::microseconds store_delay_{2000};
+    base::milliseconds upstream_delay_{5};
+    /// From a death until every view lacks the dead.
+    base::milliseconds death_detection_{2800};
+};
+
+enum class store_mode : std::uint8_t {
+    up,
+    down,
+    slow,         ///< May take effect after the client's timeout.
+    lose_answers, ///< Writes take effect, the answers are lost.
+    flaky,        ///< Each operation in one of the modes above.
+};
+
+enum class upstream_mode : std::uint8_t {
+    up,
+    refused,      ///< No byte is sent.
+    answer_lost,  ///< Runs, and the answer is lost.
+    request_lost, ///< Does not run, and the connection breaks.
+    slow,
+};
+
+/// Faults of the messages that are sent from now on.
+struct network_faults {
+    int drop_percent_{0};
+    int duplicate_percent_{0};
+    base::milliseconds extra_delay_{0}; ///< At most; reorders messages.
+};
+
+class simulated_world {
+public:
+    explicit simulated_world(const world_settings& settings);
+
+    // Callers.
+    base::request_id ask(std::size_t entry, const key_id& key, std::uint64_t);
+    void leave(base::request_id request);
+
+    // Entries.
+    std::size_t start_entry();
+    void kill(std::size_t entry);
+    void pause(std::size_t entry);
+    void resume(std::size_t entry);
+    void drain(std::size_t entry);
+    void jump_wall_clock(std::size_t entry, base::milliseconds by);
+    /// The entry's view of another becomes wrong, or right again.
+    void flip_view(std::size_t entry, std::size_t other);
+
+    // Surroundings.
+    void set_cut(std::size_t first, std::size_t second, bool cut);
+    void set_store_cut(std::size_t entry, bool cut);
+    void set_network(const network_faults& faults) { network_ = faults; }
+    void set_store(store_mode mode) { store_mode_ = mode; }
+    void set_upstream(upstream_mode mode) { upstream_mode_ = mode; }
+    /// Ends every fault: resumes, mends and corrects all views.
+    void heal();
+
+    void advance(base::milliseconds time);
+    /// Fails the oracle unless nothing is pending and each shard has exactly
+    /// one owner.
+    void check_settled();
+
+    [[nodiscard]] execution_oracle& oracle() { return oracle_; }
+    [[nodiscard]] const execution_oracle& oracle() const { return oracle_; }
+    [[nodiscard]] const simulated_store& store() const { return store_; }
+    [[nodiscard]] base::time_point now() const { return now_; }
+    [[nodiscard]] base::wall_time wall() const;
+    [[nodiscard]] std::size_t size() const { return nodes_.size(); }
+    [[nodiscard]] std::size_t live_count() const;
+    [[nodiscard]] bool is_live(std::size_t entry) const {
+        return nodes_[entry].service_ != nullptr;
+    }
+    [[nodiscard]] bool was_killed(base::instance_id entry) const;
+    [[nodiscard]] const once_service& service(std::size_t entry) const {
+        return *nodes_[entry].service_;
+    }
+
+private:
+    struct node {
+        base::instance_id instance_;
+        std::unique_ptr<once_service> service_; ///< None: dead or drained.
+        bool paused_{false};
+        bool draining_{false};
+        bool killed_{false};
+        bool store_cut_{false};
+        std::vector<event> held_;        ///< What arrives while paused.
+        std::set<std::size_t> believed_; ///< Entries held for live.
+        std::set<std::size_t> believed_draining_;
+        std::vector<shard_ownership> owners_;
+        base::milliseconds steady_offset_{0};
+        base::milliseconds wall_offset_{0};
+    };
+
+    using task = std::function<void()>;
+
+    void after(base::microseconds delay, task next);
+    void deliver(std::size_t entry, const event& e);
+    void run(std::size_t entry, const event& e);
+    void perform(std::size_t entry, const action& next);
+    void send(std::size_t from, base::instance_id to, const event& e);
+    void use_store(std::size_t entry, const store::operation& operation);
+    void answer_store(std::size_t entry,
+                      store::token token,
+                      const store::outcome& outcome,
+                      base::microseconds delay);
+    store_mode present_store_mode(std::size_t entry);
+    void call_upstream(std::size_t entry, const send_call& call);
+    void gossip(std::size_t from, const shard_ownership& ownership);
+    void show_view(std::size_t entry);
+    void set_belief(std::size_t entry, std::size_t other, bool live);
+    void tell_all_of_death(std::size_t entry);
+    void tick_entry(std::size_t entry);
+    void finish_drained();
+    bool step(base::time_point end);
+    [[nodiscard]] base::time_point next_wakeup(std::size_t entry) const;
+    [[nodiscard]] std::size_t index_of(base::instance_id instance) const;
+    [[nodiscard]] bool is_cut(std::size_t first, std::size_t second) const;
+    std::uint64_t random(std::uint64_t below);
+
+    world_settings settings_;
+    base::time_point now_{std::chrono::hours{1}};
+    std::multimap<base::time_point, task> tasks_;
+    std::vector<node> nodes_;
+    simulated_store store_;
+    execution_oracle oracle_;
+    network_faults network_;
+    store_mode store_mode_{store_mode::up};
+    upstream_mode upstream_mode_{upstream_mode::up};
+    std::set<std::pair<std::size_t, std::size_t>> cuts_;
+    std::map<base::request_id, std::size_t> entry_of_request_;
+    std::uint64_t last_request_{0};
+    std::uint64_t draws_{0};
+};
+
+} // namespace pimentoferry::once
+
+#endif
