Read an optional deadline without an unchecked access

Cause: the linter reported an unchecked optional in the expiry of holds. Excluded: a suppression; the value has a natural default, the end of time. Change: a hold without an end is compared as time_point::max(). Conclusion: behaviour is unchanged.

--- a/standins/engine_attempts.cpp
+++ b/standins/engine_attempts.cpp
@@ -90,8 +90,8 @@
 std::vector<attempt_ptr> attempt_table::expired(time_point now) const {
     std::vector<attempt_ptr> result;
     for (const auto& [id, held] : held_) {
-        if (held->release_at_ && *held->release_at_ <= now &&
-            held->exports_ == 0) {
+        const auto end = held->release_at_.value_or(time_point::max());
+        if (end <= now && held->exports_ == 0) {
             result.push_back(held);
         }
     }
