--- a/pimentoferry/tickets/compaction.cpp
+++ b/pimentoferry/tickets/compaction.cpp
@@ -7,8 +7,8 @@
 
 namespace pimentoferry::tickets {
 
-bool compaction_due(const head& value) {
-    return value.tickets_.size() >= compaction_tickets ||
+bool compaction_due(const head& value, std::size_t tickets) {
+    return value.tickets_.size() >= tickets ||
            ticket_bytes(value) >= compaction_bytes;
 }
 
@@ -17,7 +17,8 @@
                        const replica& copy,
                        call_table& calls,
                        std::vector<action>& out) {
-    if (busy() || !compaction_due(due) || due.number_ != copy.number()) {
+    if (busy() || !compaction_due(due, tickets_) ||
+        due.number_ != copy.number()) {
         return;
     }
     base_number_ = due.number_;
--- a/pimentoferry/tickets/compaction.hpp
+++ b/pimentoferry/tickets/compaction.hpp
@@ -26,7 +26,8 @@
 
 class compaction {
 public:
-    explicit compaction(base::instance_id self) : self_(self) {}
+    compaction(base::instance_id self, std::size_t tickets)
+        : self_(self), tickets_(tickets) {}
 
     bool busy() const { return step_ != step::idle; }
 
@@ -67,6 +68,7 @@
     void collect_garbage(const store::listed& listed);
 
     base::instance_id self_;
+    std::size_t tickets_; ///< Threshold.
     step step_{step::idle};
     std::uint64_t base_number_{0};
     std::string generation_;
@@ -78,8 +80,8 @@
     int failures_{0};
 };
 
-/// Whether the head has grown enough.
-bool compaction_due(const head& value);
+/// Whether the head has grown to the number of tickets, or too large.
+bool compaction_due(const head& value, std::size_t tickets);
 
 } // namespace pimentoferry::tickets
 
--- a/pimentoferry/tickets/events.hpp
+++ b/pimentoferry/tickets/events.hpp
@@ -65,6 +65,9 @@
 struct peers_known {
     std::vector<live_peer> live_;
     std::vector<std::string> left_; ///< Names of entries that left in order.
+    /// No other entry is in the settings, the platform's list or the
+    /// membership view, not even a dead one.
+    bool alone_{false};
 };
 
 /// The clock of the process jumped, so it may have been paused.
--- a/pimentoferry/tickets/messages.hpp
+++ b/pimentoferry/tickets/messages.hpp
@@ -25,9 +25,11 @@
     /// Returned in the answer, so that an answer which waited in a buffer
     /// while its receiver was paused is not taken for a fresh one.
     std::uint64_t request_{0};
+    /// The sender never reached the store and asks which entries there are.
+    bool wants_known_{false};
     template <class Self>
     static auto fields(Self& self) {
-        return std::tie(self.after_, self.request_);
+        return std::tie(self.after_, self.request_, self.wants_known_);
     }
 };
 
@@ -39,14 +41,19 @@
     std::vector<std::string> tickets_; ///< JSON, in number order.
     std::uint64_t request_{0};         ///< Of the pull.
     std::uint64_t number_{0};          ///< The highest the sender applied.
+    std::uint64_t heard_{0};           ///< The highest the sender heard of.
     /// Revision of `tickets/head` with that number, or 0 where unknown. It
     /// lets the receiver's next poll see that nothing is missing without
     /// reading the whole head.
     std::uint64_t revision_{0};
+    /// Names of the entries that the sender judges a partition by, if asked
+    /// for.
+    std::vector<std::string> known_;
     template <class Self>
     static auto fields(Self& self) {
         return std::tie(self.base_number_, self.base_state_, self.tickets_,
-                        self.request_, self.number_, self.revision_);
+                        self.request_, self.number_, self.heard_,
+                        self.revision_, self.known_);
     }
 };
 
--- a/pimentoferry/tickets/peer_pulls.hpp
+++ b/pimentoferry/tickets/peer_pulls.hpp
@@ -40,7 +40,7 @@
     bool in_round() const { return round_open_; }
 
     void begin_round(const std::vector<base::instance_id>& peers,
-                     std::uint64_t after,
+                     ticket_pull question,
                      base::time_point now,
                      std::vector<action>& out) {
         round_open_ = !peers.empty();
@@ -48,9 +48,9 @@
         round_answers_ = 0;
         round_.clear();
         for (const auto peer : peers) {
-            round_.push_back(++last_request_);
-            out.emplace_back(
-                send_message{peer, ticket_pull{after, last_request_}});
+            question.request_ = ++last_request_;
+            round_.push_back(last_request_);
+            out.emplace_back(send_message{peer, question});
         }
     }
 
--- a/pimentoferry/tickets/serving_gate.cpp
+++ b/pimentoferry/tickets/serving_gate.cpp
@@ -16,7 +16,8 @@
         note_pause(now);
     }
     last_event_ = now;
-    if (confirmed_ && isolated(now)) {
+    // What was accepted meanwhile is unknown when the contact returns.
+    if (confirmed_ && (isolated(now) || partitioned(now))) {
         unconfirm(now);
     }
 }
@@ -56,7 +57,8 @@
         live_.insert(peer.name_);
         last_live_[peer.name_] = now;
     }
-    if (!last_store_) {
+    alone_ = members.alone_;
+    if (!last_store_ || now - *last_store_ <= isolation_limit) {
         known_.insert(live_.begin(), live_.end());
     }
     for (const auto& name : members.left_) {
@@ -67,6 +69,12 @@
     }
 }
 
+void serving_gate::note_known(const std::vector<std::string>& names) {
+    if (!last_store_) {
+        known_.insert(names.begin(), names.end());
+    }
+}
+
 void serving_gate::note_numbers(std::uint64_t applied,
                                 std::uint64_t highest,
                                 base::time_point now) {
--- a/pimentoferry/tickets/serving_gate.hpp
+++ b/pimentoferry/tickets/serving_gate.hpp
@@ -5,8 +5,9 @@
 ///
 /// * Contact is counted from when a question was sent, not from when its
 ///   answer arrived, because the answer may have waited.
-/// * After a start, a pause or isolation, only an answer to a question sent
-///   afterwards confirms the state. Messages that arrive unasked may be old.
+/// * After a start, a pause, isolation or a partition, only an answer to a
+///   question sent afterwards confirms the state. Messages that arrive unasked
+///   may be old.
 /// * Without the store, an entry that hears at most half of the entries it
 ///   knew at its last contact with the store may be on the far side of a
 ///   partition. Exactly half is included: two equal sides exist in a fleet of
@@ -25,6 +26,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace pimentoferry::tickets {
 
@@ -67,6 +69,18 @@
 
     void note_members(const peers_known& members, base::time_point now);
 
+    /// Adds the entries that a peer judges by, while the store was never
+    /// reached by this instance.
+    void note_known(const std::vector<std::string>& names);
+
+    /// The entries that a partition is judged by.
+    std::vector<std::string> known() const {
+        return {known_.begin(), known_.end()};
+    }
+
+    /// Whether this instance ever reached the store.
+    bool reached_store() const { return last_store_.has_value(); }
+
     /// The applied number and the highest number heard of.
     void note_numbers(std::uint64_t applied,
                       std::uint64_t highest,
@@ -83,7 +97,7 @@
 
 private:
     bool isolated(base::time_point now) const;
-    bool alone() const { return known_.size() <= 1; }
+    bool alone() const { return alone_ && known_.size() <= 1; }
     void unconfirm(base::time_point now);
 
     std::string name_;
@@ -94,6 +108,7 @@
     base::time_point unconfirmed_since_;
     std::optional<base::time_point> store_failed_;
     bool started_{false};
+    bool alone_{false};
     bool confirmed_{false};
     std::uint64_t applied_{0};
     std::optional<base::time_point> behind_since_;
@@ -103,7 +118,9 @@
     /// What a partition is judged by: the entries that were live within
     /// `memory_limit` before the last contact with the store. Entries that
     /// died are counted for a while, because an entry that loses its peers
-    /// first and the store a minute later is not alone.
+    /// first and the store a minute later is not alone. New entries are added
+    /// for 5 s after the contact, because a fresh entry reaches the store
+    /// before its peers; later they might all be on this side of a partition.
     std::set<std::string> known_;
 };
 
--- a/pimentoferry/tickets/ticket_log.cpp
+++ b/pimentoferry/tickets/ticket_log.cpp
@@ -18,7 +18,7 @@
 ticket_log::ticket_log(const log_settings& settings)
     : settings_(settings), random_(settings.seed_),
       gate_(settings.name_, settings.partition_policy_),
-      compaction_(settings.self_) {}
+      compaction_(settings.self_, settings.compaction_tickets_) {}
 
 std::vector<action> ticket_log::handle(const event& occurred,
                                        base::time_point now) {
@@ -41,9 +41,7 @@
     for (const auto token : calls_.overdue(now)) {
         on(store::result{token, store::unavailable{}}, now);
     }
-    if (const auto sent = pulls_.expire(now)) {
-        gate_.note_peers_agreed(*sent);
-    }
+    note_round(pulls_.expire(now));
     acceptance_.tick(now, out_);
     if (now >= next_poll_) {
         schedule_poll(true, now);
@@ -144,6 +142,10 @@
     }
     auto batch = copy_.batch_after(pull.after_);
     batch.request_ = pull.request_;
+    batch.heard_ = highest_;
+    if (pull.wants_known_) {
+        batch.known_ = gate_.known();
+    }
     out_.emplace_back(send_message{from, std::move(batch)});
 }
 
@@ -160,10 +162,9 @@
         batch.revision_ > copy_.head_revision()) {
         copy_.set_head_revision(batch.revision_);
     }
-    note_highest(batch.number_, from);
-    if (const auto sent = pulls_.answered(batch.request_)) {
-        gate_.note_peers_agreed(*sent);
-    }
+    note_highest(std::max(batch.number_, batch.heard_), from);
+    gate_.note_known(batch.known_);
+    note_round(pulls_.answered(batch.request_));
     if (highest_ > copy_.number() && !pulls_.pulling(now)) {
         if (batch.number_ > copy_.number()) {
             // The state is too large for a frame.
@@ -251,7 +252,16 @@
         std::vector<base::instance_id> asked;
         std::ranges::transform(some, std::back_inserter(asked),
                                &live_peer::instance_);
-        pulls_.begin_round(asked, copy_.number(), now, out_);
+        pulls_.begin_round(
+            asked, ticket_pull{copy_.number(), 0, !gate_.reached_store()}, now,
+            out_);
+    }
+}
+
+void ticket_log::note_round(std::optional<base::time_point> sent) {
+    // Peers that heard of a higher number confirm that something is missing.
+    if (sent && highest_ <= copy_.number()) {
+        gate_.note_peers_agreed(*sent);
     }
 }
 
--- a/pimentoferry/tickets/ticket_log.hpp
+++ b/pimentoferry/tickets/ticket_log.hpp
@@ -56,6 +56,8 @@
     config::partition_policy partition_policy_{
         config::partition_policy::refuse};
     std::uint64_t seed_{0}; ///< Of the random choices; different per instance.
+    /// The head is compacted at this many tickets. Tests use a small number.
+    std::size_t compaction_tickets_{compaction_tickets};
 };
 
 /// How far a number has come: "in force on 9 of 9".
@@ -117,6 +119,7 @@
     void schedule_poll(bool answered, base::time_point now);
     void read_head(base::time_point now);
     void catch_up(base::time_point now);
+    void note_round(std::optional<base::time_point> sent);
     void note_highest(std::uint64_t number, base::instance_id holder);
     void announce(std::uint64_t before, base::time_point now);
     void report_serving(base::time_point now);
