--- /dev/null
+++ b/pimentoferry/membership/ownership_test.cpp
@@ -0,0 +1,107 @@
+#include "pimentoferry/membership/ownership.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pimentoferry::membership {
+namespace {
+
+std::vector<member> entries(std::uint64_t count, const std::string& region) {
+    std::vector<member> list;
+    for (std::uint64_t id = 1; id <= count; ++id) {
+        member entry;
+        entry.instance_.value_ = id;
+        entry.region_ = region;
+        entry.traffic_address_ = base::endpoint{"127.0.0.1", 8000};
+        list.push_back(entry);
+    }
+    return list;
+}
+
+std::vector<cell_place> cells(std::size_t count, const std::string& region) {
+    std::vector<cell_place> list;
+    for (std::size_t index = 0; index < count; ++index) {
+        list.push_back(
+            {base::cell_name{"cell-" + std::to_string(index)}, region});
+    }
+    return list;
+}
+
+class ownership_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ownership_test);
+    CPPUNIT_TEST(spreads_cells_over_the_entries_of_their_region);
+    CPPUNIT_TEST(gives_second_cells_when_every_entry_has_one);
+    CPPUNIT_TEST(orders_candidates_from_the_owner);
+    CPPUNIT_TEST(leaves_out_draining_entries);
+    CPPUNIT_TEST(weighs_addresses_by_free_capacity);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an entry that follows more cells than its share.
+    void spreads_cells_over_the_entries_of_their_region() {
+        auto live = entries(9, "south");
+        live[0].region_ = "north";
+        const auto owners = assign_cells(cells(8, "south"), live);
+        std::set<base::instance_id> owning;
+        for (const auto& [cell, owner] : owners) {
+            CPPUNIT_ASSERT(owner != live[0].instance_);
+            owning.insert(owner);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{8}, owning.size());
+        CPPUNIT_ASSERT(assign_cells(cells(3, "west"), live).empty());
+    }
+
+    void gives_second_cells_when_every_entry_has_one() {
+        const auto live = entries(3, "south");
+        auto unordered = cells(7, "south");
+        const auto owners = assign_cells(unordered, live);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{7}, owners.size());
+        std::ranges::reverse(unordered);
+        CPPUNIT_ASSERT(owners == assign_cells(unordered, live));
+    }
+
+    void orders_candidates_from_the_owner() {
+        const auto live = entries(4, "south");
+        const auto places = cells(4, "south");
+        const auto owners = assign_cells(places, live);
+        for (const auto& place : places) {
+            const auto order = cell_candidates(place, places, live);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{4}, order.size());
+            CPPUNIT_ASSERT(order.front() == owners.at(place.cell_));
+        }
+    }
+
+    void leaves_out_draining_entries() {
+        auto live = entries(3, "south");
+        live[1].draining_ = true;
+        const auto gone = live[1].instance_;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, address_list(live).size());
+        for (std::uint32_t shard = 0; shard < 8; ++shard) {
+            const auto order = shard_candidates(shard, live);
+            CPPUNIT_ASSERT(std::ranges::find(order, gone) == order.end());
+        }
+        live.erase(live.begin());
+        live.erase(live.begin() + 1);
+        CPPUNIT_ASSERT(address_list(live).empty());
+        CPPUNIT_ASSERT(assign_cells(cells(1, "south"), live).empty());
+    }
+
+    void weighs_addresses_by_free_capacity() {
+        auto live = entries(3, "south");
+        live[0].in_flight_ = 90;
+        live[1].in_flight_ = 30;
+        const auto list = address_list(live);
+        CPPUNIT_ASSERT_EQUAL(1U, list[0].weight_);
+        CPPUNIT_ASSERT_EQUAL(62U, list[1].weight_);
+        CPPUNIT_ASSERT_EQUAL(100U, list[2].weight_);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ownership_test);
+
+} // namespace
+} // namespace pimentoferry::membership
