Keep suspects apart from their own earlier attempts

Cause: found by the stateful tests. A suspect ran again while a slow engine still ran its earlier attempt, and a copy of it was accepted meanwhile: two engines crashed. After a pause, a crash was judged, and a cancel was dropped at the end of its hold, before the waiting events. Change: an unconfirmed cancel counts as a running copy; a re-run waits for it; deadlines of judgements and holds end in a tick only.

--- a/pimentoferry/requests/cancel_tracker.cpp
+++ b/pimentoferry/requests/cancel_tracker.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/requests/cancel_tracker.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pimentoferry::requests {
 
@@ -9,9 +10,11 @@
 void cancel_tracker::add(const cancel_order& order, base::time_point now) {
     const key k{order.engine_, order.attempt_};
     erase(k);
+    const base::time_point next = now + limits_.first_repeat_;
     entries_[k] =
-        entry{order.hold_end_, now, limits_.first_repeat_, order.witness_};
-    timers_.emplace(now, k);
+        entry{order.hold_end_, next, limits_.first_repeat_ * 2, order.witness_};
+    added_.insert(k);
+    timers_.emplace(next, k);
     if (order.unanswered_) {
         unanswered_.emplace(order.attempt_, order.engine_);
     }
@@ -24,6 +27,7 @@
     }
     timers_.erase({found->second.next_, k});
     unanswered_.erase({k.second, k.first});
+    added_.erase(k);
     entries_.erase(found);
 }
 
@@ -75,8 +79,25 @@
     return witnesses;
 }
 
+std::vector<cancel_attempts>
+cancel_tracker::by_engine(const std::set<key>& keys) {
+    std::vector<cancel_attempts> result;
+    for (const auto& [engine, attempt] : keys) {
+        if (result.empty() || result.back().engine_ != engine) {
+            result.push_back({engine, {}});
+        }
+        result.back().attempts_.push_back(attempt);
+    }
+    return result;
+}
+
+std::vector<cancel_attempts> cancel_tracker::added() {
+    const std::set<key> keys = std::exchange(added_, {});
+    return by_engine(keys);
+}
+
 std::vector<cancel_attempts> cancel_tracker::due(base::time_point now) {
-    std::map<base::upstream_name, std::vector<base::attempt_id>> by_engine;
+    std::set<key> repeated;
     while (!timers_.empty() && timers_.begin()->first <= now) {
         const key k = timers_.begin()->second;
         entry& e = entries_.at(k);
@@ -84,18 +105,20 @@
             erase(k);
             continue;
         }
-        by_engine[k.first].push_back(k.second);
+        repeated.insert(k);
         timers_.erase(timers_.begin());
         e.next_ = std::min(now + e.delay_, e.hold_end_);
         e.delay_ = std::min(e.delay_ * 2, limits_.longest_repeat_);
         timers_.emplace(e.next_, k);
     }
-    std::vector<cancel_attempts> result;
-    result.reserve(by_engine.size());
-    for (auto& [engine, attempts] : by_engine) {
-        result.push_back({engine, std::move(attempts)});
-    }
-    return result;
+    return by_engine(repeated);
+}
+
+bool cancel_tracker::may_run(std::uint64_t fingerprint) const {
+    return std::ranges::any_of(entries_, [&](const auto& each) {
+        const std::optional<crash_witness>& witness = each.second.witness_;
+        return witness && witness->fingerprint_ == fingerprint;
+    });
 }
 
 std::optional<base::time_point> cancel_tracker::next_due() const {
--- a/pimentoferry/requests/cancel_tracker.hpp
+++ b/pimentoferry/requests/cancel_tracker.hpp
@@ -7,8 +7,9 @@
 ///
 ///     cancel_tracker cancels{cancel_limits{}};
 ///     cancels.add({attempt, engine, hold_end, fingerprint}, now);
-///     for (const cancel_attempts& c : cancels.due(now)) { send(c); }
+///     for (const cancel_attempts& c : cancels.added()) { send(c); }
 ///     cancels.confirmed(engine, {attempt});
+///     for (const cancel_attempts& c : cancels.due(later)) { send(c); }
 #ifndef PIMENTOFERRY_REQUESTS_CANCEL_TRACKER_HPP
 #define PIMENTOFERRY_REQUESTS_CANCEL_TRACKER_HPP
 
@@ -18,6 +19,7 @@
 #include "pimentoferry/requests/quarantine.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -50,10 +52,14 @@
 public:
     explicit cancel_tracker(cancel_limits limits);
 
-    /// Starts a cancel; it is due at once. A cancel of the same attempt at
-    /// the same engine is replaced.
+    /// Starts a cancel. A cancel of the same attempt at the same engine is
+    /// replaced.
     void add(const cancel_order& order, base::time_point now);
 
+    /// First sends of the cancels that were added since the last call, one
+    /// action for each engine.
+    std::vector<cancel_attempts> added();
+
     /// The engine answered. Returns whether any of them was open.
     bool confirmed(const base::upstream_name& engine,
                    const std::vector<base::attempt_id>& attempts);
@@ -74,10 +80,14 @@
     engine_gone(const base::upstream_name& engine,
                 const std::set<base::attempt_id>& attempts);
 
-    /// Cancels to send now, one action for each engine. Those whose hold has
-    /// ended are dropped.
+    /// Cancels to repeat now. Those whose hold has ended are dropped, so this
+    /// is called after the events that already wait: one of them may tell
+    /// that the engine crashed.
     std::vector<cancel_attempts> due(base::time_point now);
 
+    /// Whether a cancelled attempt of the fingerprint may still run.
+    bool may_run(std::uint64_t fingerprint) const;
+
     /// When `due` has something to do next.
     std::optional<base::time_point> next_due() const;
 
@@ -95,8 +105,10 @@
     };
 
     void erase(const key& k);
+    static std::vector<cancel_attempts> by_engine(const std::set<key>& keys);
 
     cancel_limits limits_;
+    std::set<key> added_;
     std::map<key, entry> entries_;
     std::set<std::pair<base::time_point, key>> timers_;
     /// Entries whose call is not answered.
--- a/pimentoferry/requests/limits_test.cpp
+++ b/pimentoferry/requests/limits_test.cpp
@@ -100,7 +100,8 @@
     // Guards P1: a lost cancel must not leave memory held.
     void cancel_repeats_until_the_hold_ends() {
         cancels_.add({attempt, engine, start + seconds{30}, {}}, start);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cancels_.due(start).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cancels_.added().size());
+        CPPUNIT_ASSERT(cancels_.added().empty());
         CPPUNIT_ASSERT(cancels_.due(start).empty());
         CPPUNIT_ASSERT(cancels_.next_due() == start + milliseconds{200});
         CPPUNIT_ASSERT_EQUAL(std::size_t{1},
--- a/pimentoferry/requests/request_table.hpp
+++ b/pimentoferry/requests/request_table.hpp
@@ -43,7 +43,8 @@
 /// * `send_to_owner` is sent once and not repeated by the daemon.
 /// * `engines_known` is passed whenever the engines of a cell or what is
 ///   known of their headroom change.
-/// * `tick` is passed when `next_deadline` has come; a late tick only delays.
+/// * `tick` is passed when `next_deadline` has come, after the events that
+///   already wait; a late tick only delays.
 #ifndef PIMENTOFERRY_REQUESTS_REQUEST_TABLE_HPP
 #define PIMENTOFERRY_REQUESTS_REQUEST_TABLE_HPP
 
--- a/pimentoferry/requests/table_core.cpp
+++ b/pimentoferry/requests/table_core.cpp
@@ -14,9 +14,9 @@
     now_ = now;
     out_.clear();
     std::visit([this](const auto& each) { on(each); }, e);
-    judge_crashes();
-    for (cancel_attempts& due : cancels_.due(now_)) {
-        out_.emplace_back(std::move(due));
+    judge_crashes(false);
+    for (cancel_attempts& added : cancels_.added()) {
+        out_.emplace_back(std::move(added));
     }
     return std::move(out_);
 }
@@ -122,10 +122,13 @@
 void table_core::on(const tick&) {
     // Before the deadlines: a request that waits for news runs again after
     // the judgement.
-    judge_crashes();
+    judge_crashes(true);
     while (!timers_.empty() && timers_.begin()->first <= now_) {
         expire(requests_.at(timers_.begin()->second));
     }
+    for (cancel_attempts& due : cancels_.due(now_)) {
+        out_.emplace_back(std::move(due));
+    }
 }
 
 void table_core::expire(request_state& r) {
@@ -203,8 +206,14 @@
     }
     r.lost_attempt_ = lost;
     r.lost_engine_ = engine;
-    recovering_[lost] = r.request_.request_;
+    await_news(r);
+}
+
+void table_core::await_news(request_state& r) {
     enter(r, stage::recovering, settings_.news_wait_);
+    if (r.lost_attempt_ != base::attempt_id{}) {
+        recovering_[r.lost_attempt_] = r.request_.request_;
+    }
 }
 
 void table_core::run_again(request_state& r) {
--- a/pimentoferry/requests/table_core.hpp
+++ b/pimentoferry/requests/table_core.hpp
@@ -136,7 +136,7 @@
                           const base::upstream_name& engine) const;
     bool decided(const base::upstream_name& engine,
                  const std::set<base::attempt_id>& attempts) const;
-    void judge_crashes();
+    void judge_crashes(bool at_deadline);
     void judge_crash(const base::upstream_name& engine,
                      const std::set<base::attempt_id>& attempts);
     std::vector<crash_witness>
@@ -151,6 +151,7 @@
     void run_again_after(request_state& r,
                          const base::upstream_name& engine,
                          engine_failure failure);
+    void await_news(request_state& r);
     bool may_run_again(request_state& r);
     void refuse_request(request_state& r, base::refusal_code code, bool retry);
     void refuse_request(request_state& r,
--- a/pimentoferry/requests/table_crash.cpp
+++ b/pimentoferry/requests/table_crash.cpp
@@ -25,7 +25,6 @@
             crash.attempts_.insert(held.attempt_);
         }
     }
-    judge_crashes();
 }
 
 // An engine that only keeps a finished prefill result does not run it.
@@ -69,11 +68,14 @@
 }
 
 // A call that was never sent is no witness of the crash. Its failure may
-// follow the news of the crash, so the judgement waits for it.
-void table_core::judge_crashes() {
+// follow the news of the crash, so the judgement waits for it. Only a tick ends
+// the wait: after a pause of the entry, the failure may be among the events
+// that come before it.
+void table_core::judge_crashes(bool at_deadline) {
     for (auto next = crashes_.begin(); next != crashes_.end();) {
         const auto& [engine, crash] = *next;
-        if (crash.deadline_ > now_ && !decided(engine, crash.attempts_)) {
+        const bool expired = at_deadline && crash.deadline_ <= now_;
+        if (!expired && !decided(engine, crash.attempts_)) {
             ++next;
             continue;
         }
--- a/pimentoferry/requests/table_placing.cpp
+++ b/pimentoferry/requests/table_placing.cpp
@@ -39,6 +39,9 @@
 }
 
 bool table_core::copy_is_running(const request_state& r) const {
+    if (cancels_.may_run(r.request_.fingerprint_)) {
+        return true;
+    }
     return std::ranges::any_of(requests_, [&](const auto& entry) {
         const request_state& other = entry.second;
         return other.request_.request_ != r.request_.request_ &&
@@ -53,8 +56,13 @@
         refuse_request(r, base::refusal_code::quarantined, true);
         return;
     }
-    // Copies of a suspect would each crash an engine of their own.
+    // Copies of a suspect, and earlier attempts whose cancel is not confirmed,
+    // would each crash an engine of their own.
     if (mark == standing::suspect && copy_is_running(r)) {
+        if (r.reruns_ > 0 && budget_left(r).count() > 0) {
+            await_news(r);
+            return;
+        }
         refuse_request(r, base::refusal_code::overloaded, true);
         return;
     }
