--- /dev/null
+++ b/pimentoferry/placement/admission.cpp
@@ -0,0 +1,87 @@
+#include "pimentoferry/placement/admission.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace pimentoferry::placement {
+
+namespace {
+
+// Half of the weight is on the last 140 ends: at about twenty requests a
+// second, the last 7 s.
+constexpr double forgetting = 0.995;
+// Half of the weight is on the last 70 arrivals.
+constexpr double arrival_gain = 0.01;
+constexpr double longest_gap_ms = 5'000;
+constexpr double least_spare_share = 0.02;
+constexpr double least_deviations = 0.5;
+constexpr double deviations_per_weight = 2.5;
+constexpr double least_retry_ms = 100;
+constexpr double most_retry_ms = 30'000;
+
+} // namespace
+
+void admission::decode_time_passed(double running, double elapsed_ms) {
+    running_ms_ += running * elapsed_ms;
+}
+
+void admission::decode_ended() {
+    ends_ = ends_ * forgetting + 1;
+    running_ms_ *= forgetting;
+}
+
+double admission::mean_decode_ms() const {
+    return std::max(running_ms_ / ends_, 1.0);
+}
+
+std::uint32_t admission::frees_lower_bound(double running,
+                                           double horizon_ms,
+                                           double weight) const {
+    if (weight >= 1 || horizon_ms <= 0) {
+        return 0;
+    }
+    const double mean = running * horizon_ms / mean_decode_ms();
+    const double deviations = least_deviations + deviations_per_weight * weight;
+    const double bound = mean - deviations * std::sqrt(mean);
+    return static_cast<std::uint32_t>(std::clamp(bound, 0.0, running));
+}
+
+void admission::arrived(double tokens, base::time_point now) {
+    const std::chrono::duration<double, std::milli> gap = now - last_arrival_;
+    last_arrival_ = now;
+    const double limited = std::min(gap.count(), longest_gap_ms);
+    arrival_gap_ms_ += arrival_gain * (limited - arrival_gap_ms_);
+    arrival_tokens_ += arrival_gain * (tokens - arrival_tokens_);
+}
+
+double admission::spare_share(const cell_capacity& capacity) const {
+    const double slots = std::max<double>(capacity.decode_slots_, 1);
+    const double engines = std::max<double>(capacity.prefill_engines_, 1);
+    const double decode_ms = mean_decode_ms() / slots;
+    const double prefill_ms =
+        arrival_tokens_ * capacity.prefill_token_ms_ / engines;
+    const double used =
+        std::max(decode_ms, prefill_ms) / std::max(arrival_gap_ms_, 0.01);
+    return std::clamp(1 - used, least_spare_share, 1.0);
+}
+
+double admission::queue_wait_ms(const work_ahead& ahead,
+                                const cell_capacity& capacity) const {
+    const double engines = std::max<double>(capacity.prefill_engines_, 1);
+    const double prefill_wait =
+        capacity.prefill_backlog_ms_ +
+        ahead.tokens_ * capacity.prefill_token_ms_ / engines;
+    const double short_of = ahead.requests_ + 1 - capacity.free_places_;
+    const double slots = std::max<double>(capacity.decode_slots_, 1);
+    const double decode_wait =
+        std::max(short_of, 0.0) * mean_decode_ms() / slots;
+    return std::max(prefill_wait, decode_wait);
+}
+
+base::milliseconds admission::retry_after(double excess_ms) {
+    const double wait = std::clamp(excess_ms, least_retry_ms, most_retry_ms);
+    return base::milliseconds{static_cast<std::int64_t>(wait)};
+}
+
+} // namespace pimentoferry::placement
--- /dev/null
+++ b/pimentoferry/placement/admission.hpp
@@ -0,0 +1,68 @@
+/// Rates of a cell, and what they say of a request that asks for a place.
+///
+///     admission gate;
+///     gate.decode_time_passed(running, elapsed_ms);
+///     gate.decode_ended();
+///     gate.frees_lower_bound(running, horizon_ms, weight);
+///     gate.queue_wait_ms(ahead, capacity);
+#ifndef PIMENTOFERRY_PLACEMENT_ADMISSION_HPP
+#define PIMENTOFERRY_PLACEMENT_ADMISSION_HPP
+
+#include "pimentoferry/base/time.hpp"
+#include "pimentoferry/placement/fair_queue.hpp"
+
+#include <cstdint>
+
+namespace pimentoferry::placement {
+
+/// What the pools of a cell can do now.
+struct cell_capacity {
+    std::uint32_t decode_slots_{0}; ///< Usable slots of the decode pool.
+    std::uint32_t free_places_{0};  ///< Not used and not promised.
+    std::uint32_t prefill_engines_{0};
+    double prefill_backlog_ms_{0}; ///< Of the engine that is free first.
+    double prefill_token_ms_{0};   ///< Time of one token on one engine.
+};
+
+class admission {
+public:
+    /// `running` requests decoded for `elapsed_ms`.
+    void decode_time_passed(double running, double elapsed_ms);
+    /// A decode ended on its own or by a cancel, which frees its place.
+    void decode_ended();
+
+    /// Frees that may be counted on within the horizon: the mean less some
+    /// standard deviations of a Poisson count; more of them at a higher
+    /// weight, and none at weight 1.
+    [[nodiscard]] std::uint32_t
+    frees_lower_bound(double running, double horizon_ms, double weight) const;
+
+    /// A request asked for a place.
+    void arrived(double tokens, base::time_point now);
+
+    /// Share of the capacity that arriving requests leave over, 0.02 to 1.
+    [[nodiscard]] double spare_share(const cell_capacity& capacity) const;
+
+    /// Predicted wait in the queue behind `ahead`.
+    [[nodiscard]] double queue_wait_ms(const work_ahead& ahead,
+                                       const cell_capacity& capacity) const;
+
+    /// When a refused request may find a place: the excess of its predicted
+    /// first token over its budget, at least 100 ms and at most 30 s.
+    [[nodiscard]] static base::milliseconds retry_after(double excess_ms);
+
+    /// Mean time for which a request decodes.
+    [[nodiscard]] double mean_decode_ms() const;
+
+private:
+    // Starting values: one end in 5 s of decoding.
+    double ends_{1};
+    double running_ms_{5'000};
+    double arrival_gap_ms_{1'000};
+    double arrival_tokens_{4'000};
+    base::time_point last_arrival_;
+};
+
+} // namespace pimentoferry::placement
+
+#endif
--- /dev/null
+++ b/pimentoferry/placement/cell_baselines.cpp
@@ -0,0 +1,157 @@
+// The baselines: each grants at once, without a queue and without promises.
+
+#include "pimentoferry/base/overloaded.hpp"
+#include "pimentoferry/placement/cell_core.hpp"
+
+namespace pimentoferry::placement {
+
+namespace internal {
+
+namespace {
+
+constexpr base::milliseconds full_retry{500};
+
+std::uint32_t load_of(const engine_view& e, engine_role role) {
+    // At a prefill engine, finished results use memory but no time.
+    return role == engine_role::prefill ? std::max(e.prefills(), e.used_slots())
+                                        : e.used_slots();
+}
+
+} // namespace
+
+bool cell_core::is_baseline() const {
+    return !std::holds_alternative<reserved>(settings_.policy_);
+}
+
+double cell_core::waste_weight() const {
+    const auto* chosen = std::get_if<reserved>(&settings_.policy_);
+    return chosen == nullptr ? 1 : chosen->waste_weight_;
+}
+
+engine_index cell_core::next_in_turn(engine_role role,
+                                     std::uint64_t skipped,
+                                     std::uint32_t& turn) const {
+    std::vector<engine_index> usable;
+    each_serving(role, [&](engine_index i, const engine_view&) {
+        if (((skipped >> i) & 1U) == 0) {
+            usable.push_back(i);
+        }
+    });
+    return usable.empty() ? no_engine : usable.at(turn++ % usable.size());
+}
+
+engine_index cell_core::least_used(engine_role role,
+                                   std::uint64_t skipped) const {
+    engine_index best = no_engine;
+    std::uint32_t least = 0;
+    each_serving(role, [&](engine_index i, const engine_view& e) {
+        const std::uint32_t load = load_of(e, role);
+        const bool usable = ((skipped >> i) & 1U) == 0;
+        if (usable && (best == no_engine || load < least)) {
+            best = i;
+            least = load;
+        }
+    });
+    return best;
+}
+
+void cell_core::place_baseline(attempt_state& a) {
+    const bool rotate = std::holds_alternative<round_robin>(settings_.policy_);
+    const engine_index prefill =
+        rotate ? next_in_turn(engine_role::prefill, 0, prefill_turn_)
+               : least_used(engine_role::prefill, 0);
+    const engine_index decode =
+        rotate ? next_in_turn(engine_role::decode, 0, decode_turn_)
+               : least_used(engine_role::decode, 0);
+    const bool late_binding =
+        std::holds_alternative<prefill_first>(settings_.policy_);
+    if (std::holds_alternative<least_load>(settings_.policy_)) {
+        const engine_view& e = engine(decode);
+        if (e.used_slots() >= e.description().slots_) {
+            refuse(a, base::refusal_code::overloaded, full_retry,
+                   "all decode engines are full");
+            forget(a.id_);
+            return;
+        }
+    }
+    engine_view& p = engine(prefill);
+    a.expected_ms_ = p.prefill_ms(a.prompt_tokens_);
+    p.start_prefill(a.expected_ms_, now_);
+    p.hold(prompt_pieces_of(a));
+    a.holds_prefill_ = true;
+    if (a.suspect_) {
+        p.hold_suspect();
+    }
+    a.prefixes_ = {};
+    a.prefill_ = prefill;
+    a.stage_ = attempt_stage::prefilling;
+    ++promised_.slots_;
+    promised_.pieces_ += pieces_of(a);
+    if (!late_binding) {
+        a.decode_ = decode;
+        engine_view& d = engine(decode);
+        d.hold(pieces_of(a));
+        ++bound_;
+        if (a.suspect_) {
+            d.hold_suspect();
+        }
+    }
+    send(a, place_grant{a.id_, p.name(), engine(decode).name(), false});
+    record(a, decision_kind::grant, to_string(settings_.policy_), prefill);
+}
+
+void cell_core::bind_baseline(attempt_state& a) {
+    if (a.decode_ == no_engine) {
+        const bool rotate =
+            std::holds_alternative<round_robin>(settings_.policy_);
+        const engine_index decode =
+            rotate ? next_in_turn(engine_role::decode, a.lost_engines_,
+                                  decode_turn_)
+                   : least_used(engine_role::decode, a.lost_engines_);
+        if (decode == no_engine || a.result_until_ <= now_) {
+            refuse(a, base::refusal_code::overloaded, full_retry,
+                   "no decode place for the result", decision_kind::expire);
+            forget(a.id_);
+            return;
+        }
+        bind(a, decode);
+    } else {
+        --promised_.slots_;
+        promised_.pieces_ -= pieces_of(a);
+        a.stage_ = attempt_stage::bound;
+        send(a, decode_bound{a.id_, engine(a.decode_).name()});
+    }
+    record(a, decision_kind::bind, to_string(settings_.policy_), a.decode_);
+}
+
+} // namespace internal
+
+std::optional<policy> make_policy(std::string_view name, double waste_weight) {
+    if (name == "reserved") {
+        return reserved{waste_weight};
+    }
+    if (name == "round_robin") {
+        return round_robin{};
+    }
+    if (name == "least_load") {
+        return least_load{};
+    }
+    if (name == "prefill_first") {
+        return prefill_first{};
+    }
+    return std::nullopt;
+}
+
+std::string_view to_string(const policy& chosen) {
+    return std::visit(
+        base::overloaded{
+            [](const reserved&) { return std::string_view{"reserved"}; },
+            [](const round_robin&) { return std::string_view{"round_robin"}; },
+            [](const least_load&) { return std::string_view{"least_load"}; },
+            [](const prefill_first&) {
+                return std::string_view{"prefill_first"};
+            }},
+        chosen);
+}
+
+} // namespace pimentoferry::placement
--- /dev/null
+++ b/pimentoferry/placement/cell_core.cpp
@@ -0,0 +1,489 @@
+// Messages of entries and the life of an attempt.
+
+#include "pimentoferry/placement/cell_core.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace pimentoferry::placement::internal {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t tokens_per_piece = 1'000;
+// Attempts that ended are remembered for as long as reports may list them.
+constexpr auto ended_memory = 10s;
+constexpr std::size_t ended_limit = 8'192;
+// Fewer tokens say little of the time between tokens.
+constexpr std::uint32_t least_tokens_for_step = 8;
+// An attempt without news for this long was released in a lost message: the
+// longest first-token budget, and the longest request that is accepted.
+constexpr auto placing_limit = 30s;
+constexpr auto decoding_limit = 330s;
+constexpr auto cleanup_interval = 1s;
+
+double ms_between(base::time_point from, base::time_point to) {
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+std::uint32_t pieces_for(std::uint32_t tokens) {
+    return std::max(1U, (tokens + tokens_per_piece - 1) / tokens_per_piece);
+}
+
+base::attempt_id attempt_of(const to_owner& message) {
+    return std::visit([](const auto& m) { return m.attempt_; }, message);
+}
+
+} // namespace
+
+std::uint32_t pieces_of(const attempt_state& a) {
+    return pieces_for(a.prompt_tokens_ + a.output_tokens_);
+}
+
+std::uint32_t prompt_pieces_of(const attempt_state& a) {
+    return pieces_for(a.prompt_tokens_);
+}
+
+cell_core::cell_core(const scheduler_settings& settings)
+    : settings_{settings} {}
+
+std::vector<action> cell_core::handle(const event& e, base::time_point now) {
+    const double elapsed =
+        now_ == base::time_point{} ? 0 : ms_between(now_, now);
+    admission_.decode_time_passed(bound_, elapsed);
+    now_ = now;
+    out_.clear();
+    std::visit([this](const auto& one) { on(one); }, e);
+    pump();
+    return std::move(out_);
+}
+
+void cell_core::configure(const scheduler_settings& settings) {
+    settings_ = settings;
+}
+
+void cell_core::on(const became_owner&) {
+    if (owner_) {
+        return;
+    }
+    owner_ = true;
+    owner_since_ = now_;
+    rebuilding_ = !is_baseline();
+    for (engine_view& e : engines_) {
+        e.set_rebuilding(rebuilding_);
+    }
+}
+
+void cell_core::on(const lost_ownership&) {
+    for (const auto& [id, a] : attempts_) {
+        if (a.stage_ == attempt_stage::queued) {
+            refuse(a, base::refusal_code::not_owner, {}, "not the owner");
+        }
+    }
+    std::vector<engine_description> engines;
+    for (const engine_view& e : engines_) {
+        if (e.present()) {
+            engines.push_back(e.description());
+        }
+    }
+    std::vector<action> out = std::move(out_);
+    const base::time_point now = now_;
+    *this = cell_core{settings_};
+    now_ = now;
+    out_ = std::move(out);
+    on(engines_changed{std::move(engines)});
+}
+
+void cell_core::on(const tick&) {
+    check_rebuilt();
+    forget_overdue();
+    publish();
+    watch_balance();
+}
+
+void cell_core::on(const entry_message& e) {
+    const base::attempt_id id = attempt_of(e.message_);
+    if (id.instance_ != e.from_) {
+        return;
+    }
+    std::visit([this](const auto& m) { receive(m); }, e.message_);
+}
+
+attempt_state* cell_core::find(base::attempt_id id) {
+    const auto found = attempts_.find(id);
+    return found == attempts_.end() ? nullptr : &found->second;
+}
+
+attempt_state cell_core::make_attempt(const place_request& m) const {
+    attempt_state a;
+    a.id_ = m.attempt_;
+    a.caller_ = m.caller_;
+    a.failure_domain_ = m.failure_domain_;
+    a.prefixes_ = m.prefix_hashes_;
+    a.prompt_tokens_ = m.prompt_tokens_;
+    a.output_tokens_ = m.max_output_tokens_;
+    a.uncached_tokens_ = m.prompt_tokens_;
+    a.priority_ = m.priority_;
+    a.suspect_ = m.suspect_;
+    a.since_ = now_;
+    a.limit_ = now_ + m.first_token_budget_;
+    a.target_ = std::min(a.limit_, now_ + settings_.first_token_target_);
+    return a;
+}
+
+void cell_core::receive(const place_request& m) {
+    if (attempts_.contains(m.attempt_) || ended_.contains(m.attempt_)) {
+        return;
+    }
+    attempt_state fresh = make_attempt(m);
+    if (!owner_) {
+        refuse(fresh, base::refusal_code::not_owner, {}, "not the owner");
+        return;
+    }
+    dead_.erase(m.attempt_.instance_);
+    admission_.arrived(m.prompt_tokens_, now_);
+    if (!ever_fits(fresh)) {
+        refuse(fresh, base::refusal_code::no_upstream,
+               settings_.first_token_target_, "no engine has the memory");
+        return;
+    }
+    attempt_state& a =
+        attempts_.emplace(m.attempt_, std::move(fresh)).first->second;
+    if (is_baseline()) {
+        place_baseline(a);
+    } else {
+        admit(a);
+    }
+}
+
+void cell_core::receive(const prefill_finished& m) {
+    attempt_state* a = find(m.attempt_);
+    if (a == nullptr || a->stage_ != attempt_stage::prefilling || a->inline_) {
+        return;
+    }
+    engine_view& e = engine(a->prefill_);
+    const base::time_point began = std::max(a->since_, e.prefill_began());
+    e.end_prefill(a->expected_ms_, now_);
+    const std::uint32_t prompt =
+        m.prompt_tokens_ > 0 ? m.prompt_tokens_ : a->prompt_tokens_;
+    const std::uint32_t computed = prompt - std::min(prompt, m.cached_tokens_);
+    e.observe_prefill(computed, ms_between(began, now_));
+    // The estimate of the entry is replaced by the engine's count.
+    promised_.pieces_ -= pieces_of(*a);
+    if (a->holds_prefill_) {
+        e.release(prompt_pieces_of(*a));
+    }
+    a->prompt_tokens_ = prompt;
+    promised_.pieces_ += pieces_of(*a);
+    if (a->holds_prefill_) {
+        e.hold(prompt_pieces_of(*a));
+    }
+    a->prefilled_ = true;
+    a->stage_ = attempt_stage::unbound;
+    a->since_ = now_;
+    a->result_until_ = now_ + settings_.result_lifetime_;
+    if (is_baseline()) {
+        bind_baseline(*a);
+    } else {
+        waiting_.push_back(a->id_);
+    }
+}
+
+void cell_core::receive(const engine_lost& m) {
+    attempt_state* a = find(m.attempt_);
+    const engine_index lost = index_of(m.engine_);
+    if (a == nullptr || lost == no_engine) {
+        return;
+    }
+    if (lost == a->prefill_ && !a->inline_) {
+        forget(a->id_);
+        return;
+    }
+    const std::uint64_t bit = std::uint64_t{1} << lost;
+    const bool repeated = (a->lost_engines_ & bit) != 0;
+    if (repeated && a->stage_ != attempt_stage::detached) {
+        return;
+    }
+    if (a->decode_ != lost && a->stage_ != attempt_stage::detached) {
+        return;
+    }
+    a->lost_engines_ |= bit;
+    lose_decode(*a, m);
+}
+
+void cell_core::lose_decode(attempt_state& a, const engine_lost& m) {
+    const bool had_place = a.decode_ != no_engine;
+    if (had_place && m.reason_ == loss_reason::refused) {
+        engine(a.decode_).refused();
+    }
+    const bool decoding = a.stage_ == attempt_stage::decoding;
+    const bool has_result = a.prefilled_ && a.prefill_ != no_engine;
+    if (decoding || a.inline_ || !has_result) {
+        refuse(a, base::refusal_code::upstream_failed, base::milliseconds{100},
+               "the prefill result is gone");
+        forget(a.id_);
+        return;
+    }
+    release_decode(a);
+    a.stage_ = attempt_stage::unbound;
+    a.since_ = now_;
+    ++promised_.slots_;
+    promised_.pieces_ += pieces_of(a);
+    if (is_baseline()) {
+        bind_baseline(a);
+    } else {
+        waiting_.push_front(a.id_);
+    }
+}
+
+void cell_core::receive(const decode_started& m) {
+    attempt_state* a = find(m.attempt_);
+    if (a == nullptr || a->decode_ == no_engine ||
+        a->stage_ == attempt_stage::decoding) {
+        return;
+    }
+    const bool was_bound = a->stage_ == attempt_stage::bound;
+    const bool was_inline =
+        a->inline_ && a->stage_ == attempt_stage::prefilling;
+    if (!was_bound && !was_inline) {
+        return;
+    }
+    if (was_bound && a->lost_engines_ == 0) {
+        transfer_.observe(a->prompt_tokens_ / double{tokens_per_piece},
+                          ms_between(a->since_, now_));
+    }
+    release_prefill(*a);
+    engine_view& e = engine(a->decode_);
+    e.start_decoding(now_);
+    a->integral_ = e.batch_integral(now_);
+    a->stage_ = attempt_stage::decoding;
+    a->since_ = now_;
+}
+
+void cell_core::receive(const place_release& m) {
+    attempt_state* a = find(m.attempt_);
+    if (a == nullptr) {
+        return;
+    }
+    const bool completed = m.reason_ == release_reason::completed;
+    const bool decoded = a->stage_ == attempt_stage::decoding;
+    if (decoded && completed && m.output_tokens_ >= least_tokens_for_step) {
+        engine_view& e = engine(a->decode_);
+        const double duration = ms_between(a->since_, now_);
+        const double batch = e.batch_integral(now_) - a->integral_;
+        const double steps = m.output_tokens_ - 1.0;
+        if (duration > 0 && a->missing_ == 0) {
+            e.observe_step(batch / duration, duration / steps);
+        }
+    }
+    if (a->decode_ != no_engine && m.reason_ != release_reason::failed) {
+        admission_.decode_ended();
+    }
+    forget(m.attempt_);
+}
+
+void cell_core::receive(const place_hold& m) {
+    if (attempts_.contains(m.attempt_) || ended_.contains(m.attempt_) ||
+        !owner_) {
+        return;
+    }
+    dead_.erase(m.attempt_.instance_);
+    attempt_state a;
+    a.id_ = m.attempt_;
+    a.caller_ = m.caller_;
+    a.prompt_tokens_ = m.prompt_tokens_;
+    a.output_tokens_ = m.max_output_tokens_;
+    a.suspect_ = m.suspect_;
+    a.announced_ = true;
+    a.since_ = now_;
+    a.limit_ = now_ + settings_.first_token_target_;
+    a.target_ = a.limit_;
+    a.result_until_ = now_ + settings_.result_lifetime_;
+    a.prefill_ = index_of(m.prefill_);
+    const engine_index decode = index_of(m.decode_);
+    if (m.stage_ == hold_stage::prefilling && a.prefill_ != no_engine) {
+        a.stage_ = attempt_stage::prefilling;
+        a.expected_ms_ = engine(a.prefill_).prefill_ms(a.prompt_tokens_);
+        engine(a.prefill_).start_prefill(a.expected_ms_, now_);
+        ++promised_.slots_;
+        promised_.pieces_ += pieces_of(a);
+    } else if (decode != no_engine) {
+        // Announced while it waits for its engine, or by an inline prefill.
+        const bool inlined = m.stage_ == hold_stage::prefilling;
+        a.prefilled_ = !inlined;
+        a.inline_ = inlined;
+        a.stage_ = inlined ? attempt_stage::prefilling : attempt_stage::bound;
+        a.decode_ = decode;
+        engine_view& e = engine(decode);
+        e.hold(pieces_of(a));
+        e.announce();
+        ++bound_;
+        if (a.suspect_) {
+            e.hold_suspect();
+        }
+        if (m.stage_ == hold_stage::decoding) {
+            e.start_decoding(now_);
+            a.integral_ = e.batch_integral(now_);
+            a.stage_ = attempt_stage::decoding;
+            a.prefill_ = no_engine;
+        }
+    } else {
+        a.stage_ = attempt_stage::detached;
+        a.prefilled_ = m.stage_ == hold_stage::transferring;
+    }
+    attempts_.emplace(a.id_, std::move(a));
+}
+
+void cell_core::release_prefill(attempt_state& a) {
+    if (a.prefill_ == no_engine) {
+        return;
+    }
+    engine_view& e = engine(a.prefill_);
+    if (a.stage_ == attempt_stage::prefilling && !a.inline_) {
+        e.end_prefill(a.expected_ms_, now_);
+    }
+    if (a.holds_prefill_) {
+        e.release(prompt_pieces_of(a));
+        if (a.suspect_) {
+            e.release_suspect();
+        }
+    }
+    a.holds_prefill_ = false;
+    a.prefill_ = no_engine;
+}
+
+void cell_core::release_decode(attempt_state& a) {
+    if (a.decode_ == no_engine) {
+        return;
+    }
+    engine_view& e = engine(a.decode_);
+    if (a.stage_ == attempt_stage::decoding) {
+        e.end_decoding(now_);
+    }
+    e.release(pieces_of(a));
+    if (a.announced_) {
+        e.forget_announced();
+    }
+    if (a.suspect_) {
+        e.release_suspect();
+    }
+    a.decode_ = no_engine;
+    --bound_;
+}
+
+void cell_core::drop_holds(attempt_state& a) {
+    if (a.stage_ == attempt_stage::queued) {
+        dequeue(a);
+    }
+    const bool promised = (a.stage_ == attempt_stage::prefilling ||
+                           a.stage_ == attempt_stage::unbound) &&
+                          !a.inline_;
+    if (promised) {
+        --promised_.slots_;
+        promised_.pieces_ -= pieces_of(a);
+    }
+    release_decode(a);
+    release_prefill(a);
+}
+
+void cell_core::detach(attempt_state& a) {
+    drop_holds(a);
+    a.stage_ = attempt_stage::detached;
+    a.since_ = now_;
+}
+
+void cell_core::forget(base::attempt_id id) {
+    const auto found = attempts_.find(id);
+    if (found == attempts_.end()) {
+        return;
+    }
+    drop_holds(found->second);
+    attempts_.erase(found);
+    remember_ended(id);
+}
+
+void cell_core::remember_ended(base::attempt_id id) {
+    if (ended_.insert(id).second) {
+        ended_order_.emplace_back(now_, id);
+    }
+    while (!ended_order_.empty() &&
+           (ended_order_.front().first + ended_memory < now_ ||
+            ended_order_.size() > ended_limit)) {
+        ended_.erase(ended_order_.front().second);
+        ended_order_.pop_front();
+    }
+}
+
+void cell_core::forget_overdue() {
+    if (now_ < next_cleanup_) {
+        return;
+    }
+    next_cleanup_ = now_ + cleanup_interval;
+    std::vector<base::attempt_id> overdue;
+    for (const auto& [id, a] : attempts_) {
+        const bool decoding = a.stage_ == attempt_stage::decoding;
+        const auto limit = decoding ? base::clock::duration{decoding_limit}
+                                    : base::clock::duration{placing_limit};
+        if (a.stage_ != attempt_stage::queued && now_ - a.since_ > limit) {
+            overdue.push_back(id);
+        }
+    }
+    std::ranges::for_each(overdue, [this](auto id) { forget(id); });
+}
+
+void cell_core::send(const attempt_state& a, to_entry message) {
+    out_.emplace_back(send_to_entry{a.id_.instance_, std::move(message)});
+}
+
+void cell_core::refuse(const attempt_state& a,
+                       base::refusal_code code,
+                       base::milliseconds retry_after,
+                       std::string_view reason,
+                       decision_kind kind) {
+    send(a, place_refusal{a.id_, code, retry_after});
+    record(a, kind, reason, no_engine);
+}
+
+void cell_core::record(const attempt_state& a,
+                       decision_kind kind,
+                       std::string_view reason,
+                       engine_index choice,
+                       candidates weighed,
+                       double predicted_ms) {
+    if (!settings_.record_decisions_) {
+        return;
+    }
+    decision_record r;
+    r.attempt_ = a.id_;
+    r.kind_ = kind;
+    r.candidates_ = std::move(weighed);
+    if (choice != no_engine) {
+        r.choice_ = engine(choice).name();
+    }
+    r.reason_ = reason;
+    r.predicted_first_token_ =
+        base::microseconds{static_cast<std::int64_t>(predicted_ms * 1'000)};
+    out_.emplace_back(std::move(r));
+}
+
+cell_usage cell_core::usage() const {
+    cell_usage u;
+    u.queued_ = static_cast<std::uint32_t>(queue_.size() + parked_.size());
+    u.unbound_ = static_cast<std::uint32_t>(waiting_.size());
+    u.bound_ = bound_;
+    u.attempts_ = static_cast<std::uint32_t>(attempts_.size());
+    u.prefilling_ = static_cast<std::uint32_t>(
+        std::ranges::count_if(attempts_, [](const auto& entry) {
+            return entry.second.stage_ == attempt_stage::prefilling;
+        }));
+    each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
+        u.slots_ += e.description().slots_;
+        u.pieces_ += e.description().pieces_;
+        u.slots_held_ += e.held().slots_;
+        u.pieces_held_ += e.held().pieces_;
+    });
+    return u;
+}
+
+} // namespace pimentoferry::placement::internal
--- /dev/null
+++ b/pimentoferry/placement/cell_core.hpp
@@ -0,0 +1,224 @@
+/// State and steps of a cell scheduler. Internal to `placement`.
+///
+/// An attempt goes through the stages of `attempt_stage`. While it prefills,
+/// and until it is bound, it counts against the decode pool as a promise;
+/// from then on it holds a slot and pieces of one engine.
+#ifndef PIMENTOFERRY_PLACEMENT_CELL_CORE_HPP
+#define PIMENTOFERRY_PLACEMENT_CELL_CORE_HPP
+
+#include "pimentoferry/placement/admission.hpp"
+#include "pimentoferry/placement/cell_scheduler.hpp"
+#include "pimentoferry/placement/engine_view.hpp"
+#include "pimentoferry/placement/fair_queue.hpp"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+namespace pimentoferry::placement::internal {
+
+enum class attempt_stage : std::uint8_t {
+    queued,
+    prefilling,
+    unbound, ///< Prefill done, no decode engine found yet.
+    bound,   ///< The KV cache moves to the decode engine.
+    decoding,
+    detached, ///< Its engine is gone; the entry reports or releases it.
+};
+
+using engine_index = std::int16_t;
+inline constexpr engine_index no_engine = -1;
+
+struct attempt_state {
+    base::attempt_id id_;
+    base::caller_name caller_;
+    base::failure_domain failure_domain_;
+    std::vector<std::uint64_t> prefixes_; ///< Only while it is queued.
+    std::uint32_t prompt_tokens_{0};
+    std::uint32_t output_tokens_{0}; ///< Allowed.
+    std::uint32_t uncached_tokens_{0};
+    std::uint8_t priority_{0};
+    attempt_stage stage_{attempt_stage::queued};
+    bool suspect_{false};
+    bool late_{false};   ///< Cannot meet the first-token target any more.
+    bool parked_{false}; ///< A suspect that waits for the end of another.
+    bool inline_{false}; ///< Prefill at the decode engine.
+    bool announced_{false};
+    bool prefilled_{false};
+    bool holds_prefill_{false}; ///< Pieces at the prefill engine.
+    std::uint8_t missing_{0};   ///< Reports in turn that did not list it.
+    engine_index prefill_{no_engine};
+    engine_index decode_{no_engine}; ///< Holds a slot there.
+    std::uint64_t lost_engines_{0};  ///< One bit for each index.
+    base::time_point target_;        ///< For the first token.
+    base::time_point limit_;         ///< End of the budget.
+    base::time_point expires_;       ///< Latest start, while it is queued.
+    base::time_point since_;         ///< Begin of the stage.
+    base::time_point result_until_;  ///< Eviction of the prefill result.
+    double expected_ms_{0};          ///< Of the prefill.
+    double integral_{0};             ///< Of the batch at the first token.
+};
+
+/// Pieces of a prompt with its allowed output.
+std::uint32_t pieces_of(const attempt_state& a);
+/// Pieces of the prompt alone, as held at a prefill engine.
+std::uint32_t prompt_pieces_of(const attempt_state& a);
+
+class cell_core {
+public:
+    explicit cell_core(const scheduler_settings& settings);
+
+    std::vector<action> handle(const event& e, base::time_point now);
+    [[nodiscard]] std::optional<base::time_point> next_wakeup() const;
+    void configure(const scheduler_settings& settings);
+    [[nodiscard]] cell_usage usage() const;
+
+private:
+    using candidates = std::vector<candidate>;
+
+    // cell_core.cpp: messages of entries and the life of an attempt.
+    void on(const entry_message& e);
+    void on(const became_owner& e);
+    void on(const lost_ownership& e);
+    void on(const tick& e);
+    void receive(const place_request& m);
+    void receive(const prefill_finished& m);
+    void receive(const engine_lost& m);
+    void receive(const decode_started& m);
+    void receive(const place_release& m);
+    void receive(const place_hold& m);
+    attempt_state* find(base::attempt_id id);
+    attempt_state make_attempt(const place_request& m) const;
+    void lose_decode(attempt_state& a, const engine_lost& m);
+    /// Gives back all that the attempt holds.
+    void drop_holds(attempt_state& a);
+    void release_prefill(attempt_state& a);
+    void release_decode(attempt_state& a);
+    void detach(attempt_state& a);
+    void forget(base::attempt_id id);
+    void remember_ended(base::attempt_id id);
+    void forget_overdue();
+    void send(const attempt_state& a, to_entry message);
+    void refuse(const attempt_state& a,
+                base::refusal_code code,
+                base::milliseconds retry_after,
+                std::string_view reason,
+                decision_kind kind = decision_kind::refuse);
+    void record(const attempt_state& a,
+                decision_kind kind,
+                std::string_view reason,
+                engine_index choice,
+                candidates weighed = {},
+                double predicted_ms = 0);
+
+    // cell_engines.cpp: the engines and what is heard of them.
+    void on(const load_report& e);
+    void on(const cache_events& e);
+    void on(const engines_changed& e);
+    void on(const engine_crashed& e);
+    void on(const entry_dead& e);
+    void cancel_dead(const load_report& e);
+    std::uint32_t count_others(const load_report& e) const;
+    void detach_missing(engine_index index, const load_report& e);
+    void check_rebuilt();
+    void publish();
+    void watch_balance();
+    void propose(engine_role from, engine_role to, std::string_view reason);
+    engine_index index_of(const base::upstream_name& name) const;
+    engine_view& engine(engine_index index);
+    const engine_view& engine(engine_index index) const;
+    template <class Visitor>
+    void each_serving(engine_role role, Visitor visit) const;
+
+    // cell_dispatch.cpp: the policy `reserved`.
+    void admit(attempt_state& a);
+    void pump();
+    void expire();
+    void expire_results();
+    void enqueue(attempt_state& a);
+    void dequeue(attempt_state& a);
+    bool dispatch(attempt_state& a);
+    bool suspect_blocked(const attempt_state& a) const;
+    void unpark();
+    bool may_promise(const attempt_state& a, double horizon_ms) const;
+    engine_index choose_prefill(const attempt_state& a,
+                                candidates& weighed,
+                                double& finish_ms) const;
+    engine_index choose_inline(const attempt_state& a) const;
+    engine_index choose_decode(const attempt_state& a,
+                               candidates* weighed) const;
+    std::uint32_t uncached_tokens(const attempt_state& a,
+                                  const engine_view& e) const;
+    void grant(attempt_state& a,
+               engine_index prefill,
+               candidates weighed,
+               double finish_ms);
+    void grant_inline(attempt_state& a, engine_index decode);
+    void bind_waiting();
+    bool try_bind(attempt_state& a);
+    void bind(attempt_state& a, engine_index decode);
+    cell_capacity capacity() const;
+    double first_token_ms(const attempt_state& a) const;
+    places free_places() const;
+    bool ever_fits(const attempt_state& a) const;
+    std::optional<base::time_point> next_prefill_opening() const;
+
+    // cell_baselines.cpp: the other policies.
+    void place_baseline(attempt_state& a);
+    void bind_baseline(attempt_state& a);
+    engine_index next_in_turn(engine_role role,
+                              std::uint64_t skipped,
+                              std::uint32_t& turn) const;
+    engine_index least_used(engine_role role, std::uint64_t skipped) const;
+    [[nodiscard]] bool is_baseline() const;
+    [[nodiscard]] double waste_weight() const;
+
+    scheduler_settings settings_;
+    std::vector<action> out_;
+    base::time_point now_;
+    bool owner_{false};
+    bool rebuilding_{false};
+    base::time_point owner_since_;
+    std::vector<engine_view> engines_;
+    std::unordered_map<base::attempt_id, attempt_state> attempts_;
+    fair_queue queue_;
+    std::set<std::pair<base::time_point, base::attempt_id>> expiry_;
+    std::vector<base::attempt_id> parked_;
+    std::deque<base::attempt_id> waiting_; ///< Unbound, oldest first.
+    /// Promises of prefills that run or are done, without inline ones.
+    places promised_;
+    std::uint32_t bound_{0}; ///< Attempts with a decode engine.
+    admission admission_;
+    linear_estimate transfer_{default_transfer_estimate()};
+    std::unordered_set<base::attempt_id> ended_;
+    std::deque<std::pair<base::time_point, base::attempt_id>> ended_order_;
+    std::unordered_set<base::instance_id> dead_;
+    std::deque<base::instance_id> dead_order_;
+    std::uint64_t headroom_version_{0};
+    base::time_point headroom_sent_;
+    places headroom_; ///< Free and queued as last published.
+    base::time_point balance_checked_;
+    base::time_point prefill_short_since_;
+    base::time_point decode_short_since_;
+    base::time_point role_change_proposed_;
+    base::time_point next_cleanup_;
+    std::uint32_t prefill_turn_{0};
+    std::uint32_t decode_turn_{0};
+};
+
+template <class Visitor>
+void cell_core::each_serving(engine_role role, Visitor visit) const {
+    for (std::size_t i = 0; i < engines_.size(); ++i) {
+        if (engines_[i].serving() && engines_[i].is(role)) {
+            visit(static_cast<engine_index>(i), engines_[i]);
+        }
+    }
+}
+
+} // namespace pimentoferry::placement::internal
+
+#endif
--- /dev/null
+++ b/pimentoferry/placement/cell_dispatch.cpp
@@ -0,0 +1,526 @@
+// The policy `reserved`: admission, grants against promised decode places,
+// and binding of decode engines.
+
+#include "pimentoferry/placement/cell_core.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+namespace pimentoferry::placement::internal {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t tokens_per_piece = 1'000;
+// A prefill is granted when the engine is free within this time: it covers
+// the messages until the prefill starts, and keeps later arrivals with
+// earlier deadlines ahead of it.
+constexpr double grant_ahead_ms = 40;
+// Admission uses this share of the first-token target; the rest is for what
+// the prediction cannot know, such as a burst of short decodes that ends late.
+constexpr double admission_share = 0.8;
+// Part of the lifetime of a prefill result for which it may wait for a decode
+// place; the rest is for the transfer and for a second engine.
+constexpr double wait_share = 0.5;
+// An inline prefill delays one step of every answer at the engine. At this
+// spacing fewer than 1 in 20 intervals of an answer are delayed.
+constexpr auto inline_spacing = 3s;
+// Advantage of a decode engine in the failure domain of the prefill engine,
+// in requests of its batch.
+constexpr double same_domain_advantage = 1;
+
+base::clock::duration duration_of(double ms) {
+    return std::chrono::duration_cast<base::clock::duration>(
+        std::chrono::duration<double, std::milli>(ms));
+}
+
+base::microseconds score_of(double ms) {
+    return base::microseconds{static_cast<std::int64_t>(ms * 1'000)};
+}
+
+double ms_between(base::time_point from, base::time_point to) {
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+queued_item item_of(const attempt_state& a) {
+    return {a.id_,
+            a.caller_,
+            a.priority_,
+            a.late_,
+            a.late_ ? a.limit_ : a.target_,
+            std::max(a.prompt_tokens_, 1U)};
+}
+
+} // namespace
+
+// Time from a grant to the first token.
+double cell_core::first_token_ms(const attempt_state& a) const {
+    double prefill = std::numeric_limits<double>::max();
+    each_serving(engine_role::prefill, [&](engine_index, const engine_view& e) {
+        prefill = std::min(prefill, e.prefill_ms(uncached_tokens(a, e)));
+    });
+    if (prefill == std::numeric_limits<double>::max()) {
+        prefill = 0;
+    }
+    const double transfer =
+        transfer_.predict(a.prompt_tokens_ / double{tokens_per_piece});
+    return prefill + transfer;
+}
+
+std::uint32_t cell_core::uncached_tokens(const attempt_state& a,
+                                         const engine_view& e) const {
+    const std::uint32_t cached =
+        e.prefixes().cached_pieces(a.prefixes_) * tokens_per_piece;
+    return a.prompt_tokens_ - std::min(a.prompt_tokens_, cached);
+}
+
+bool cell_core::ever_fits(const attempt_state& a) const {
+    bool prefill = false;
+    bool decode = false;
+    each_serving(engine_role::prefill, [&](engine_index, const engine_view& e) {
+        prefill = prefill || e.has_memory(prompt_pieces_of(a));
+    });
+    each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
+        decode = decode || e.has_memory(pieces_of(a));
+    });
+    return prefill && decode;
+}
+
+places cell_core::free_places() const {
+    places free;
+    each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
+        free.slots_ += e.free_slots(settings_.token_interval_target_);
+        free.pieces_ += e.free_pieces();
+    });
+    return free;
+}
+
+cell_capacity cell_core::capacity() const {
+    cell_capacity c;
+    std::uint32_t free = 0;
+    each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
+        c.decode_slots_ += e.batch_cap(settings_.token_interval_target_);
+        free += e.free_slots(settings_.token_interval_target_);
+    });
+    c.free_places_ = free > promised_.slots_ ? free - promised_.slots_ : 0;
+    double backlog = std::numeric_limits<double>::max();
+    double token_ms = 0;
+    each_serving(engine_role::prefill, [&](engine_index, const engine_view& e) {
+        ++c.prefill_engines_;
+        backlog = std::min(backlog, e.backlog_ms(now_));
+        token_ms += e.prefill_ms(4 * tokens_per_piece) / (4 * tokens_per_piece);
+    });
+    if (c.prefill_engines_ > 0) {
+        c.prefill_backlog_ms_ = backlog;
+        c.prefill_token_ms_ = token_ms / c.prefill_engines_;
+    }
+    return c;
+}
+
+void cell_core::admit(attempt_state& a) {
+    const double service = first_token_ms(a);
+    const cell_capacity c = capacity();
+    const double wait =
+        admission_.queue_wait_ms(queue_.ahead_of(item_of(a)), c);
+    const double target = admission_share * ms_between(now_, a.target_);
+    if (wait + service > target) {
+        a.late_ = true;
+        const double late_wait =
+            admission_.queue_wait_ms(queue_.ahead_of(item_of(a)), c) /
+            admission_.spare_share(c);
+        const bool patient = a.limit_ > a.target_;
+        if (!patient || late_wait + service > ms_between(now_, a.limit_)) {
+            const double excess = wait + service - target;
+            refuse(a, base::refusal_code::overloaded,
+                   admission::retry_after(excess),
+                   "predicted first token after the budget");
+            forget(a.id_);
+            return;
+        }
+    }
+    if (queue_.size() + parked_.size() >= settings_.queue_limit_) {
+        refuse(a, base::refusal_code::overloaded, admission::retry_after(wait),
+               "queue full");
+        forget(a.id_);
+        return;
+    }
+    const base::attempt_id id = a.id_;
+    enqueue(a);
+    pump();
+    const attempt_state* left = find(id);
+    if (left != nullptr && left->stage_ == attempt_stage::queued) {
+        send(*left, place_queued{id});
+        record(*left, decision_kind::queue, "no place yet", no_engine, {},
+               wait + service);
+    }
+}
+
+void cell_core::enqueue(attempt_state& a) {
+    const base::time_point limit = a.late_ ? a.limit_ : a.target_;
+    a.expires_ = limit - duration_of(first_token_ms(a));
+    expiry_.emplace(a.expires_, a.id_);
+    queue_.push(item_of(a));
+}
+
+void cell_core::dequeue(attempt_state& a) {
+    expiry_.erase({a.expires_, a.id_});
+    queue_.remove(a.id_);
+    if (a.parked_) {
+        std::erase(parked_, a.id_);
+        a.parked_ = false;
+    }
+}
+
+void cell_core::expire() {
+    while (!expiry_.empty() && expiry_.begin()->first < now_) {
+        attempt_state& a = attempts_.at(expiry_.begin()->second);
+        dequeue(a);
+        const bool patient = a.limit_ > a.target_;
+        if (patient && !a.late_) {
+            a.late_ = true;
+            enqueue(a);
+            continue;
+        }
+        refuse(a, base::refusal_code::overloaded,
+               admission::retry_after(first_token_ms(a)),
+               "no place within the budget", decision_kind::expire);
+        forget(a.id_);
+    }
+}
+
+void cell_core::pump() {
+    if (is_baseline() || !owner_) {
+        return;
+    }
+    bind_waiting();
+    expire();
+    unpark();
+    while (const queued_item* next = queue_.front()) {
+        if (!dispatch(attempts_.at(next->attempt_))) {
+            break;
+        }
+    }
+}
+
+void cell_core::unpark() {
+    const std::vector<base::attempt_id> parked = std::move(parked_);
+    parked_.clear();
+    for (const base::attempt_id id : parked) {
+        attempt_state& a = attempts_.at(id);
+        if (suspect_blocked(a)) {
+            parked_.push_back(id);
+            continue;
+        }
+        a.parked_ = false;
+        queue_.push(item_of(a));
+    }
+}
+
+// Whether each engine of a pool has a suspect, or will have when those that
+// prefill now are bound.
+bool cell_core::suspect_blocked(const attempt_state& a) const {
+    if (!a.suspect_) {
+        return false;
+    }
+    int prefill = 0;
+    int decode = 0;
+    each_serving(engine_role::prefill, [&](engine_index, const engine_view& e) {
+        prefill += e.has_suspect() ? 0 : 1;
+    });
+    each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
+        decode += e.has_suspect() ? 0 : 1;
+    });
+    const auto promised =
+        std::ranges::count_if(attempts_, [](const auto& entry) {
+            const attempt_state& other = entry.second;
+            return other.suspect_ && other.decode_ == no_engine &&
+                   (other.stage_ == attempt_stage::prefilling ||
+                    other.stage_ == attempt_stage::unbound);
+        });
+    return prefill == 0 || decode <= promised;
+}
+
+// Places of the size of this request that are free, or will be at the end of
+// its prefill, must exceed those that are promised.
+bool cell_core::may_promise(const attempt_state& a, double horizon_ms) const {
+    const std::uint32_t pieces = pieces_of(a);
+    const std::uint32_t promised_size =
+        promised_.slots_ == 0
+            ? 0
+            : (promised_.pieces_ + promised_.slots_ - 1) / promised_.slots_;
+    const std::uint32_t size = std::max(pieces, promised_size);
+    std::uint32_t fitting = 0;
+    std::uint32_t held_pieces = 0;
+    std::uint32_t held_slots = 0;
+    places free;
+    each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
+        const std::uint32_t slots =
+            e.free_slots(settings_.token_interval_target_);
+        fitting += std::min(slots, e.free_pieces() / size);
+        free.pieces_ += e.free_pieces();
+        held_slots += e.held().slots_;
+        held_pieces += e.held().pieces_;
+    });
+    const std::uint32_t coming =
+        rebuilding_
+            ? 0
+            : admission_.frees_lower_bound(bound_, horizon_ms, waste_weight());
+    const std::uint32_t coming_pieces =
+        held_slots == 0 ? 0 : coming * (held_pieces / held_slots);
+    return promised_.slots_ + 1 <= fitting + coming &&
+           promised_.pieces_ + pieces <= free.pieces_ + coming_pieces;
+}
+
+engine_index cell_core::choose_prefill(const attempt_state& a,
+                                       candidates& weighed,
+                                       double& finish_ms) const {
+    engine_index best = no_engine;
+    each_serving(engine_role::prefill,
+                 [&](engine_index i, const engine_view& e) {
+                     const double whole = e.prefill_ms(a.prompt_tokens_);
+                     const double rest = e.prefill_ms(uncached_tokens(a, e));
+                     const double backlog = e.backlog_ms(now_);
+                     const double finish = backlog + rest;
+                     weighed.push_back({e.name(), score_of(finish)});
+                     // The engine may be busy for as long as its cache saves.
+                     const bool soon = backlog <= grant_ahead_ms + whole - rest;
+                     const bool fits = e.free_pieces() >= prompt_pieces_of(a);
+                     const bool apart = !a.suspect_ || !e.has_suspect();
+                     if (soon && fits && apart &&
+                         (best == no_engine || finish < finish_ms)) {
+                         best = i;
+                         finish_ms = finish;
+                     }
+                 });
+    return best;
+}
+
+// A short prompt goes to the decode side when no prefill engine is free.
+engine_index cell_core::choose_inline(const attempt_state& a) const {
+    if (a.prompt_tokens_ >= tokens_per_piece) {
+        return no_engine;
+    }
+    engine_index best = no_engine;
+    std::uint32_t used = 0;
+    std::uint32_t free = 0;
+    each_serving(
+        engine_role::decode, [&](engine_index i, const engine_view& e) {
+            const std::uint32_t slots =
+                e.free_slots(settings_.token_interval_target_);
+            free += slots;
+            const double step = e.step_ms() + e.prefill_ms(a.prompt_tokens_);
+            const bool hidden =
+                step <=
+                static_cast<double>(settings_.token_interval_target_.count());
+            const bool spaced = now_ - e.last_inline() >= inline_spacing;
+            const bool fits = slots > 0 && e.free_pieces() >= pieces_of(a);
+            const bool apart = !a.suspect_ || !e.has_suspect();
+            const bool better = best == no_engine || e.used_slots() < used;
+            if (fits && apart && (hidden || spaced) && better) {
+                best = i;
+                used = e.used_slots();
+            }
+        });
+    return free > promised_.slots_ ? best : no_engine;
+}
+
+bool cell_core::dispatch(attempt_state& a) {
+    if (suspect_blocked(a)) {
+        queue_.remove(a.id_);
+        a.parked_ = true;
+        parked_.push_back(a.id_);
+        return true;
+    }
+    candidates weighed;
+    double finish_ms = 0;
+    const engine_index prefill = choose_prefill(a, weighed, finish_ms);
+    if (prefill == no_engine) {
+        const engine_index decode = choose_inline(a);
+        if (decode == no_engine) {
+            return false;
+        }
+        grant_inline(a, decode);
+        return true;
+    }
+    const double grace =
+        wait_share * static_cast<double>(settings_.result_lifetime_.count());
+    if (!may_promise(a, finish_ms + grace)) {
+        return false;
+    }
+    grant(a, prefill, std::move(weighed), finish_ms);
+    return true;
+}
+
+void cell_core::grant(attempt_state& a,
+                      engine_index prefill,
+                      candidates weighed,
+                      double finish_ms) {
+    expiry_.erase({a.expires_, a.id_});
+    queue_.pop();
+    engine_view& e = engine(prefill);
+    a.uncached_tokens_ = uncached_tokens(a, e);
+    a.expected_ms_ = e.prefill_ms(a.uncached_tokens_);
+    e.start_prefill(a.expected_ms_, now_);
+    e.hold(prompt_pieces_of(a));
+    e.prefixes().add_granted(a.prefixes_);
+    if (a.suspect_) {
+        e.hold_suspect();
+    }
+    a.holds_prefill_ = true;
+    a.prefixes_ = {};
+    a.prefill_ = prefill;
+    a.stage_ = attempt_stage::prefilling;
+    a.since_ = now_;
+    ++promised_.slots_;
+    promised_.pieces_ += pieces_of(a);
+    const engine_index decode = choose_decode(a, nullptr);
+    const engine_index provisional =
+        decode == no_engine ? least_used(engine_role::decode, 0) : decode;
+    send(a, place_grant{a.id_, e.name(), engine(provisional).name(), false});
+    const double transfer =
+        transfer_.predict(a.prompt_tokens_ / double{tokens_per_piece});
+    record(a, decision_kind::grant, "decode place promised", prefill,
+           std::move(weighed), finish_ms + transfer);
+}
+
+void cell_core::grant_inline(attempt_state& a, engine_index decode) {
+    expiry_.erase({a.expires_, a.id_});
+    queue_.pop();
+    engine_view& e = engine(decode);
+    e.hold(pieces_of(a));
+    e.start_inline_prefill(now_);
+    if (a.suspect_) {
+        e.hold_suspect();
+    }
+    ++bound_;
+    a.prefixes_ = {};
+    a.inline_ = true;
+    a.decode_ = decode;
+    a.stage_ = attempt_stage::prefilling;
+    a.since_ = now_;
+    send(a, place_grant{a.id_, e.name(), e.name(), true});
+    record(a, decision_kind::grant, "prefill at the decode engine", decode, {},
+           e.prefill_ms(a.prompt_tokens_) + e.step_ms());
+}
+
+engine_index cell_core::choose_decode(const attempt_state& a,
+                                      candidates* weighed) const {
+    const base::failure_domain* near =
+        a.prefill_ == no_engine
+            ? &a.failure_domain_
+            : &engine(a.prefill_).description().failure_domain_;
+    engine_index best = no_engine;
+    double best_score = 0;
+    each_serving(engine_role::decode, [&](engine_index i,
+                                          const engine_view& e) {
+        const auto cap =
+            std::max(e.batch_cap(settings_.token_interval_target_), 1U);
+        const bool same = e.description().failure_domain_ == *near;
+        const double load =
+            e.used_slots() - (same ? same_domain_advantage : 0.0);
+        const double score = load / cap;
+        if (weighed != nullptr) {
+            weighed->push_back({e.name(), score_of(score)});
+        }
+        const bool lost = ((a.lost_engines_ >> i) & 1U) != 0;
+        const bool fits = e.free_slots(settings_.token_interval_target_) > 0 &&
+                          e.free_pieces() >= pieces_of(a);
+        const bool apart = !a.suspect_ || !e.has_suspect();
+        const bool better = best == no_engine || score < best_score;
+        if (!lost && fits && apart && better) {
+            best = i;
+            best_score = score;
+        }
+    });
+    return best;
+}
+
+bool cell_core::try_bind(attempt_state& a) {
+    candidates weighed;
+    const engine_index decode =
+        choose_decode(a, settings_.record_decisions_ ? &weighed : nullptr);
+    if (decode == no_engine) {
+        return false;
+    }
+    bind(a, decode);
+    record(a, decision_kind::bind, "least loaded with memory", decode,
+           std::move(weighed));
+    return true;
+}
+
+void cell_core::bind(attempt_state& a, engine_index decode) {
+    engine_view& e = engine(decode);
+    e.hold(pieces_of(a));
+    if (a.suspect_) {
+        e.hold_suspect();
+    }
+    --promised_.slots_;
+    promised_.pieces_ -= pieces_of(a);
+    ++bound_;
+    a.decode_ = decode;
+    a.stage_ = attempt_stage::bound;
+    a.since_ = now_;
+    send(a, decode_bound{a.id_, e.name()});
+}
+
+// Done prefills come before all queued requests: their results are evicted
+// within a second. A request that fits nowhere does not hold up the others.
+void cell_core::bind_waiting() {
+    std::deque<base::attempt_id> left;
+    for (const base::attempt_id id : waiting_) {
+        attempt_state* a = find(id);
+        if (a == nullptr || a->stage_ != attempt_stage::unbound) {
+            continue;
+        }
+        if (try_bind(*a)) {
+            continue;
+        }
+        if (a->result_until_ <= now_) {
+            refuse(*a, base::refusal_code::overloaded,
+                   admission::retry_after(0), "no decode place for the result",
+                   decision_kind::expire);
+            forget(id);
+            continue;
+        }
+        left.push_back(id);
+    }
+    waiting_ = std::move(left);
+}
+
+std::optional<base::time_point> cell_core::next_prefill_opening() const {
+    std::optional<base::time_point> next;
+    each_serving(engine_role::prefill, [&](engine_index, const engine_view& e) {
+        const double wait = e.backlog_ms(now_) - grant_ahead_ms;
+        if (wait > 0) {
+            const base::time_point at = now_ + duration_of(wait) + 1ms;
+            next = next ? std::min(*next, at) : at;
+        }
+    });
+    return next;
+}
+
+std::optional<base::time_point> cell_core::next_wakeup() const {
+    std::optional<base::time_point> next;
+    const auto add = [&next](base::time_point at) {
+        next = next ? std::min(*next, at) : at;
+    };
+    if (!expiry_.empty()) {
+        add(expiry_.begin()->first + 1ms);
+    }
+    for (const base::attempt_id id : waiting_) {
+        add(attempts_.at(id).result_until_);
+    }
+    if (queue_.size() > 0) {
+        if (const auto opening = next_prefill_opening()) {
+            add(*opening);
+        }
+    }
+    if (rebuilding_) {
+        add(owner_since_ + settings_.rebuild_limit_);
+    }
+    return next;
+}
+
+} // namespace pimentoferry::placement::internal
--- /dev/null
+++ b/pimentoferry/placement/cell_engines.cpp
@@ -0,0 +1,284 @@
+// The engines of the cell and what is heard of them.
+
+#include "pimentoferry/placement/cell_core.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace pimentoferry::placement::internal {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t engine_limit = 64; // Bits of `lost_engines_`.
+constexpr std::size_t dead_limit = 1'024;
+// A report that is taken this long after a change must show the change.
+constexpr auto report_slack = 2s;
+// Reports in turn that miss an attempt before its place is given up.
+constexpr std::uint8_t missing_limit = 3;
+constexpr auto headroom_refresh = 1s;
+constexpr auto balance_interval = 250ms;
+// Shares of free decode places between which no pool is short.
+constexpr double prefill_short_share = 0.25;
+constexpr double decode_short_share = 0.02;
+constexpr double busy_backlog_ms = 40;
+
+} // namespace
+
+engine_index cell_core::index_of(const base::upstream_name& name) const {
+    const auto found = std::ranges::find_if(
+        engines_, [&name](const engine_view& e) { return e.name() == name; });
+    return found == engines_.end()
+               ? no_engine
+               : static_cast<engine_index>(found - engines_.begin());
+}
+
+engine_view& cell_core::engine(engine_index index) {
+    return engines_.at(static_cast<std::size_t>(index));
+}
+
+const engine_view& cell_core::engine(engine_index index) const {
+    return engines_.at(static_cast<std::size_t>(index));
+}
+
+void cell_core::on(const engines_changed& e) {
+    for (engine_view& old : engines_) {
+        old.remove();
+    }
+    for (const engine_description& d : e.engines_) {
+        const engine_index known = index_of(d.engine_);
+        if (known != no_engine) {
+            engine(known).describe(d);
+            continue;
+        }
+        engine_view fresh{d, settings_.prefix_limit_};
+        fresh.set_rebuilding(rebuilding_);
+        const auto unused =
+            std::ranges::find_if(engines_, [this](const engine_view& old) {
+                const auto at =
+                    static_cast<engine_index>(&old - engines_.data());
+                return !old.present() &&
+                       std::ranges::none_of(attempts_, [at](const auto& a) {
+                           return a.second.prefill_ == at ||
+                                  a.second.decode_ == at ||
+                                  ((a.second.lost_engines_ >> at) & 1U) != 0;
+                       });
+            });
+        if (unused != engines_.end()) {
+            *unused = std::move(fresh);
+        } else if (engines_.size() < engine_limit) {
+            engines_.push_back(std::move(fresh));
+        }
+    }
+}
+
+void cell_core::on(const cache_events& e) {
+    const engine_index index = index_of(e.engine_);
+    if (index != no_engine) {
+        engine(index).prefixes().apply(e.changes_);
+    }
+}
+
+void cell_core::on(const load_report& e) {
+    const engine_index index = index_of(e.engine_);
+    if (index == no_engine) {
+        return;
+    }
+    cancel_dead(e);
+    detach_missing(index, e);
+    engine(index).report(e, count_others(e), e.attempts_.size(), now_);
+    check_rebuilt();
+}
+
+void cell_core::cancel_dead(const load_report& e) {
+    std::vector<base::attempt_id> orphans;
+    std::ranges::copy_if(
+        e.attempts_, std::back_inserter(orphans),
+        [this](base::attempt_id id) { return dead_.contains(id.instance_); });
+    if (!orphans.empty()) {
+        out_.emplace_back(cancel_attempts{e.engine_, std::move(orphans)});
+    }
+}
+
+std::uint32_t cell_core::count_others(const load_report& e) const {
+    return static_cast<std::uint32_t>(
+        std::ranges::count_if(e.attempts_, [this](base::attempt_id id) {
+            return !attempts_.contains(id) && !ended_.contains(id);
+        }));
+}
+
+// The release of an attempt may be lost with a peer link. Its place is given
+// back when the engine does not hold it any more.
+void cell_core::detach_missing(engine_index index, const load_report& e) {
+    const std::unordered_set<base::attempt_id> listed{e.attempts_.begin(),
+                                                      e.attempts_.end()};
+    const base::time_point taken = now_ - e.age_;
+    for (auto& [id, a] : attempts_) {
+        if (a.decode_ != index || a.stage_ != attempt_stage::decoding ||
+            taken < a.since_ + report_slack) {
+            continue;
+        }
+        if (listed.contains(id)) {
+            a.missing_ = 0;
+        } else if (++a.missing_ >= missing_limit) {
+            detach(a);
+        }
+    }
+}
+
+void cell_core::on(const engine_crashed& e) {
+    const engine_index index = index_of(e.engine_);
+    if (index == no_engine) {
+        return;
+    }
+    std::vector<base::attempt_id> answerless;
+    for (auto& [id, a] : attempts_) {
+        if (a.decode_ == index) {
+            // Bound to a baseline's choice, its prefill goes on.
+            const bool prefilling =
+                a.stage_ == attempt_stage::prefilling && !a.inline_;
+            const bool had_result =
+                a.prefilled_ && a.stage_ == attempt_stage::bound;
+            if (prefilling) {
+                release_decode(a);
+            } else if (had_result) {
+                release_decode(a);
+                a.stage_ = attempt_stage::detached;
+                a.since_ = now_;
+            } else {
+                detach(a);
+            }
+        } else if (a.prefill_ == index) {
+            if (a.stage_ == attempt_stage::unbound) {
+                answerless.push_back(id);
+            } else if (a.stage_ == attempt_stage::prefilling) {
+                detach(a);
+            } else {
+                // The transfer fails; the entry reports it.
+                a.holds_prefill_ = false;
+                a.prefilled_ = false;
+            }
+        }
+    }
+    for (const base::attempt_id id : answerless) {
+        refuse(attempts_.at(id), base::refusal_code::upstream_failed,
+               base::milliseconds{100}, "the prefill result is gone");
+        forget(id);
+    }
+    engine(index).crash(now_);
+}
+
+void cell_core::on(const entry_dead& e) {
+    if (dead_.insert(e.instance_).second) {
+        dead_order_.push_back(e.instance_);
+        if (dead_order_.size() > dead_limit) {
+            dead_.erase(dead_order_.front());
+            dead_order_.pop_front();
+        }
+    }
+    std::map<engine_index, std::vector<base::attempt_id>> held;
+    std::vector<base::attempt_id> all;
+    for (const auto& [id, a] : attempts_) {
+        if (id.instance_ != e.instance_) {
+            continue;
+        }
+        all.push_back(id);
+        if (a.prefill_ != no_engine) {
+            held[a.prefill_].push_back(id);
+        }
+        if (a.decode_ != no_engine) {
+            held[a.decode_].push_back(id);
+        }
+    }
+    for (auto& [index, ids] : held) {
+        out_.emplace_back(
+            cancel_attempts{engine(index).name(), std::move(ids)});
+    }
+    std::ranges::for_each(all, [this](auto id) { forget(id); });
+}
+
+// The state is whole when each engine has reported since and lists no attempt
+// that no entry announced.
+void cell_core::check_rebuilt() {
+    if (!rebuilding_) {
+        return;
+    }
+    const bool whole =
+        std::ranges::all_of(engines_, [this](const engine_view& e) {
+            return !e.serving() || (e.reported() > owner_since_ &&
+                                    e.used_slots() == e.held().slots_);
+        });
+    if (whole || now_ >= owner_since_ + settings_.rebuild_limit_) {
+        rebuilding_ = false;
+        for (engine_view& e : engines_) {
+            e.set_rebuilding(false);
+        }
+    }
+}
+
+void cell_core::publish() {
+    if (!owner_ || now_ < headroom_sent_ + settings_.headroom_interval_) {
+        return;
+    }
+    const std::uint32_t free = free_places().slots_;
+    const std::uint32_t unpromised =
+        free > promised_.slots_ ? free - promised_.slots_ : 0;
+    const auto queued =
+        static_cast<std::uint32_t>(queue_.size() + parked_.size());
+    const bool same =
+        headroom_.slots_ == unpromised && headroom_.pieces_ == queued;
+    if (same && now_ < headroom_sent_ + headroom_refresh) {
+        return;
+    }
+    headroom_ = {unpromised, queued};
+    headroom_sent_ = now_;
+    out_.emplace_back(publish_headroom{settings_.cell_, ++headroom_version_,
+                                       unpromised, queued});
+}
+
+void cell_core::watch_balance() {
+    if (!owner_ || now_ < balance_checked_ + balance_interval) {
+        return;
+    }
+    balance_checked_ = now_;
+    const cell_capacity c = capacity();
+    const double free = c.free_places_ / std::max<double>(c.decode_slots_, 1);
+    const bool waiting = queue_.size() > 0;
+    const bool prefill_busy = c.prefill_backlog_ms_ > busy_backlog_ms;
+    const bool prefill_short =
+        waiting && prefill_busy && free > prefill_short_share;
+    const bool decode_short =
+        waiting && !prefill_busy && free < decode_short_share;
+    if (!prefill_short) {
+        prefill_short_since_ = now_;
+    }
+    if (!decode_short) {
+        decode_short_since_ = now_;
+    }
+    if (now_ - prefill_short_since_ >= settings_.role_change_after_) {
+        propose(engine_role::decode, engine_role::prefill,
+                "prefills wait while decode places are free");
+    } else if (now_ - decode_short_since_ >= settings_.role_change_after_) {
+        propose(engine_role::prefill, engine_role::decode,
+                "decode places are short while prefill engines are idle");
+    }
+}
+
+void cell_core::propose(engine_role from,
+                        engine_role to,
+                        std::string_view reason) {
+    const bool early =
+        role_change_proposed_ != base::time_point{} &&
+        now_ < role_change_proposed_ + settings_.role_change_pause_;
+    int engines = 0;
+    each_serving(from, [&](engine_index, const engine_view&) { ++engines; });
+    if (early || engines < 2) {
+        return;
+    }
+    role_change_proposed_ = now_;
+    const engine_index chosen = least_used(from, 0);
+    out_.emplace_back(propose_role_change{engine(chosen).name(), to, reason});
+}
+
+} // namespace pimentoferry::placement::internal
--- a/pimentoferry/placement/cell_scheduler.hpp
+++ b/pimentoferry/placement/cell_scheduler.hpp
@@ -27,12 +27,14 @@
 ///     // Timer, at next_wakeup() and at least once in 200 ms:
 ///     perform(cell.handle(placement::tick{}, now));
 ///
-/// Times never run back. Messages are recognised by their attempt id: one
-/// for an unknown or ended attempt, or from an instance that is not the one
-/// in the attempt id, changes nothing and is not answered; only a
-/// `prefill_finished` or `engine_lost` of an unknown attempt is answered with
-/// `place_refusal`, since its entry waits for an answer. Before
-/// `became_owner`, place requests are refused with `not_owner`.
+/// Times never run back. Messages are recognised by their attempt id: one for
+/// an unknown or ended attempt, or from an instance that is not the one in
+/// the attempt id, changes nothing and is not answered. Before `became_owner`,
+/// place requests are refused with `not_owner`.
+///
+/// An entry that was reported dead counts as alive again from its next
+/// `place_request` or `place_hold` on; what was cancelled stays cancelled. A
+/// new owner is told of all dead instances that membership knows.
 ///
 /// The first-token budget of a request may be longer than
 /// `scheduler_settings::first_token_target_` (a patient deployment). Such a
--- /dev/null
+++ b/pimentoferry/placement/engine_view.cpp
@@ -0,0 +1,201 @@
+#include "pimentoferry/placement/engine_view.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace pimentoferry::placement {
+
+namespace {
+
+// The learnt step time is a mean over a stream; single steps vary about it.
+constexpr double step_margin = 1.03;
+// Free pieces of an engine that did not tell its memory yet.
+constexpr std::uint32_t unknown_pieces = 1U << 20U;
+constexpr double tokens_per_piece = 1'000;
+
+double ms_between(base::time_point from, base::time_point to) {
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+std::uint32_t less(std::uint32_t a, std::uint32_t b) {
+    return a > b ? a - b : 0;
+}
+
+} // namespace
+
+engine_view::engine_view(const engine_description& description,
+                         std::size_t prefix_limit)
+    : description_{description}, prefixes_{prefix_limit} {}
+
+void engine_view::describe(const engine_description& description) {
+    description_ = description;
+    present_ = true;
+}
+
+void engine_view::report(const load_report& r,
+                         std::uint32_t others,
+                         std::size_t listed,
+                         base::time_point now) {
+    const base::time_point taken = now - r.age_;
+    if (taken < reported_) {
+        return;
+    }
+    if (down_ && taken <= crashed_) {
+        return;
+    }
+    reported_ = taken;
+    down_ = false;
+    draining_ = r.draining_;
+    if (r.slots_ > 0) {
+        description_.slots_ = r.slots_;
+    }
+    if (r.pieces_ > 0) {
+        description_.pieces_ = r.pieces_;
+    }
+    others_.slots_ = others;
+    const std::uint32_t used = less(r.pieces_, r.pieces_free_);
+    const auto all = std::max<std::size_t>(listed, 1);
+    others_.pieces_ = static_cast<std::uint32_t>(
+        static_cast<std::uint64_t>(used) * others / all);
+}
+
+void engine_view::crash(base::time_point now) {
+    down_ = true;
+    crashed_ = now;
+    end_decoding(now);
+    decoding_ = 0;
+    held_ = {};
+    others_ = {};
+    announced_ = 0;
+    suspects_ = 0;
+    prefills_ = 0;
+    expected_ms_ = 0;
+    prefixes_.clear();
+}
+
+const base::upstream_name& engine_view::name() const {
+    return description_.engine_;
+}
+
+const engine_description& engine_view::description() const {
+    return description_;
+}
+
+bool engine_view::is(engine_role role) const {
+    return description_.role_ == role;
+}
+
+bool engine_view::serving() const {
+    return present_ && !down_ && !draining_ && !description_.leaving_;
+}
+
+std::uint32_t engine_view::batch_cap(base::milliseconds target) const {
+    const auto time_ms = static_cast<double>(target.count()) / step_margin;
+    const double cap = step_.largest_load_under(time_ms);
+    const auto whole = static_cast<std::uint32_t>(std::min(cap, 1e6));
+    return std::min(std::max(whole, 1U), description_.slots_);
+}
+
+std::uint32_t engine_view::usable_slots(base::milliseconds target) const {
+    const std::uint32_t cap = batch_cap(target);
+    if (!rebuilding_) {
+        return cap;
+    }
+    const std::uint32_t before = announced_ + others_.slots_;
+    return before + less(cap, before) / 2;
+}
+
+std::uint32_t engine_view::free_slots(base::milliseconds target) const {
+    return less(usable_slots(target), used_slots());
+}
+
+std::uint32_t engine_view::free_pieces() const {
+    if (description_.pieces_ == 0) {
+        return unknown_pieces;
+    }
+    return less(description_.pieces_, held_.pieces_ + others_.pieces_);
+}
+
+bool engine_view::has_memory(std::uint32_t pieces) const {
+    return description_.pieces_ == 0 || description_.pieces_ >= pieces;
+}
+
+std::uint32_t engine_view::used_slots() const {
+    return held_.slots_ + others_.slots_;
+}
+
+void engine_view::hold(std::uint32_t pieces) {
+    ++held_.slots_;
+    held_.pieces_ += pieces;
+}
+
+void engine_view::release(std::uint32_t pieces) {
+    held_.slots_ = less(held_.slots_, 1);
+    held_.pieces_ = less(held_.pieces_, pieces);
+}
+
+void engine_view::forget_announced() {
+    announced_ = less(announced_, 1);
+}
+
+void engine_view::release_suspect() {
+    suspects_ = less(suspects_, 1);
+}
+
+void engine_view::start_prefill(double expected_ms, base::time_point now) {
+    if (prefills_ == 0) {
+        began_ = now;
+    }
+    ++prefills_;
+    expected_ms_ += expected_ms;
+}
+
+void engine_view::end_prefill(double expected_ms, base::time_point now) {
+    prefills_ = less(prefills_, 1);
+    expected_ms_ = std::max(0.0, expected_ms_ - expected_ms);
+    began_ = now;
+}
+
+double engine_view::backlog_ms(base::time_point now) const {
+    if (prefills_ == 0) {
+        return 0;
+    }
+    // The running prefill may take longer than expected, but those behind it
+    // have not begun.
+    const double behind = expected_ms_ * (prefills_ - 1) / prefills_;
+    return std::max(behind, expected_ms_ - ms_between(began_, now));
+}
+
+double engine_view::prefill_ms(std::uint32_t tokens) const {
+    return prefill_.predict(tokens / tokens_per_piece);
+}
+
+void engine_view::observe_prefill(std::uint32_t tokens, double time_ms) {
+    prefill_.observe(tokens / tokens_per_piece, time_ms);
+}
+
+void engine_view::start_decoding(base::time_point now) {
+    integral_ = batch_integral(now);
+    integral_until_ = now;
+    ++decoding_;
+}
+
+void engine_view::end_decoding(base::time_point now) {
+    integral_ = batch_integral(now);
+    integral_until_ = now;
+    decoding_ = less(decoding_, 1);
+}
+
+double engine_view::batch_integral(base::time_point now) const {
+    return integral_ + decoding_ * ms_between(integral_until_, now);
+}
+
+double engine_view::step_ms() const {
+    return step_.predict(std::max<std::uint32_t>(used_slots(), 1));
+}
+
+void engine_view::observe_step(double mean_batch, double time_ms) {
+    step_.observe(mean_batch, time_ms);
+}
+
+} // namespace pimentoferry::placement
--- /dev/null
+++ b/pimentoferry/placement/engine_view.hpp
@@ -0,0 +1,138 @@
+/// What the cell owner knows of one engine.
+///
+/// Joins the owner's own accounts, which are exact for what it granted, with
+/// the engine's lagging load reports, which also show attempts of others.
+///
+///     engine_view engine{description, prefix_limit};
+///     if (engine.serving() && engine.free_slots(target) > 0) {
+///         engine.hold(pieces);
+///     }
+#ifndef PIMENTOFERRY_PLACEMENT_ENGINE_VIEW_HPP
+#define PIMENTOFERRY_PLACEMENT_ENGINE_VIEW_HPP
+
+#include "pimentoferry/base/time.hpp"
+#include "pimentoferry/placement/events.hpp"
+#include "pimentoferry/placement/latency_model.hpp"
+#include "pimentoferry/placement/prefix_index.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace pimentoferry::placement {
+
+/// Slots and pieces of one engine or of a pool.
+struct places {
+    std::uint32_t slots_{0};
+    std::uint32_t pieces_{0};
+};
+
+class engine_view {
+public:
+    engine_view(const engine_description& description,
+                std::size_t prefix_limit);
+
+    /// Takes a changed description; the accounts stay.
+    void describe(const engine_description& description);
+    /// Not in the engine set any more; it receives no new work.
+    void remove() { present_ = false; }
+    [[nodiscard]] bool present() const { return present_; }
+
+    /// Takes a report. `others` are the listed attempts that the owner does
+    /// not know, of `listed` in all.
+    void report(const load_report& r,
+                std::uint32_t others,
+                std::size_t listed,
+                base::time_point now);
+    [[nodiscard]] base::time_point reported() const { return reported_; }
+
+    /// The process is gone: all accounts are void.
+    void crash(base::time_point now);
+    [[nodiscard]] bool down() const { return down_; }
+
+    /// The engine refused work that should have fitted: one more place counts
+    /// as taken until the next report.
+    void refused() { ++others_.slots_; }
+
+    [[nodiscard]] const base::upstream_name& name() const;
+    [[nodiscard]] const engine_description& description() const;
+    [[nodiscard]] bool is(engine_role role) const;
+    /// Whether it may receive new work.
+    [[nodiscard]] bool serving() const;
+
+    /// Slots that may be used so that a step stays under the target.
+    [[nodiscard]] std::uint32_t batch_cap(base::milliseconds target) const;
+    [[nodiscard]] std::uint32_t free_slots(base::milliseconds target) const;
+    [[nodiscard]] std::uint32_t free_pieces() const;
+    /// Whether the engine has memory for it at all.
+    [[nodiscard]] bool has_memory(std::uint32_t pieces) const;
+    /// Slots in use, by the owner's accounts and by the last report.
+    [[nodiscard]] std::uint32_t used_slots() const;
+    [[nodiscard]] places held() const { return held_; }
+
+    void hold(std::uint32_t pieces);
+    void release(std::uint32_t pieces);
+    /// What was held before this owner began; see `set_rebuilding`.
+    void announce() { ++announced_; }
+    void forget_announced();
+    /// While set, only half of the places that were free may be used.
+    void set_rebuilding(bool on) { rebuilding_ = on; }
+
+    void hold_suspect() { ++suspects_; }
+    void release_suspect();
+    [[nodiscard]] bool has_suspect() const { return suspects_ > 0; }
+
+    // Prefills.
+    void start_prefill(double expected_ms, base::time_point now);
+    /// A prefill ended; `expected_ms` as at its start.
+    void end_prefill(double expected_ms, base::time_point now);
+    [[nodiscard]] std::uint32_t prefills() const { return prefills_; }
+    /// Predicted time until all its prefills are done.
+    [[nodiscard]] double backlog_ms(base::time_point now) const;
+    /// When the oldest running prefill began.
+    [[nodiscard]] base::time_point prefill_began() const { return began_; }
+    [[nodiscard]] double prefill_ms(std::uint32_t tokens) const;
+    void observe_prefill(std::uint32_t tokens, double time_ms);
+    [[nodiscard]] prefix_index& prefixes() { return prefixes_; }
+    [[nodiscard]] const prefix_index& prefixes() const { return prefixes_; }
+
+    // Decoding.
+    void start_decoding(base::time_point now);
+    void end_decoding(base::time_point now);
+    [[nodiscard]] std::uint32_t decoding() const { return decoding_; }
+    /// Sum over time of the number of decoding requests, in request ms. The
+    /// mean batch of a stream is its difference over the stream's duration.
+    [[nodiscard]] double batch_integral(base::time_point now) const;
+    [[nodiscard]] double step_ms() const;
+    void observe_step(double mean_batch, double time_ms);
+    void start_inline_prefill(base::time_point now) { last_inline_ = now; }
+    [[nodiscard]] base::time_point last_inline() const { return last_inline_; }
+
+private:
+    [[nodiscard]] std::uint32_t usable_slots(base::milliseconds target) const;
+
+    engine_description description_;
+    bool present_{true};
+    bool draining_{false};
+    bool down_{false};
+    bool rebuilding_{false};
+    base::time_point crashed_;
+    base::time_point reported_;
+    places held_;
+    places others_;
+    std::uint32_t announced_{0};
+    std::uint32_t suspects_{0};
+    std::uint32_t prefills_{0};
+    double expected_ms_{0}; ///< Of all prefills that run or wait.
+    base::time_point began_;
+    std::uint32_t decoding_{0};
+    double integral_{0};
+    base::time_point integral_until_;
+    base::time_point last_inline_;
+    linear_estimate prefill_{default_prefill_estimate()};
+    linear_estimate step_{default_step_estimate()};
+    prefix_index prefixes_;
+};
+
+} // namespace pimentoferry::placement
+
+#endif
--- a/pimentoferry/placement/events.hpp
+++ b/pimentoferry/placement/events.hpp
@@ -25,7 +25,7 @@
     base::failure_domain failure_domain_;
     bool leaving_{false};     ///< Receives no new work.
     std::uint32_t slots_{0};  ///< Requests that the engine runs at once.
-    std::uint32_t pieces_{0}; ///< KV memory, 1,000 tokens each.
+    std::uint32_t pieces_{0}; ///< KV memory, 1,000 tokens each; 0: unknown.
 };
 
 /// A message of an entry; `from_` is the instance that sent the frame.
--- /dev/null
+++ b/pimentoferry/placement/fair_queue.hpp
@@ -0,0 +1,119 @@
+/// Queue of a cell: priorities, fair shares of callers, deadlines.
+///
+/// Higher priorities go first. Within a priority, callers share by deficit
+/// round robin over tokens: each round gives every waiting caller a quantum,
+/// and within a round the earliest deadline goes first. Late requests (those
+/// whose first-token target can no longer be met) go behind all others of
+/// their priority.
+///
+///     fair_queue queue;
+///     queue.push({attempt, caller, priority, late, deadline, tokens});
+///     while (const queued_item* next = queue.front()) {
+///         ...
+///         queue.pop();
+///     }
+///
+/// All operations are logarithmic in the number of waiting requests.
+#ifndef PIMENTOFERRY_PLACEMENT_FAIR_QUEUE_HPP
+#define PIMENTOFERRY_PLACEMENT_FAIR_QUEUE_HPP
+
+#include "pimentoferry/base/ids.hpp"
+#include "pimentoferry/base/time.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+
+namespace pimentoferry::placement {
+
+struct queued_item {
+    base::attempt_id attempt_;
+    base::caller_name caller_;
+    std::uint8_t priority_{0};
+    bool late_{false};
+    base::time_point deadline_;
+    std::uint32_t tokens_{0}; ///< Its cost.
+};
+
+/// What is served before a request.
+struct work_ahead {
+    double tokens_{0};
+    double requests_{0};
+};
+
+class fair_queue {
+public:
+    /// An attempt that waits already is not queued again.
+    void push(const queued_item& item);
+
+    /// The request to serve next; null when the queue is empty. Valid until
+    /// the queue is changed.
+    [[nodiscard]] const queued_item* front() const;
+
+    /// Removes `front()` and charges its caller.
+    void pop();
+
+    /// Removes a request without charging its caller; false if it is unknown.
+    bool remove(base::attempt_id attempt);
+
+    [[nodiscard]] const queued_item* find(base::attempt_id attempt) const;
+
+    /// Estimates what would be served before a request that is pushed now.
+    [[nodiscard]] work_ahead ahead_of(const queued_item& item) const;
+
+    [[nodiscard]] std::size_t size() const { return items_.size(); }
+    [[nodiscard]] double tokens() const;
+
+private:
+    // A caller's share per round; about two prompts of the usual length.
+    static constexpr double quantum_tokens = 8'000;
+    static constexpr std::size_t bucket_count = 40;
+    using item_key = std::tuple<base::time_point, std::uint64_t>;
+    using caller_key =
+        std::tuple<std::uint64_t, base::time_point, std::uint64_t>;
+
+    struct waiting {
+        queued_item item_;
+        std::uint64_t arrival_{0};
+    };
+    struct share {
+        std::uint64_t number_{0}; ///< Breaks ties between callers.
+        std::uint64_t round_{0};  ///< In which the next request is served.
+        double deficit_{0};
+        double tokens_{0}; ///< Of all waiting requests.
+        std::map<item_key, base::attempt_id> order_;
+    };
+    /// Callers by the size of their backlog, in powers of two.
+    struct bucket {
+        double callers_{0};
+        double tokens_{0};
+    };
+    struct level {
+        std::unordered_map<base::caller_name, share> shares_;
+        std::map<caller_key, base::caller_name> ready_;
+        std::array<bucket, bucket_count> buckets_{};
+        std::uint64_t round_{0};
+        double tokens_{0};
+        std::size_t requests_{0};
+    };
+
+    static std::uint32_t level_of(const queued_item& item);
+    static std::size_t bucket_of(double tokens);
+    static void count(level& l, const share& s, double sign);
+    void enter(level& l, const base::caller_name& caller, share& s);
+    void leave(level& l, share& s);
+    void take(base::attempt_id attempt, bool charge);
+    void forget_idle(level& l);
+
+    std::unordered_map<base::attempt_id, waiting> items_;
+    std::map<std::uint32_t, level> levels_;
+    std::uint64_t next_number_{0};
+};
+
+} // namespace pimentoferry::placement
+
+#endif
