--- /dev/null
+++ b/bench/fake_engine.hpp
@@ -0,0 +1,133 @@
+/// Fakes of prefill and decode engines on virtual time.
+#ifndef PIMENTOFERRY_BENCH_FAKE_ENGINE_HPP
+#define PIMENTOFERRY_BENCH_FAKE_ENGINE_HPP
+
+#include "bench/event_loop.hpp"
+#include "bench/workload.hpp"
+#include "pimentoferry/placement/events.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace pimentoferry::bench {
+
+enum class engine_answer : std::uint8_t { done, full, gone, crashed };
+
+struct prefill_result {
+    engine_answer answer_{engine_answer::done};
+    std::uint32_t computed_tokens_{0};
+    std::uint32_t cached_tokens_{0};
+};
+
+/// One engine in one role. It prefills one prompt at a time, in order of
+/// arrival, and decodes its whole batch in steps.
+class fake_engine {
+public:
+    using prefill_done = std::function<void(const prefill_result&)>;
+    using import_done = std::function<void(engine_answer)>;
+    /// Called for each token; the last one with `last` set. A negative
+    /// position tells that the stream broke.
+    using token = std::function<void(int position, bool last)>;
+
+    fake_engine(event_loop& loop,
+                const machine_settings& settings,
+                placement::engine_description description,
+                std::uint64_t seed);
+
+    [[nodiscard]] const placement::engine_description& description() const {
+        return description_;
+    }
+    void set_leaving() { description_.leaving_ = true; }
+
+    void
+    prefill(base::attempt_id id, const request_sample& s, prefill_done done);
+    /// Pulls a result from `source`. A stalled pull never ends.
+    void import(base::attempt_id id,
+                fake_engine& source,
+                std::uint32_t pieces,
+                bool stalled,
+                import_done done);
+    void decode(base::attempt_id id, int tokens, token on_token);
+    /// Prefill and decode here.
+    void decode_inline(base::attempt_id id,
+                       std::uint32_t pieces,
+                       std::uint32_t prompt_tokens,
+                       int tokens,
+                       token on_token);
+    void cancel(base::attempt_id id);
+
+    void crash();
+    void restart();
+    [[nodiscard]] bool up() const { return up_; }
+
+    [[nodiscard]] placement::load_report report() const;
+    /// Cache changes since the last call.
+    std::vector<placement::cache_change> take_cache_changes();
+
+    /// Called with the prefill tokens that were computed for an attempt, also
+    /// in part.
+    std::function<void(base::attempt_id, double)> on_computed_;
+
+private:
+    struct queued_prefill {
+        base::attempt_id id_;
+        request_sample sample_;
+        prefill_done done_;
+    };
+    struct result {
+        std::uint32_t tokens_{0};
+        bool exporting_{false};
+    };
+    struct stream {
+        int position_{0};
+        int tokens_{0};
+        double inline_ms_{0};
+        token on_token_;
+    };
+
+    void start_next_prefill();
+    void finish_prefill(std::uint32_t cached);
+    void count_partial_prefill();
+    std::uint32_t cached_pieces(const request_sample& s) const;
+    void remember(const request_sample& s);
+    void start_step();
+    void end_step(std::vector<base::attempt_id> batch);
+    double noisy(double ms);
+    /// Ignores callbacks from before a crash.
+    void after(double ms, event_loop::callback what);
+
+    event_loop& loop_;
+    machine_settings settings_;
+    placement::engine_description description_;
+    std::mt19937_64 random_;
+    bool up_{true};
+    std::uint64_t life_{0};
+    std::deque<queued_prefill> queue_;
+    std::optional<queued_prefill> running_;
+    double running_since_ms_{0};
+    double running_time_ms_{0};
+    double running_tokens_{0};
+    std::uint64_t compute_number_{0};
+    std::map<base::attempt_id, result> results_;
+    double link_free_ms_{0};
+    std::map<base::attempt_id, std::uint32_t> held_; ///< Slots, with pieces.
+    std::map<base::attempt_id, stream> streams_;
+    std::unordered_set<base::attempt_id> cancelled_;
+    bool stepping_{false};
+    std::deque<std::uint64_t> cache_order_;
+    std::unordered_set<std::uint64_t> cache_;
+    std::uint64_t cache_sequence_{0};
+    std::vector<placement::cache_change> cache_changes_;
+};
+
+} // namespace pimentoferry::bench
+
+#endif
--- /dev/null
+++ b/bench/metrics.hpp
@@ -0,0 +1,58 @@
+/// Figures of a run, and their median and spread over seeds.
+#ifndef PIMENTOFERRY_BENCH_METRICS_HPP
+#define PIMENTOFERRY_BENCH_METRICS_HPP
+
+#include "bench/cell_simulation.hpp"
+
+#include <array>
+#include <string_view>
+#include <vector>
+
+namespace pimentoferry::bench {
+
+enum class figure : std::uint8_t {
+    goodput, ///< Good answers a second and engine.
+    goodput_vs_bound,
+    wasted_prefill, ///< Share of the computed prefill tokens.
+    refusals,       ///< Share of the requests.
+    left,           ///< Share of the requests whose callers left or cancelled.
+    lost,           ///< Share of the requests that failed.
+    first_token_p50_ms,
+    first_token_p95_ms,
+    first_token_p99_ms,
+    interval_p50_ms,
+    interval_p95_ms,
+    interval_p99_ms,
+    fairness, ///< Jain's index, see `docs/policy.md`.
+};
+inline constexpr std::size_t figure_count = 13;
+inline constexpr std::array<std::string_view, figure_count> figure_names{
+    "goodput",
+    "vs_bound",
+    "wasted",
+    "refused",
+    "left",
+    "lost",
+    "first_token_p50",
+    "first_token_p95",
+    "first_token_p99",
+    "interval_p50",
+    "interval_p95",
+    "interval_p99",
+    "jain"};
+
+using figures = std::array<double, figure_count>;
+
+figures figures_of(const run_result& run, int callers);
+
+struct spread {
+    double median_{0};
+    double low_{0};
+    double high_{0};
+};
+/// Over the runs with different seeds.
+std::array<spread, figure_count> spread_of(const std::vector<figures>& runs);
+
+} // namespace pimentoferry::bench
+
+#endif
