--- a/bench/cell_simulation.cpp
+++ b/bench/cell_simulation.cpp
@@ -43,8 +43,8 @@
 } // namespace
 
 cell_simulation::cell_simulation(const run_settings& settings)
-    : settings_{settings}, random_{settings.seed_},
-      means_{means_of(settings.workload_)},
+    : settings_{settings}, caller_random_{settings.seed_},
+      random_{settings.seed_ + 1'000'000}, means_{means_of(settings.workload_)},
       report_lag_ms_{settings.machines_.report_lag_ms_} {
     const double capacity = decode_capacity(
         settings_.machines_, means_, settings_.machines_.decode_engines_);
@@ -322,23 +322,24 @@
         return;
     }
     std::exponential_distribution<double> gap{arrivals_per_s_ / 1'000};
-    loop_.after(gap(random_), [this] { arrive(); });
+    loop_.after(gap(caller_random_), [this] { arrive(); });
     const std::size_t number = requests_.size();
     request r;
-    r.sample_ = sample(settings_.workload_, random_);
+    r.sample_ = sample(settings_.workload_, caller_random_);
     r.result_.arrived_ms_ = loop_.now_ms();
     r.result_.caller_ = r.sample_.caller_;
     r.in_window_ = loop_.now_ms() >= begin_ms && loop_.now_ms() < end_ms;
     std::uniform_int_distribution<int> any{0, entry_count - 1};
     do {
-        r.entry_ = any(random_);
+        r.entry_ = any(caller_random_);
     } while (!entries_.at(static_cast<std::size_t>(r.entry_)).up_);
     entries_.at(static_cast<std::size_t>(r.entry_)).retries_left_ = std::min(
         24.0,
         entries_.at(static_cast<std::size_t>(r.entry_)).retries_left_ + 0.1);
     std::uniform_real_distribution<double> draw{0, 1};
-    const bool cancels = settings_.faults_ && draw(random_) < cancel_share;
-    const double cancel_after = 3'000 * draw(random_);
+    const bool cancels =
+        settings_.faults_ && draw(caller_random_) < cancel_share;
+    const double cancel_after = 3'000 * draw(caller_random_);
     const double leaves_after = r.sample_.leaves_after_ms_;
     requests_.push_back(std::move(r));
     if (cancels) {
--- a/bench/cell_simulation.hpp
+++ b/bench/cell_simulation.hpp
@@ -154,6 +154,9 @@
 
     run_settings settings_;
     event_loop loop_;
+    // What callers do is drawn apart, so that all policies meet the same
+    // requests.
+    std::mt19937_64 caller_random_;
     std::mt19937_64 random_;
     workload_means means_;
     double arrivals_per_s_{0};
--- a/bench/metrics.cpp
+++ b/bench/metrics.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
+#include <cstdlib>
 
 namespace pimentoferry::bench {
 
@@ -20,11 +22,11 @@
     return values.at(static_cast<std::size_t>(at));
 }
 
-bool good(const request_result& r) {
-    if (r.outcome_ != outcome::answered ||
-        r.first_token_ms_ > first_token_target_ms) {
-        return false;
-    }
+bool in_time(const request_result& r) {
+    return r.first_token_ms_ <= first_token_target_ms;
+}
+
+bool fluent(const request_result& r) {
     std::vector<float> intervals = r.intervals_ms_;
     return percentile(intervals, 0.95) <= interval_target_ms;
 }
@@ -78,6 +80,8 @@
     double good_answers = 0;
     double computed = 0;
     double used = 0;
+    double late = 0;
+    double slow = 0;
     std::array<double, 5> outcomes{};
     for (const request_result& r : run.requests_) {
         const auto caller = static_cast<std::size_t>(r.caller_);
@@ -90,7 +94,14 @@
         }
         intervals.insert(intervals.end(), r.intervals_ms_.begin(),
                          r.intervals_ms_.end());
-        if (good(r)) {
+        if (r.outcome_ != outcome::answered) {
+            continue;
+        }
+        if (!in_time(r)) {
+            late += 1;
+        } else if (!fluent(r)) {
+            slow += 1;
+        } else {
             good_answers += 1;
             got.at(caller) += 1;
         }
@@ -109,12 +120,15 @@
     at(f, figure::refusals) = share_of(outcome::refused);
     at(f, figure::left) = share_of(outcome::left);
     at(f, figure::lost) = share_of(outcome::lost);
+    at(f, figure::late) = late / requests;
+    at(f, figure::slow) = slow / requests;
     at(f, figure::first_token_p50_ms) = percentile(first_tokens, 0.50);
     at(f, figure::first_token_p95_ms) = percentile(first_tokens, 0.95);
     at(f, figure::first_token_p99_ms) = percentile(first_tokens, 0.99);
     at(f, figure::interval_p50_ms) = percentile(intervals, 0.50);
     at(f, figure::interval_p95_ms) = percentile(intervals, 0.95);
     at(f, figure::interval_p99_ms) = percentile(intervals, 0.99);
+    if (std::getenv("FAIR")) { auto sh = fair_shares(asked, good_answers); double l=0, ls=0, lo=9; for (std::size_t i=1;i<n;++i){l+=got[i];ls+=sh[i];lo=std::min(lo,got[i]/sh[i]);} std::fprintf(stderr,"heavy asked %.0f got %.0f share %.1f; light asked.. got %.0f share %.1f lowest %.2f\n",asked[0],got[0],sh[0],l,ls,lo);}
     at(f, figure::fairness) = jain(got, fair_shares(asked, good_answers));
     return f;
 }
--- a/bench/metrics.hpp
+++ b/bench/metrics.hpp
@@ -17,6 +17,8 @@
     refusals,       ///< Share of the requests.
     left,           ///< Share of the requests whose callers left or cancelled.
     lost,           ///< Share of the requests that failed.
+    late,           ///< Share answered with a first token after its target.
+    slow, ///< Share answered in time with intervals above their target.
     first_token_p50_ms,
     first_token_p95_ms,
     first_token_p99_ms,
@@ -25,7 +27,7 @@
     interval_p99_ms,
     fairness, ///< Jain's index, see `docs/policy.md`.
 };
-inline constexpr std::size_t figure_count = 13;
+inline constexpr std::size_t figure_count = 15;
 inline constexpr std::array<std::string_view, figure_count> figure_names{
     "goodput",
     "vs_bound",
@@ -33,6 +35,8 @@
     "refused",
     "left",
     "lost",
+    "late",
+    "slow",
     "first_token_p50",
     "first_token_p95",
     "first_token_p99",
--- a/pimentoferry/placement/admission.cpp
+++ b/pimentoferry/placement/admission.cpp
@@ -17,6 +17,11 @@
 constexpr double least_spare_share = 0.02;
 constexpr double least_deviations = 0.5;
 constexpr double deviations_per_weight = 2.5;
+constexpr std::chrono::seconds usage_half_life{8};
+// Fair shares matter from this load of the cell on.
+constexpr double contended_share = 0.05;
+// Half of the wait keeps the engines busy while the others are not waiting.
+constexpr double least_wait_share = 0.35;
 constexpr double least_retry_ms = 100;
 constexpr double most_retry_ms = 30'000;
 
@@ -79,6 +84,42 @@
     return std::max(prefill_wait, decode_wait);
 }
 
+double admission::decayed(const recent_tokens& r, base::time_point now) {
+    const std::chrono::duration<double> age = now - r.as_of_;
+    return r.tokens_ * std::exp2(-age / usage_half_life);
+}
+
+void admission::add(recent_tokens& r, double tokens, base::time_point now) {
+    r.tokens_ = decayed(r, now) + tokens;
+    r.as_of_ = now;
+}
+
+void admission::granted(const base::caller_name& caller,
+                        double tokens,
+                        base::time_point now) {
+    if (now >= next_cleanup_) {
+        next_cleanup_ = now + usage_half_life;
+        std::erase_if(usage_, [now](const auto& entry) {
+            return entry.second.as_of_ + 4 * usage_half_life < now;
+        });
+    }
+    add(usage_[caller], tokens, now);
+    add(total_usage_, tokens, now);
+}
+
+double admission::wait_share(const base::caller_name& caller,
+                             const cell_capacity& capacity,
+                             base::time_point now) const {
+    const auto found = usage_.find(caller);
+    if (found == usage_.end() || spare_share(capacity) > contended_share) {
+        return 1;
+    }
+    const double equal =
+        decayed(total_usage_, now) / static_cast<double>(usage_.size());
+    const double own = decayed(found->second, now);
+    return own <= equal ? 1 : std::max(equal / own, least_wait_share);
+}
+
 base::milliseconds admission::retry_after(double excess_ms) {
     const double wait = std::clamp(excess_ms, least_retry_ms, most_retry_ms);
     return base::milliseconds{static_cast<std::int64_t>(wait)};
--- a/pimentoferry/placement/admission.hpp
+++ b/pimentoferry/placement/admission.hpp
@@ -12,6 +12,7 @@
 #include "pimentoferry/placement/fair_queue.hpp"
 
 #include <cstdint>
+#include <unordered_map>
 
 namespace pimentoferry::placement {
 
@@ -47,6 +48,19 @@
     [[nodiscard]] double queue_wait_ms(const work_ahead& ahead,
                                        const cell_capacity& capacity) const;
 
+    /// A request of the caller was granted.
+    void granted(const base::caller_name& caller,
+                 double tokens,
+                 base::time_point now);
+
+    /// Share of the usual wait that the caller may take in the queue, 0 to 1.
+    /// It is less than 1 while demand fills the cell and the caller was
+    /// granted more than an equal share of the last seconds' tokens, so that
+    /// its requests are refused before those of others.
+    [[nodiscard]] double wait_share(const base::caller_name& caller,
+                                    const cell_capacity& capacity,
+                                    base::time_point now) const;
+
     /// When a refused request may find a place: the excess of its predicted
     /// first token over its budget, at least 100 ms and at most 30 s.
     [[nodiscard]] static base::milliseconds retry_after(double excess_ms);
@@ -61,6 +75,18 @@
     double arrival_gap_ms_{1'000};
     double arrival_tokens_{4'000};
     base::time_point last_arrival_;
+
+    /// Tokens granted of late; the past counts half after `usage_half_life`.
+    struct recent_tokens {
+        double tokens_{0};
+        base::time_point as_of_;
+    };
+    static double decayed(const recent_tokens& r, base::time_point now);
+    static void add(recent_tokens& r, double tokens, base::time_point now);
+
+    std::unordered_map<base::caller_name, recent_tokens> usage_;
+    recent_tokens total_usage_;
+    base::time_point next_cleanup_;
 };
 
 } // namespace pimentoferry::placement
--- a/pimentoferry/placement/cell_core.hpp
+++ b/pimentoferry/placement/cell_core.hpp
@@ -136,6 +136,8 @@
 
     // cell_dispatch.cpp: the policy `reserved`.
     void admit(attempt_state& a);
+    bool may_wait(attempt_state& a, double& predicted_ms) const;
+    void leave_queue(attempt_state& a);
     void pump();
     void expire();
     void expire_results();
--- a/pimentoferry/placement/cell_dispatch.cpp
+++ b/pimentoferry/placement/cell_dispatch.cpp
@@ -20,7 +20,13 @@
 constexpr double grant_ahead_ms = 40;
 // Admission uses this share of the first-token target; the rest is for what
 // the prediction cannot know, such as a burst of short decodes that ends late.
-constexpr double admission_share = 0.8;
+constexpr double admission_share = 0.65;
+// A request that starts later than this many times its predicted service
+// before its target goes past the target too often.
+constexpr double start_margin = 1.4;
+// Share of the decode places that late requests leave free. Without it they
+// take the places of those who still can be served in time.
+constexpr std::uint32_t late_reserve_divisor = 32;
 // Part of the lifetime of a prefill result for which it may wait for a decode
 // place; the rest is for the transfer and for a second engine.
 constexpr double wait_share = 0.5;
@@ -119,47 +125,54 @@
     return c;
 }
 
-void cell_core::admit(attempt_state& a) {
+bool cell_core::may_wait(attempt_state& a, double& predicted_ms) const {
     const double service = first_token_ms(a);
     const cell_capacity c = capacity();
     const double wait =
         admission_.queue_wait_ms(queue_.ahead_of(item_of(a)), c);
-    const double target = admission_share * ms_between(now_, a.target_);
-    if (wait + service > target) {
-        a.late_ = true;
-        const double late_wait =
-            admission_.queue_wait_ms(queue_.ahead_of(item_of(a)), c) /
-            admission_.spare_share(c);
-        const bool patient = a.limit_ > a.target_;
-        if (!patient || late_wait + service > ms_between(now_, a.limit_)) {
-            const double excess = wait + service - target;
-            refuse(a, base::refusal_code::overloaded,
-                   admission::retry_after(excess),
-                   "predicted first token after the budget");
-            forget(a.id_);
-            return;
-        }
+    predicted_ms = wait + service;
+    const double allowed =
+        admission_share * ms_between(now_, a.target_) - service;
+    const double share = admission_.wait_share(a.caller_, c, now_);
+    if (wait <= std::max(allowed, 0.0) * share) {
+        return true;
     }
-    if (queue_.size() + parked_.size() >= settings_.queue_limit_) {
-        refuse(a, base::refusal_code::overloaded, admission::retry_after(wait),
-               "queue full");
-        forget(a.id_);
-        return;
+    if (a.limit_ <= a.target_) {
+        return false;
     }
+    a.late_ = true;
+    const double late_wait =
+        admission_.queue_wait_ms(queue_.ahead_of(item_of(a)), c);
+    predicted_ms = late_wait / admission_.spare_share(c) + service;
+    return predicted_ms <= ms_between(now_, a.limit_);
+}
+
+void cell_core::admit(attempt_state& a) {
     const base::attempt_id id = a.id_;
+    double predicted_ms = 0;
+    const bool full = queue_.size() + parked_.size() >= settings_.queue_limit_;
+    if (!may_wait(a, predicted_ms) || full) {
+        const double excess = predicted_ms - ms_between(now_, a.target_);
+        refuse(a, base::refusal_code::overloaded,
+               admission::retry_after(excess),
+               full ? "queue full" : "predicted first token after the budget");
+        forget(id);
+        return;
+    }
     enqueue(a);
     pump();
     const attempt_state* left = find(id);
     if (left != nullptr && left->stage_ == attempt_stage::queued) {
         send(*left, place_queued{id});
         record(*left, decision_kind::queue, "no place yet", no_engine, {},
-               wait + service);
+               predicted_ms);
     }
 }
 
 void cell_core::enqueue(attempt_state& a) {
     const base::time_point limit = a.late_ ? a.limit_ : a.target_;
-    a.expires_ = limit - duration_of(first_token_ms(a));
+    const double service = start_margin * first_token_ms(a);
+    a.expires_ = limit - duration_of(service);
     expiry_.emplace(a.expires_, a.id_);
     queue_.push(item_of(a));
 }
@@ -251,14 +264,16 @@
             ? 0
             : (promised_.pieces_ + promised_.slots_ - 1) / promised_.slots_;
     const std::uint32_t size = std::max(pieces, promised_size);
+    std::uint32_t slots = 0;
     std::uint32_t fitting = 0;
     std::uint32_t held_pieces = 0;
     std::uint32_t held_slots = 0;
     places free;
     each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
-        const std::uint32_t slots =
+        const std::uint32_t free_here =
             e.free_slots(settings_.token_interval_target_);
-        fitting += std::min(slots, e.free_pieces() / size);
+        slots += e.description().slots_;
+        fitting += std::min(free_here, e.free_pieces() / size);
         free.pieces_ += e.free_pieces();
         held_slots += e.held().slots_;
         held_pieces += e.held().pieces_;
@@ -269,7 +284,9 @@
             : admission_.frees_lower_bound(bound_, horizon_ms, waste_weight());
     const std::uint32_t coming_pieces =
         held_slots == 0 ? 0 : coming * (held_pieces / held_slots);
-    return promised_.slots_ + 1 <= fitting + coming &&
+    const std::uint32_t reserve =
+        a.late_ ? slots / late_reserve_divisor + 1 : 0;
+    return promised_.slots_ + 1 + reserve <= fitting + coming &&
            promised_.pieces_ + pieces <= free.pieces_ + coming_pieces;
 }
 
@@ -353,12 +370,18 @@
     return true;
 }
 
+// The granted request is at the front of the queue.
+void cell_core::leave_queue(attempt_state& a) {
+    expiry_.erase({a.expires_, a.id_});
+    queue_.pop();
+    admission_.granted(a.caller_, a.prompt_tokens_, now_);
+}
+
 void cell_core::grant(attempt_state& a,
                       engine_index prefill,
                       candidates weighed,
                       double finish_ms) {
-    expiry_.erase({a.expires_, a.id_});
-    queue_.pop();
+    leave_queue(a);
     engine_view& e = engine(prefill);
     a.uncached_tokens_ = uncached_tokens(a, e);
     a.expected_ms_ = e.prefill_ms(a.uncached_tokens_);
@@ -386,8 +409,7 @@
 }
 
 void cell_core::grant_inline(attempt_state& a, engine_index decode) {
-    expiry_.erase({a.expires_, a.id_});
-    queue_.pop();
+    leave_queue(a);
     engine_view& e = engine(decode);
     e.hold(pieces_of(a));
     e.start_inline_prefill(now_);
