--- /dev/null
+++ b/pimentoferry/entry/traffic_context.cpp
@@ -0,0 +1,47 @@
+#include "pimentoferry/entry/traffic_context.hpp"
+
+#include "pimentoferry/entry/log.hpp"
+#include "pimentoferry/http/exchange.hpp"
+
+namespace pimentoferry::entry {
+
+namespace {
+
+// Refusals after which another entry may serve the caller.
+bool other_entry_may_help(base::refusal_code code) {
+    using enum base::refusal_code;
+    return code == draining || code == isolated || code == no_configuration ||
+           code == store_unavailable || code == not_owner;
+}
+
+} // namespace
+
+http::problem_context problem_context_of(const traffic_context& traffic,
+                                         const base::refusal& refusal,
+                                         base::request_id request) {
+    http::problem_context context;
+    context.request_id_ = log_id(request);
+    if (other_entry_may_help(refusal.code_)) {
+        for (const auto& entry : traffic.snapshot_->entries_) {
+            context.entries_.push_back(entry.address_);
+        }
+    }
+    return context;
+}
+
+http::awaitable<void> refuse_call(traffic_context& traffic,
+                                  http::exchange& call,
+                                  base::request_id request,
+                                  base::refusal refusal) {
+    traffic.metrics_.count_refusal(refusal.code_);
+    log_info("refuse",
+             {{"request", log_id(request)},
+              {"code", std::string{to_string(refusal.code_)}},
+              {"ran", std::string{to_string(refusal.ran_)}},
+              {"detail", refusal.detail_}});
+    const auto context = problem_context_of(traffic, refusal, request);
+    const auto answer = http::problem_response(refusal, context);
+    co_await call.respond(answer);
+}
+
+} // namespace pimentoferry::entry
--- /dev/null
+++ b/pimentoferry/entry/traffic_context.hpp
@@ -0,0 +1,56 @@
+/// What the relays of one traffic thread share.
+#ifndef PIMENTOFERRY_ENTRY_TRAFFIC_CONTEXT_HPP
+#define PIMENTOFERRY_ENTRY_TRAFFIC_CONTEXT_HPP
+
+#include "pimentoferry/entry/metrics.hpp"
+#include "pimentoferry/entry/replica_set.hpp"
+#include "pimentoferry/entry/reports.hpp"
+#include "pimentoferry/entry/snapshot.hpp"
+#include "pimentoferry/http/client.hpp"
+#include "pimentoferry/http/problem.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace pimentoferry::entry {
+
+class model_relay;
+class service_relay;
+
+struct traffic_context {
+    boost::asio::io_context& io_;
+    base::instance_id instance_;
+    base::failure_domain failure_domain_;
+    report_function report_;
+    metrics& metrics_;
+    http::client client_;
+    request_id_source ids_;
+    snapshot_ptr snapshot_;
+    replica_set replicas_;
+    std::map<base::request_id, std::shared_ptr<model_relay>> models_;
+    std::map<base::request_id, std::shared_ptr<service_relay>> services_;
+    std::map<base::caller_name, std::uint32_t> in_flight_;
+    /// Engines whose last connection was refused: their crash is reported
+    /// once, because a repeated report would mark requests that arrived later.
+    std::set<base::upstream_name> refused_engines_;
+};
+
+/// Context of a refusal, with other addresses where the caller may use them.
+http::problem_context problem_context_of(const traffic_context& traffic,
+                                         const base::refusal& refusal,
+                                         base::request_id request);
+
+/// Answers with a refusal, counts and logs it.
+http::awaitable<void> refuse_call(traffic_context& traffic,
+                                  http::exchange& call,
+                                  base::request_id request,
+                                  base::refusal refusal);
+
+} // namespace pimentoferry::entry
+
+#endif
