--- a/pimentoferry/entry/log.cpp
+++ b/pimentoferry/entry/log.cpp
@@ -10,9 +10,8 @@
 namespace {
 
 std::string quoted(std::string_view value) {
-    const bool plain =
-        !value.empty() &&
-        value.find_first_of(" \"=\n\r\t\\") == std::string_view::npos;
+    const bool plain = !value.empty() && value.find_first_of(" \"=\n\r\t\\") ==
+                                             std::string_view::npos;
     if (plain) {
         return std::string{value};
     }
@@ -39,8 +38,8 @@
 
 void configure_log(const std::string& level, const std::string& entry_name) {
     const auto logger = spdlog::stderr_logger_mt("entry");
-    logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e level=%l entry=" +
-                        quoted(entry_name) + " %v");
+    logger->set_pattern(
+        "%Y-%m-%dT%H:%M:%S.%e level=%l entry=" + quoted(entry_name) + " %v");
     logger->set_level(spdlog::level::from_str(level));
     logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(logger);
--- a/pimentoferry/entry/model_relay.cpp
+++ b/pimentoferry/entry/model_relay.cpp
@@ -58,11 +58,11 @@
             break;
         }
         const auto& command = std::get<request_command>(next);
-        std::visit(base::overloaded{
-                       [&](const requests::refuse&) { last = command; },
-                       [&](const requests::finish&) { last = command; },
-                       [&](const auto& action) { begin(action); }},
-                   command);
+        std::visit(
+            base::overloaded{[&](const requests::refuse&) { last = command; },
+                             [&](const requests::finish&) { last = command; },
+                             [&](const auto& action) { begin(action); }},
+            command);
     }
     if (left) {
         traffic_.report_(requests::event{requests::caller_gone{request}});
@@ -155,8 +155,8 @@
     if (!address) {
         co_return engine_failure::not_sent;
     }
-    auto result = co_await traffic_.client_.call(
-        *address, std::move(call), std::move(options));
+    auto result = co_await traffic_.client_.call(*address, std::move(call),
+                                                 std::move(options));
     if (const auto* failure = std::get_if<http::call_failure>(&result)) {
         const auto noted = note_failure(engine, *failure);
         traffic_.engines_.failed(engine, *address, *failure);
@@ -173,8 +173,8 @@
 http::awaitable<void> model_relay::prefill(requests::start_prefill action,
                                            http::call_options options) {
     auto call = prefill_call(action.attempt_, request_.engine_);
-    const auto result = co_await call_engine(
-        action.engine_, std::move(call), std::move(options));
+    const auto result = co_await call_engine(action.engine_, std::move(call),
+                                             std::move(options));
     if (const auto* failure = std::get_if<engine_failure>(&result)) {
         traffic_.report_(requests::event{
             requests::prefill_failed{action.attempt_, *failure}});
@@ -183,16 +183,14 @@
     const auto answer =
         parse_prefill_answer(std::get<http::response>(result).body_);
     if (!answer) {
-        traffic_.report_(requests::event{requests::prefill_failed{
-            action.attempt_, engine_failure::error}});
+        traffic_.report_(requests::event{
+            requests::prefill_failed{action.attempt_, engine_failure::error}});
         co_return;
     }
     prompt_tokens_ = answer->prompt_tokens_;
-    traffic_.report_(
-        requests::event{requests::prefill_done{action.attempt_,
-                                               answer->handle_,
-                                               answer->prompt_tokens_,
-                                               answer->cached_tokens_}});
+    traffic_.report_(requests::event{requests::prefill_done{
+        action.attempt_, answer->handle_, answer->prompt_tokens_,
+        answer->cached_tokens_}});
 }
 
 http::awaitable<void> model_relay::import(requests::start_import action,
@@ -237,8 +235,8 @@
         co_return engine_failure::not_sent;
     }
     auto call = decode_call(action, request_.engine_);
-    auto opened = co_await traffic_.client_.open(
-        *address, std::move(call), std::move(options));
+    auto opened = co_await traffic_.client_.open(*address, std::move(call),
+                                                 std::move(options));
     if (const auto* failure = std::get_if<http::call_failure>(&opened)) {
         const auto noted = note_failure(action.engine_, *failure);
         traffic_.engines_.failed(action.engine_, *address, *failure);
@@ -251,15 +249,14 @@
     }
     const auto failure = co_await relay_events(answer, action.attempt_);
     if (failure == engine_failure::broken) {
-        traffic_.engines_.failed(
-            action.engine_, *address, {http::failure_kind::broken, true});
+        traffic_.engines_.failed(action.engine_, *address,
+                                 {http::failure_kind::broken, true});
     }
     co_return failure;
 }
 
 http::awaitable<std::optional<engine_failure>>
-model_relay::relay_events(http::open_answer& answer,
-                          base::attempt_id attempt) {
+model_relay::relay_events(http::open_answer& answer, base::attempt_id attempt) {
     http::event_reader reader{answer};
     bool first = true;
     while (true) {
@@ -324,10 +321,9 @@
         co_return;
     }
     traffic_.metrics_.count_refusal(refusal.code_);
-    log_info("stream_error",
-             {{"request", log_id(request)},
-              {"code", std::string{to_string(refusal.code_)}},
-              {"position", std::to_string(position_)}});
+    log_info("stream_error", {{"request", log_id(request)},
+                              {"code", std::string{to_string(refusal.code_)}},
+                              {"position", std::to_string(position_)}});
     const auto context = problem_context_of(traffic_, refusal, request);
     const auto event = http::problem_event(refusal, context);
     co_await call_.write(event);
--- /dev/null
+++ b/pimentoferry/entry/prompt.cpp
@@ -0,0 +1,51 @@
+#include "pimentoferry/entry/caller_api.hpp"
+
+#include "pimentoferry/base/hash.hpp"
+
+#include <algorithm>
+
+namespace pimentoferry::entry {
+
+namespace {
+
+constexpr std::string_view white_space = " \t\r\n\f\v";
+constexpr std::uint32_t tokens_per_piece = 1000;
+
+/// Calls `visit` with the end of each word.
+template <class Visitor>
+void for_each_word(std::string_view text, Visitor visit) {
+    auto start = text.find_first_not_of(white_space);
+    while (start != std::string_view::npos) {
+        const auto end =
+            std::min(text.find_first_of(white_space, start), text.size());
+        visit(end);
+        start = text.find_first_not_of(white_space, end);
+    }
+}
+
+} // namespace
+
+std::uint32_t estimate_tokens(std::string_view prompt) {
+    std::uint32_t words = 0;
+    for_each_word(prompt, [&words](std::size_t) { ++words; });
+    return words;
+}
+
+std::vector<std::uint64_t> prefix_hashes(std::string_view prompt) {
+    std::vector<std::uint64_t> hashes;
+    std::uint32_t words = 0;
+    std::uint64_t hash = 0;
+    std::size_t piece_start = 0;
+    for_each_word(prompt, [&](std::size_t end) {
+        if (++words % tokens_per_piece != 0) {
+            return;
+        }
+        const auto piece = prompt.substr(piece_start, end - piece_start);
+        hash = base::hash_combine(hash, base::hash_bytes(piece));
+        hashes.push_back(hash);
+        piece_start = end;
+    });
+    return hashes;
+}
+
+} // namespace pimentoferry::entry
--- a/pimentoferry/entry/replica_set.cpp
+++ b/pimentoferry/entry/replica_set.cpp
@@ -44,7 +44,8 @@
     return less_loaded(near.empty() ? usable : near);
 }
 
-const replica& replica_set::less_loaded(const std::vector<replica>& candidates) {
+const replica&
+replica_set::less_loaded(const std::vector<replica>& candidates) {
     std::uniform_int_distribution<std::size_t> any{0, candidates.size() - 1};
     const auto& first = candidates[any(random_)];
     const auto& second = candidates[any(random_)];
@@ -69,8 +70,8 @@
     }
     ++record.failures_;
     if (record.failures_ >= failures_before_ejection) {
-        record.ejection_ = std::clamp(
-            2 * record.ejection_, first_ejection, longest_ejection);
+        record.ejection_ =
+            std::clamp(2 * record.ejection_, first_ejection, longest_ejection);
         record.ejected_until_ = now + record.ejection_;
     }
 }
--- a/pimentoferry/entry/replica_set.hpp
+++ b/pimentoferry/entry/replica_set.hpp
@@ -40,9 +40,8 @@
                                   base::time_point now);
 
     void started(const base::upstream_name& name);
-    void ended(const base::upstream_name& name,
-               bool failed,
-               base::time_point now);
+    void
+    ended(const base::upstream_name& name, bool failed, base::time_point now);
 
     bool is_ejected(const base::upstream_name& name,
                     base::time_point now) const;
--- a/pimentoferry/entry/snapshot.cpp
+++ b/pimentoferry/entry/snapshot.cpp
@@ -1,5 +1,7 @@
 #include "pimentoferry/entry/snapshot.hpp"
 
+#include "pimentoferry/base/hash.hpp"
+
 #include <sodium/crypto_hash_sha256.h>
 #include <sodium/utils.h>
 
@@ -37,6 +39,12 @@
     for (const auto& [name, upstream] : table->state_.upstreams_) {
         if (upstream.kind_ == config::upstream_kind::service) {
             table->replicas_[upstream.service_].push_back(name);
+            continue;
+        }
+        auto& cells = table->cells_[upstream.deployment_];
+        const auto cell = cell_of(upstream);
+        if (std::ranges::count(cells, cell) == 0) {
+            cells.push_back(cell);
         }
     }
     return table;
@@ -48,8 +56,7 @@
                        reinterpret_cast<const unsigned char*>(text.data()),
                        text.size());
     std::array<char, 2 * crypto_hash_sha256_BYTES + 1> digits{};
-    sodium_bin2hex(
-        digits.data(), digits.size(), digest.data(), digest.size());
+    sodium_bin2hex(digits.data(), digits.size(), digest.data(), digest.size());
     return digits.data();
 }
 
@@ -60,8 +67,7 @@
         return std::nullopt;
     }
     authorization.remove_prefix(scheme.size());
-    const auto found =
-        routing.callers_by_key_.find(sha256_hex(authorization));
+    const auto found = routing.callers_by_key_.find(sha256_hex(authorization));
     if (found == routing.callers_by_key_.end()) {
         return std::nullopt;
     }
@@ -96,10 +102,28 @@
     resolved_deployment resolved;
     resolved.deployment_ = &deployment;
     resolved.target_ = target_for(deployment, caller);
-    resolved.cell_ = base::cell_name{name.value_};
     return resolved;
 }
 
+base::cell_name choose_cell(const snapshot& state,
+                            const base::deployment_name& deployment,
+                            std::uint64_t seed) {
+    const auto found = state.routing_->cells_.find(deployment);
+    if (found == state.routing_->cells_.end()) {
+        return base::cell_name{deployment.value_};
+    }
+    const auto& cells = found->second;
+    const auto mixed = base::hash_combine(seed, cells.size());
+    constexpr unsigned half_bits = 32;
+    const auto& first = cells[(mixed >> half_bits) % cells.size()];
+    const auto& second = cells[(mixed & 0xFFFFFFFFU) % cells.size()];
+    const auto free_places = [&state](const base::cell_name& cell) {
+        const auto known = state.headroom_.find(cell);
+        return known == state.headroom_.end() ? 0U : known->second;
+    };
+    return free_places(first) >= free_places(second) ? first : second;
+}
+
 const config::upstream* find_upstream(const snapshot& state,
                                       const base::upstream_name& name) {
     const auto& upstreams = state.routing_->state_.upstreams_;
--- a/pimentoferry/entry/snapshot.hpp
+++ b/pimentoferry/entry/snapshot.hpp
@@ -28,6 +28,7 @@
     /// By the lower-case hexadecimal SHA-256 of the key.
     std::map<std::string, base::caller_name, std::less<>> callers_by_key_;
     std::map<base::service_name, std::vector<base::upstream_name>> replicas_;
+    std::map<base::deployment_name, std::vector<base::cell_name>> cells_;
 };
 
 std::shared_ptr<const routing_table> make_routing_table(std::uint64_t number,
@@ -47,6 +48,8 @@
     std::vector<entry_address> entries_; ///< Live, not draining.
     /// New work is refused with it; nothing: the entry serves.
     std::optional<base::refusal> closed_;
+    /// Free places of each cell, by the gossip of their owners.
+    std::map<base::cell_name, std::uint32_t> headroom_;
     /// Leaving by the platform's list or by gossip; tickets are in the table.
     std::set<base::upstream_name> leaving_;
 };
@@ -64,7 +67,6 @@
 struct resolved_deployment {
     const config::deployment* deployment_{nullptr};
     config::model_target target_;
-    base::cell_name cell_;
 };
 
 std::variant<resolved_deployment, base::refusal>
@@ -86,6 +88,12 @@
 /// The cell of an engine: the named one, or one for the whole deployment.
 base::cell_name cell_of(const config::upstream& engine);
 
+/// A cell of the deployment, by power of two choices on the headroom. `seed`
+/// varies between requests. Without engines it is the deployment's name.
+base::cell_name choose_cell(const snapshot& state,
+                            const base::deployment_name& deployment,
+                            std::uint64_t seed);
+
 } // namespace pimentoferry::entry
 
 #endif
--- a/pimentoferry/entry/traffic_context.cpp
+++ b/pimentoferry/entry/traffic_context.cpp
@@ -1,7 +1,9 @@
 #include "pimentoferry/entry/traffic_context.hpp"
 
+#include "pimentoferry/base/hash.hpp"
 #include "pimentoferry/entry/log.hpp"
-#include "pimentoferry/http/exchange.hpp"
+#include "pimentoferry/entry/model_relay.hpp"
+#include "pimentoferry/entry/service_relay.hpp"
 
 namespace pimentoferry::entry {
 
@@ -16,6 +18,17 @@
 
 } // namespace
 
+traffic_context::traffic_context(boost::asio::io_context& io,
+                                 base::instance_id instance,
+                                 std::uint8_t thread,
+                                 base::failure_domain failure_domain,
+                                 report_function report,
+                                 metrics& counters)
+    : io_(io), instance_(instance), failure_domain_(std::move(failure_domain)),
+      report_(std::move(report)), metrics_(counters), client_(io),
+      engines_(io, client_, report_), ids_(instance, thread),
+      replicas_(base::hash_combine(instance.value_, thread)) {}
+
 http::problem_context problem_context_of(const traffic_context& traffic,
                                          const base::refusal& refusal,
                                          base::request_id request) {
@@ -34,11 +47,10 @@
                                   base::request_id request,
                                   base::refusal refusal) {
     traffic.metrics_.count_refusal(refusal.code_);
-    log_info("refuse",
-             {{"request", log_id(request)},
-              {"code", std::string{to_string(refusal.code_)}},
-              {"ran", std::string{to_string(refusal.ran_)}},
-              {"detail", refusal.detail_}});
+    log_info("refuse", {{"request", log_id(request)},
+                        {"code", std::string{to_string(refusal.code_)}},
+                        {"ran", std::string{to_string(refusal.ran_)}},
+                        {"detail", refusal.detail_}});
     const auto context = problem_context_of(traffic, refusal, request);
     const auto answer = http::problem_response(refusal, context);
     co_await call.respond(answer);
--- a/pimentoferry/entry/traffic_context.hpp
+++ b/pimentoferry/entry/traffic_context.hpp
@@ -2,12 +2,15 @@
 #ifndef PIMENTOFERRY_ENTRY_TRAFFIC_CONTEXT_HPP
 #define PIMENTOFERRY_ENTRY_TRAFFIC_CONTEXT_HPP
 
+#include "pimentoferry/entry/engine_watch.hpp"
 #include "pimentoferry/entry/metrics.hpp"
 #include "pimentoferry/entry/replica_set.hpp"
 #include "pimentoferry/entry/reports.hpp"
 #include "pimentoferry/entry/snapshot.hpp"
 #include "pimentoferry/http/client.hpp"
+#include "pimentoferry/http/exchange.hpp"
 #include "pimentoferry/http/problem.hpp"
+#include "pimentoferry/requests/retry_budget.hpp"
 
 #include <cstdint>
 #include <map>
@@ -23,21 +26,27 @@
 class service_relay;
 
 struct traffic_context {
+    traffic_context(boost::asio::io_context& io,
+                    base::instance_id instance,
+                    std::uint8_t thread,
+                    base::failure_domain failure_domain,
+                    report_function report,
+                    metrics& counters);
+
     boost::asio::io_context& io_;
     base::instance_id instance_;
     base::failure_domain failure_domain_;
     report_function report_;
     metrics& metrics_;
     http::client client_;
+    engine_watch engines_;
     request_id_source ids_;
     snapshot_ptr snapshot_;
     replica_set replicas_;
     std::map<base::request_id, std::shared_ptr<model_relay>> models_;
     std::map<base::request_id, std::shared_ptr<service_relay>> services_;
     std::map<base::caller_name, std::uint32_t> in_flight_;
-    /// Engines whose last connection was refused: their crash is reported
-    /// once, because a repeated report would mark requests that arrived later.
-    std::set<base::upstream_name> refused_engines_;
+    std::map<base::service_name, requests::retry_budget> retries_;
 };
 
 /// Context of a refusal, with other addresses where the caller may use them.
