Connect tickets, membership, at-most-once calls and the administration

Cause: entries have to act as one fleet by the state in force. Excluded: handling an event inside the action of another one; actions would then run in an order that no library expects, so events wait in a queue. Change: the control thread owns the tickets, the failure detector, the at-most-once service and the request table; peers exchange one envelope; drain, health, metrics, registration in the store and the platform's list are connected. Placement is still a stand-in.

--- a/pimentoferry/entry/caller_api.cpp
+++ b/pimentoferry/entry/caller_api.cpp
@@ -15,6 +15,7 @@
 constexpr int status_ok = 200;
 constexpr int status_not_serving = 503;
 constexpr base::milliseconds address_keep{2000};
+constexpr base::milliseconds pause_limit{2000};
 
 base::refusal not_run(base::refusal_code code, std::string detail) {
     return {code, base::ran_state::not_run, std::nullopt, std::move(detail)};
@@ -49,6 +50,12 @@
     if (state.closed_) {
         return *state.closed_;
     }
+    if (base::clock::now() - traffic.control_alive_.load() > pause_limit) {
+        auto refusal =
+            not_run(base::refusal_code::isolated, "this entry was paused");
+        refusal.retry_after_ = std::chrono::seconds{1};
+        return refusal;
+    }
     const auto& routing = *state.routing_;
     const auto caller = find_caller(
         routing, http::find_field(call.call().fields_, "Authorization"));
--- a/pimentoferry/entry/control.cpp
+++ b/pimentoferry/entry/control.cpp
@@ -1,3 +1,5 @@
+// The loop: events in, actions out, and the timer.
+
 #include "pimentoferry/entry/control.hpp"
 
 #include "pimentoferry/entry/log.hpp"
@@ -6,6 +8,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <numeric>
 
 namespace pimentoferry::entry {
 
@@ -13,8 +16,13 @@
 
 namespace {
 
-// Upper bound between two ticks; the decision objects ask for earlier ones.
-constexpr base::milliseconds longest_tick{100};
+// The failure detector needs a tick about every 50 ms.
+constexpr base::milliseconds longest_tick{50};
+// The ticket log takes an operation for failed after 1 s.
+constexpr base::milliseconds store_timeout{1000};
+// A wall clock that moves this much against the steady one tells of a pause
+// of the machine, which stops the steady clock.
+constexpr base::milliseconds wall_jump{2000};
 
 requests::table_settings table_settings(const config::settings& settings,
                                         base::instance_id instance) {
@@ -31,6 +39,24 @@
     return result;
 }
 
+tickets::log_settings ticket_settings(const config::settings& settings,
+                                      base::instance_id instance) {
+    return {instance, settings.name_, settings.partition_policy_,
+            instance.value_};
+}
+
+membership::swim_settings swim_settings(const config::settings& settings,
+                                        base::instance_id instance) {
+    membership::member self;
+    self.instance_ = instance;
+    self.name_ = settings.name_;
+    self.peer_address_ = settings.peer_address_;
+    self.traffic_address_ = settings.traffic_address_;
+    self.failure_domain_ = settings.failure_domain_;
+    self.region_ = settings.region_;
+    return {self, instance.value_};
+}
+
 base::wall_time wall_now() {
     return std::chrono::time_point_cast<base::milliseconds>(
         std::chrono::system_clock::now());
@@ -40,25 +66,56 @@
 
 control::control(const config::settings& settings,
                  base::instance_id instance,
-                 std::shared_ptr<const routing_table> routing,
                  metrics& counters)
     : settings_(settings), instance_(instance), metrics_(counters), timer_(io_),
-      routing_(std::move(routing)), table_(table_settings(settings, instance)),
-      once_(once_settings(settings), instance) {
+      client_(io_), table_(table_settings(settings, instance)),
+      once_(once_settings(settings), instance),
+      tickets_(ticket_settings(settings, instance)),
+      swim_(swim_settings(settings, instance)),
+      store_(io_, {settings.store_address_, store_timeout}),
+      registration_(settings.name_, settings.peer_address_),
+      drain_(settings.drain_limit_), routing_(make_routing_table(0, {})),
+      last_steady_(base::clock::now()), last_wall_(wall_now()) {
     publish();
 }
 
+control::~control() = default;
+
 void control::post(report event) {
-    asio::post(io_, [this, event = std::move(event)] {
-        std::visit([this](const auto& e) { handle(e); }, event);
+    asio::post(io_, [this, event = std::move(event)]() mutable {
+        std::visit([this](auto& e) { raise(std::move(e)); }, event);
+        handle_queue();
+        arm_timer();
+    });
+}
+
+void control::post(std::function<void()> work) {
+    asio::post(io_, [this, work = std::move(work)] {
+        work();
+        handle_queue();
         arm_timer();
     });
 }
 
-void control::run() {
+int control::run() {
     const auto work = asio::make_work_guard(io_);
-    asio::post(io_, [this] { tick(); });
+    post([this] {
+        raise(membership::event{membership::start{}});
+        raise(tickets::event{tickets::start{}});
+        set_seeds();
+        start_platform_poll();
+        tick();
+    });
     io_.run();
+    return exit_code_;
+}
+
+void control::handle_queue() {
+    while (!finished_ && !queue_.empty()) {
+        const auto event = std::move(queue_.front());
+        queue_.pop_front();
+        std::visit([this](const auto& e) { handle(e); }, event);
+    }
 }
 
 void control::handle(const requests::event& event) {
@@ -73,9 +130,44 @@
     }
 }
 
+void control::handle(const tickets::event& event) {
+    for (const auto& action : tickets_.handle(event, base::clock::now())) {
+        perform(action);
+    }
+}
+
+void control::handle(const membership::event& event) {
+    for (const auto& action : swim_.handle(event, base::clock::now())) {
+        perform(action);
+    }
+}
+
+void control::handle(const cell_request& request) {
+    to_cell(request.from_, request.message_);
+}
+
 void control::tick() {
-    handle(requests::event{requests::tick{}});
-    handle(once::event{once::tick{wall_now()}});
+    if (finished_) {
+        return;
+    }
+    note_wall_clock();
+    raise(tickets::event{tickets::tick{}});
+    raise(membership::event{membership::tick{}});
+    raise(requests::event{requests::tick{}});
+    raise(once::event{once::tick{wall_now()}});
+    handle_queue();
+    refresh_view();
+    step_cells();
+    handle_queue();
+    const auto now = base::clock::now();
+    step_registration(now);
+    step_drain(now);
+    if (snapshot_changed_) {
+        publish();
+    }
+    for (auto* traffic : traffic_) {
+        traffic->note_control_alive(now);
+    }
     arm_timer();
 }
 
@@ -84,22 +176,39 @@
     for (const auto due : {table_.next_deadline(), once_.next_wakeup()}) {
         next = std::min(next, due.value_or(next));
     }
+    // A timer that is armed again for the same time would never expire under
+    // a steady load of events.
+    if (finished_ || (timer_armed_ && timer_.expiry() <= next)) {
+        return;
+    }
+    timer_armed_ = true;
     timer_.expires_at(next);
     timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
+            timer_armed_ = false;
             tick();
         }
     });
 }
 
-void control::publish() {
-    auto next = std::make_shared<snapshot>();
-    next->routing_ = routing_;
-    next->entries_.push_back({settings_.traffic_address_, 1});
-    snapshot_ = next;
-    for (auto* traffic : traffic_) {
-        traffic->use(snapshot_);
+void control::note_wall_clock() {
+    const auto steady = base::clock::now();
+    const auto wall = wall_now();
+    const auto steady_time =
+        std::chrono::duration_cast<base::milliseconds>(steady - last_steady_);
+    const auto drift = (wall - last_wall_) - steady_time;
+    last_steady_ = steady;
+    last_wall_ = wall;
+    if (std::chrono::abs(drift) > wall_jump) {
+        log_warn("clock_jump", {{"ms", std::to_string(drift.count())}});
+        raise(tickets::event{tickets::clock_jump{std::chrono::abs(drift)}});
     }
 }
 
+std::size_t control::in_flight() const {
+    return std::transform_reduce(
+        traffic_.begin(), traffic_.end(), std::size_t{0}, std::plus<>{},
+        [](const traffic_thread* t) { return t->in_flight(); });
+}
+
 } // namespace pimentoferry::entry
--- a/pimentoferry/entry/control.hpp
+++ b/pimentoferry/entry/control.hpp
@@ -80,7 +80,11 @@
     void apply_ticket(std::string ticket, admin_reply reply);
     void find_ticket(std::uint64_t number, admin_reply reply);
     admin::admin_answer status() const;
-    admin::admin_answer in_force_status(std::uint64_t number) const;
+    admin::admin_answer begin_drain();
+    /// Nothing: the number in force here.
+    admin::admin_answer
+    in_force_status(std::optional<std::uint64_t> number) const;
+    std::shared_ptr<const routing_table> routing() const { return routing_; }
     admin::admin_answer state_in_force() const;
 
     const snapshot_ptr& current_snapshot() const { return snapshot_; }
@@ -190,6 +194,8 @@
     base::time_point last_steady_;
     base::wall_time last_wall_;
     std::size_t told_in_flight_{0};
+    bool timer_armed_{false};
+    bool finished_{false};
     int exit_code_{0};
 };
 
--- a/pimentoferry/entry/traffic_context.hpp
+++ b/pimentoferry/entry/traffic_context.hpp
@@ -12,6 +12,7 @@
 #include "pimentoferry/http/problem.hpp"
 #include "pimentoferry/requests/retry_budget.hpp"
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -47,6 +48,8 @@
     std::map<base::request_id, std::shared_ptr<service_relay>> services_;
     std::map<base::caller_name, std::uint32_t> in_flight_;
     std::map<base::service_name, requests::retry_budget> retries_;
+    /// Written by the control thread, see `traffic_thread`.
+    std::atomic<base::time_point> control_alive_{base::clock::now()};
 };
 
 /// Context of a refusal, with other addresses where the caller may use them.
--- a/pimentoferry/entry/traffic_thread.cpp
+++ b/pimentoferry/entry/traffic_thread.cpp
@@ -217,6 +217,10 @@
     asio::post(impl_->io_, [this] { impl_->server_->stop(); });
 }
 
+void traffic_thread::note_control_alive(base::time_point now) {
+    impl_->context_.control_alive_ = now;
+}
+
 std::size_t traffic_thread::in_flight() const {
     return impl_->in_flight_;
 }
--- a/pimentoferry/entry/traffic_thread.hpp
+++ b/pimentoferry/entry/traffic_thread.hpp
@@ -53,6 +53,10 @@
     /// Refuses new connections; calls in progress are completed.
     void stop_accepting();
 
+    /// The control thread ran at that time. New work is refused when it has
+    /// not run for 2 s: the process was paused, or the state may be old.
+    void note_control_alive(base::time_point now);
+
     /// Calls of callers in progress.
     std::size_t in_flight() const;
 
