Let only entries in force confirm the state of others

Cause: the stateful test found entries serving an old ticket more than 8 s after the next one: two entries that were cut off together confirmed each other when the partition healed, and an entry that started while its peers were paused did not know of them and took itself and one peer for the fleet.

Change: a batch says whether its sender takes new work, and only such answers confirm; peers_known carries the names in the entries/ keys or the platform's list, which count as known.

--- a/pimentoferry/tickets/events.hpp
+++ b/pimentoferry/tickets/events.hpp
@@ -65,9 +65,10 @@
 struct peers_known {
     std::vector<live_peer> live_;
     std::vector<std::string> left_; ///< Names of entries that left in order.
-    /// No other entry is in the settings, the platform's list or the
-    /// membership view, not even a dead one.
-    bool alone_{false};
+    /// Names of entries by the `entries/` keys or the platform's list, with
+    /// this one. They count as known even before they were heard. Empty while
+    /// no list was read.
+    std::vector<std::string> listed_;
 };
 
 /// The clock of the process jumped, so it may have been paused.
--- a/pimentoferry/tickets/messages.hpp
+++ b/pimentoferry/tickets/messages.hpp
@@ -46,6 +46,9 @@
     /// lets the receiver's next poll see that nothing is missing without
     /// reading the whole head.
     std::uint64_t revision_{0};
+    /// The sender takes new work by what it sends, so the batch confirms the
+    /// state of its receiver.
+    bool in_force_{false};
     /// Names of the entries that the sender judges a partition by, if asked
     /// for.
     std::vector<std::string> known_;
@@ -53,7 +56,7 @@
     static auto fields(Self& self) {
         return std::tie(self.base_number_, self.base_state_, self.tickets_,
                         self.request_, self.number_, self.heard_,
-                        self.revision_, self.known_);
+                        self.revision_, self.in_force_, self.known_);
     }
 };
 
--- a/pimentoferry/tickets/peer_pulls.hpp
+++ b/pimentoferry/tickets/peer_pulls.hpp
@@ -2,7 +2,9 @@
 ///
 /// One pull serves to fetch a number that a peer announced. A round asks
 /// several peers, to confirm after a start or a pause that nothing is missing;
-/// it is complete when all of them answered or 1 s passed with an answer.
+/// it is complete when all of them answered, or after 1 s. Only answers of
+/// entries that serve themselves confirm: two entries that were cut off
+/// together must not confirm each other.
 #ifndef PIMENTOFERRY_TICKETS_PEER_PULLS_HPP
 #define PIMENTOFERRY_TICKETS_PEER_PULLS_HPP
 
@@ -54,15 +56,17 @@
         }
     }
 
-    /// Notes an answer. Returns when the round was sent, if it is complete.
-    std::optional<base::time_point> answered(std::uint64_t request) {
+    /// Notes an answer, and whether it confirms. Returns when the round was
+    /// sent, if it is complete.
+    std::optional<base::time_point> answered(std::uint64_t request,
+                                             bool confirms) {
         if (single_ == request) {
             single_.reset();
         }
         if (std::erase(round_, request) == 0 || !round_open_) {
             return std::nullopt;
         }
-        ++round_answers_;
+        round_answers_ += confirms ? 1 : 0;
         return round_.empty() ? close() : std::nullopt;
     }
 
--- a/pimentoferry/tickets/serving_gate.cpp
+++ b/pimentoferry/tickets/serving_gate.cpp
@@ -34,10 +34,11 @@
     std::erase_if(last_live_, [&](const auto& entry) {
         return now - entry.second > memory_limit;
     });
-    known_ = live_;
+    known_.clear();
     for (const auto& [name, ignored] : last_live_) {
         known_.insert(name);
     }
+    widen_known();
 }
 
 void serving_gate::note_confirmed(base::time_point sent) {
@@ -57,16 +58,22 @@
         live_.insert(peer.name_);
         last_live_[peer.name_] = now;
     }
-    alone_ = members.alone_;
-    if (!last_store_ || now - *last_store_ <= isolation_limit) {
-        known_.insert(live_.begin(), live_.end());
-    }
+    listed_ = {members.listed_.begin(), members.listed_.end()};
     for (const auto& name : members.left_) {
         if (!live_.contains(name)) {
+            listed_.erase(name);
             known_.erase(name);
             last_live_.erase(name);
         }
     }
+    if (!last_store_ || now - *last_store_ <= isolation_limit) {
+        widen_known();
+    }
+}
+
+void serving_gate::widen_known() {
+    known_.insert(live_.begin(), live_.end());
+    known_.insert(listed_.begin(), listed_.end());
 }
 
 void serving_gate::note_known(const std::vector<std::string>& names) {
--- a/pimentoferry/tickets/serving_gate.hpp
+++ b/pimentoferry/tickets/serving_gate.hpp
@@ -62,8 +62,8 @@
     /// The store showed to a question sent at `sent` that nothing is missing.
     void note_confirmed(base::time_point sent);
 
-    /// Peers that are not partitioned themselves answered questions sent at
-    /// `sent`, and what they had is applied. This confirms the state only once
+    /// Peers that take new work themselves answered questions sent at `sent`,
+    /// and what they had is applied. This confirms the state only once
     /// the store was asked too and failed, because the store knows more.
     void note_peers_agreed(base::time_point sent);
 
@@ -89,15 +89,16 @@
     /// Whether work is allowed at `now`; the pause check includes `now`.
     serving_allowed evaluate(base::time_point now) const;
 
-    /// Without the store, and at most half of the entries are heard.
-    bool partitioned(base::time_point now) const;
-
     /// A question must be answered before work is allowed.
     bool needs_confirmation() const { return !confirmed_; }
 
 private:
+    /// Without the store, and at most half of the entries are heard.
+    bool partitioned(base::time_point now) const;
     bool isolated(base::time_point now) const;
-    bool alone() const { return alone_ && known_.size() <= 1; }
+    /// The list names no other entry, and no other one was heard of.
+    bool alone() const { return !listed_.empty() && known_.size() <= 1; }
+    void widen_known();
     void unconfirm(base::time_point now);
 
     std::string name_;
@@ -108,15 +109,16 @@
     base::time_point unconfirmed_since_;
     std::optional<base::time_point> store_failed_;
     bool started_{false};
-    bool alone_{false};
     bool confirmed_{false};
     std::uint64_t applied_{0};
     std::optional<base::time_point> behind_since_;
-    std::set<std::string> live_; ///< Names of entries, with this one.
+    std::set<std::string> live_;   ///< Names of entries, with this one.
+    std::set<std::string> listed_; ///< By the last list, without those left.
     /// When each entry that has not left was last live.
     std::map<std::string, base::time_point> last_live_;
     /// What a partition is judged by: the entries that were live within
-    /// `memory_limit` before the last contact with the store. Entries that
+    /// `memory_limit` before the last contact with the store, and those in
+    /// the list. Entries that
     /// died are counted for a while, because an entry that loses its peers
     /// first and the store a minute later is not alone. New entries are added
     /// for 5 s after the contact, because a fresh entry reaches the store
--- a/pimentoferry/tickets/ticket_log.cpp
+++ b/pimentoferry/tickets/ticket_log.cpp
@@ -136,13 +136,13 @@
 void ticket_log::on_message(base::instance_id from,
                             const ticket_pull& pull,
                             base::time_point now) {
-    // An entry that may be cut off must not confirm the state of another.
-    if (copy_.number() == 0 || gate_.partitioned(now)) {
+    if (copy_.number() == 0) {
         return;
     }
     auto batch = copy_.batch_after(pull.after_);
     batch.request_ = pull.request_;
     batch.heard_ = highest_;
+    batch.in_force_ = gate_.evaluate(now).allowed_;
     if (pull.wants_known_) {
         batch.known_ = gate_.known();
     }
@@ -164,7 +164,7 @@
     }
     note_highest(std::max(batch.number_, batch.heard_), from);
     gate_.note_known(batch.known_);
-    note_round(pulls_.answered(batch.request_));
+    note_round(pulls_.answered(batch.request_, batch.in_force_));
     if (highest_ > copy_.number() && !pulls_.pulling(now)) {
         if (batch.number_ > copy_.number()) {
             // The state is too large for a frame.
--- a/pimentoferry/tickets/world_test.cpp
+++ b/pimentoferry/tickets/world_test.cpp
@@ -324,6 +324,9 @@
 void world::update_membership(std::size_t index) {
     auto& entry = slots_[index];
     peers_known view;
+    for (std::size_t other = 0; other < slot_count; ++other) {
+        view.listed_.push_back(name(other));
+    }
     bool heard = false;
     for (std::size_t other = 0; other < slot_count; ++other) {
         const auto& peer = slots_[other];
