Measure what membership and tickets cost

Cause: the budget of 9 KB/s, 2.4 % of a core and 64 MB for an entry needs a measurement over the fleet size.

--- /dev/null
+++ b/bench/control_fleet.hpp
@@ -0,0 +1,116 @@
+/// A fleet of entries with membership and tickets in one process and virtual
+/// time, which counts what the control plane costs.
+#ifndef PIMENTOFERRY_BENCH_CONTROL_FLEET_HPP
+#define PIMENTOFERRY_BENCH_CONTROL_FLEET_HPP
+
+#include "pimentoferry/membership/swim.hpp"
+#include "pimentoferry/tickets/memory_store.hpp"
+#include "pimentoferry/tickets/ticket_log.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace pimentoferry::bench {
+
+using base::milliseconds;
+using base::time_point;
+
+struct fleet_settings {
+    std::size_t entries_{9};
+    double push_loss_{0};       ///< Probability for each `number_push`.
+    bool gossip_numbers_{true}; ///< Ticket numbers travel with membership.
+    std::size_t callers_{100};  ///< Objects in the state.
+    std::size_t engines_{30};
+};
+
+struct fleet_cost {
+    std::uint64_t membership_messages_{0};
+    std::uint64_t membership_bytes_{0}; ///< Sent.
+    std::uint64_t ticket_messages_{0};
+    std::uint64_t ticket_bytes_{0}; ///< Sent.
+    std::uint64_t store_calls_{0};
+    std::uint64_t store_bytes_{0}; ///< Values read and written.
+    std::chrono::nanoseconds membership_time_{0};
+    std::chrono::nanoseconds ticket_time_{0};
+};
+
+class control_fleet {
+public:
+    explicit control_fleet(const fleet_settings& settings);
+
+    void run(milliseconds duration);
+
+    /// Applies a ticket of about 2 KB at an entry; returns its number.
+    std::uint64_t apply_ticket(std::size_t entry);
+
+    /// Time from the acceptance of the last ticket until each entry applied
+    /// it; entries that did not are left out.
+    std::vector<milliseconds> in_force_times() const;
+
+    /// Cuts the entries from this index on, and the store from them.
+    void cut_from(std::size_t first) { cut_from_ = first; }
+
+    /// Entries from this index on that refuse work as `partitioned` or
+    /// otherwise.
+    std::size_t refusing_from(std::size_t first) const;
+
+    /// Whether every entry sees all others alive and has the last ticket.
+    bool settled() const;
+
+    const fleet_cost& cost() const { return cost_; }
+    void reset_cost() { cost_ = fleet_cost{}; }
+
+private:
+    struct entry {
+        std::unique_ptr<membership::swim> swim_;
+        std::unique_ptr<tickets::ticket_log> log_;
+        bool view_changed_{true};
+        time_point applied_at_;
+    };
+
+    struct task {
+        time_point at_;
+        std::uint64_t order_{0};
+        std::function<void()> work_;
+        friend bool operator>(const task& a, const task& b) {
+            return std::tie(a.at_, a.order_) > std::tie(b.at_, b.order_);
+        }
+    };
+
+    void at(time_point when, std::function<void()> work);
+    void
+    every(milliseconds period, milliseconds first, std::function<void()> work);
+    void swim_event(std::size_t index, const membership::event& occurred);
+    void ticket_event(std::size_t index, const tickets::event& occurred);
+    void run_action(std::size_t from, membership::send_message& wanted);
+    void run_action(std::size_t from, const tickets::action& wanted);
+    void call_store(std::size_t from, const store::operation& operation);
+    void tell_members(std::size_t index);
+    void load_state();
+    void submit(std::size_t index, const std::string& objects);
+    bool connected(std::size_t a, std::size_t b) const;
+    std::size_t index_of(base::instance_id to,
+                         const base::endpoint& address) const;
+
+    fleet_settings settings_;
+    std::mt19937_64 random_{20251204};
+    time_point now_{milliseconds{1000000}};
+    std::priority_queue<task, std::vector<task>, std::greater<>> tasks_;
+    std::uint64_t last_order_{0};
+    std::vector<entry> entries_;
+    tickets::testing::memory_store store_;
+    std::size_t cut_from_;
+    std::uint64_t number_{0}; ///< Accepted.
+    time_point accepted_at_;
+    fleet_cost cost_;
+};
+
+} // namespace pimentoferry::bench
+
+#endif
--- a/pimentoferry/tickets/ticket_log_test.cpp
+++ b/pimentoferry/tickets/ticket_log_test.cpp
@@ -1,7 +1,7 @@
 #include "pimentoferry/tickets/ticket_log.hpp"
 
 #include "pimentoferry/config/parse.hpp"
-#include "pimentoferry/tickets/world_test.hpp"
+#include "pimentoferry/tickets/memory_store.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
--- a/pimentoferry/tickets/world_test.hpp
+++ b/pimentoferry/tickets/world_test.hpp
@@ -4,6 +4,7 @@
 #ifndef PIMENTOFERRY_TICKETS_WORLD_TEST_HPP
 #define PIMENTOFERRY_TICKETS_WORLD_TEST_HPP
 
+#include "pimentoferry/tickets/memory_store.hpp"
 #include "pimentoferry/tickets/ticket_log.hpp"
 
 #include <cstddef>
@@ -20,18 +21,6 @@
 using base::milliseconds;
 using base::time_point;
 
-/// A key-value store in memory. `apply` gives the true outcome; what becomes
-/// of the answer is up to the world.
-class memory_store {
-public:
-    store::outcome apply(const store::request& request);
-    const std::map<std::string, store::found>& keys() const { return keys_; }
-
-private:
-    std::map<std::string, store::found> keys_;
-    store::revision revision_{0};
-};
-
 enum class store_mode : std::uint8_t { up, down, lose_answers, slow };
 
 /// One step of a test; `slot_` and `value_` are reduced to what is allowed.
