Measure processor time instead of elapsed time

Cause: other processes share the machine, so elapsed time counted their work. Change: control_cost reads the processor time of its thread, and finds entries by id instead of by search; swim offers its view, and left() no longer copies the live members.

--- a/bench/control_fleet.cpp
+++ b/bench/control_fleet.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ctime>
 #include <utility>
 #include <variant>
 
@@ -18,8 +19,12 @@
 constexpr milliseconds ticket_tick{250};
 constexpr std::size_t engines_per_cell = 16;
 
-std::chrono::nanoseconds elapsed(base::time_point since) {
-    return base::clock::now() - since;
+/// Processor time, because other processes may share the core.
+std::chrono::nanoseconds processor_time() {
+    timespec used{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return std::chrono::seconds{used.tv_sec} +
+           std::chrono::nanoseconds{used.tv_nsec};
 }
 
 membership::member member_of(std::size_t index) {
@@ -44,6 +49,8 @@
       cut_from_(settings.entries_) {
     for (std::size_t index = 0; index < entries_.size(); ++index) {
         const auto self = member_of(index);
+        by_instance_[self.instance_] = index;
+        by_address_[self.peer_address_] = index;
         auto& one = entries_[index];
         one.swim_ = std::make_unique<membership::swim>(
             membership::swim_settings{self, random_()});
@@ -144,9 +151,9 @@
 
 void control_fleet::swim_event(std::size_t index,
                                const membership::event& occurred) {
-    const auto begun = base::clock::now();
+    const auto begun = processor_time();
     auto actions = entries_[index].swim_->handle(occurred, now_);
-    cost_.membership_time_ += elapsed(begun);
+    cost_.membership_time_ += processor_time() - begun;
     for (auto& wanted : actions) {
         if (auto* send = std::get_if<membership::send_message>(&wanted)) {
             run_action(index, *send);
@@ -158,9 +165,9 @@
 
 void control_fleet::ticket_event(std::size_t index,
                                  const tickets::event& occurred) {
-    const auto begun = base::clock::now();
+    const auto begun = processor_time();
     const auto actions = entries_[index].log_->handle(occurred, now_);
-    cost_.ticket_time_ += elapsed(begun);
+    cost_.ticket_time_ += processor_time() - begun;
     for (const auto& wanted : actions) {
         run_action(index, wanted);
     }
@@ -251,11 +258,11 @@
         return;
     }
     tickets::peers_known view;
-    const auto self = one.swim_->self().instance_;
-    for (const auto& peer : one.swim_->live(true)) {
-        if (peer.instance_ != self) {
+    for (const auto& [instance, known] : one.swim_->view().all()) {
+        const auto& peer = known.member_;
+        if (peer.state_ == membership::member_state::alive) {
             view.live_.push_back(
-                {peer.instance_, peer.name_,
+                {instance, peer.name_,
                  settings_.gossip_numbers_ ? peer.applied_ticket_ : 0});
         }
     }
@@ -313,14 +320,12 @@
 
 std::size_t control_fleet::index_of(base::instance_id to,
                                     const base::endpoint& address) const {
-    for (std::size_t index = 0; index < entries_.size(); ++index) {
-        const auto& self = entries_[index].swim_->self();
-        if (to == self.instance_ ||
-            (to == base::instance_id{} && self.peer_address_ == address)) {
-            return index;
-        }
+    const auto by_id = by_instance_.find(to);
+    if (by_id != by_instance_.end()) {
+        return by_id->second;
     }
-    return entries_.size();
+    const auto by_port = by_address_.find(address);
+    return by_port == by_address_.end() ? entries_.size() : by_port->second;
 }
 
 } // namespace pimentoferry::bench
--- a/bench/control_fleet.hpp
+++ b/bench/control_fleet.hpp
@@ -10,10 +10,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <queue>
 #include <random>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace pimentoferry::bench {
@@ -104,6 +106,8 @@
     std::priority_queue<task, std::vector<task>, std::greater<>> tasks_;
     std::uint64_t last_order_{0};
     std::vector<entry> entries_;
+    std::unordered_map<base::instance_id, std::size_t> by_instance_;
+    std::map<base::endpoint, std::size_t> by_address_;
     tickets::testing::memory_store store_;
     std::size_t cut_from_;
     std::uint64_t number_{0}; ///< Accepted.
--- a/pimentoferry/membership/swim.cpp
+++ b/pimentoferry/membership/swim.cpp
@@ -407,14 +407,15 @@
 
 std::vector<std::string> swim::left() const {
     std::set<std::string> names;
+    std::set<std::string> live{self_.name_};
     for (const auto& [instance, known] : view_.all()) {
         if (known.member_.state_ == member_state::left) {
             names.insert(known.member_.name_);
+        } else if (is_live(known.member_.state_)) {
+            live.insert(known.member_.name_);
         }
     }
-    for (const auto& entry : live()) {
-        names.erase(entry.name_);
-    }
+    std::erase_if(names, [&](const auto& name) { return live.contains(name); });
     return {names.begin(), names.end()};
 }
 
--- a/pimentoferry/membership/swim.hpp
+++ b/pimentoferry/membership/swim.hpp
@@ -70,6 +70,9 @@
     /// Names of entries that left in order and have no live successor.
     std::vector<std::string> left() const;
 
+    /// Every known member but this entry.
+    const member_view& view() const { return view_; }
+
     const known_member* find(base::instance_id instance) const {
         return view_.find(instance);
     }
