Keep the faults that the stateful tests found as unit tests

The harness gains slow first tokens, links that break again, old reports and the check that no request runs again before the crash of its last run is judged. tools/fuzz_requests.sh runs longer with a printed seed.

--- a/pimentoferry/requests/fuzz/fake_engine.hpp
+++ b/pimentoferry/requests/fuzz/fake_engine.hpp
@@ -76,7 +76,7 @@
     bool alive_{true};
     bool full_{false};
     bool stalled_{false}; ///< Transfers do not progress.
-    bool slow_{false};    ///< A prefill takes longer than its limit.
+    bool slow_{false};    ///< Work takes about as long as its limit.
     std::uint64_t instance_{1};
     std::uint32_t slots_{4};
     std::uint32_t pieces_{16};
--- a/pimentoferry/requests/fuzz/oracle.cpp
+++ b/pimentoferry/requests/fuzz/oracle.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::chrono::minutes mark_time{10};
+// An entry with an open call learns of a crash within this time.
+constexpr base::milliseconds news_time{200};
 
 void require(bool holds, const std::string& promise) {
     if (!holds) {
@@ -93,6 +95,11 @@
     if (!from_prompt) {
         return;
     }
+    for (const base::attempt_id earlier : r.started_) {
+        const auto crash = unjudged_.find(earlier);
+        require(crash == unjudged_.end() || now >= crash->second + news_time,
+                "a request runs again before the crash is judged");
+    }
     const std::uint64_t fingerprint = r.body_.fingerprint_;
     require(k.counted_[fingerprint] < 2,
             "a request runs after it crashed two engines");
@@ -194,6 +201,7 @@
     }
     for (const base::attempt_id culprit : notice.culprits_) {
         const std::uint64_t who = fingerprint_of(culprit);
+        unjudged_.erase(culprit);
         const bool alone = suspects.empty() || suspects == std::set{who};
         ++k.crashes_[who];
         k.counted_[who] += alone ? 1 : 0;
--- a/pimentoferry/requests/fuzz/oracle.hpp
+++ b/pimentoferry/requests/fuzz/oracle.hpp
@@ -90,6 +90,10 @@
                const std::vector<action>& actions,
                const std::vector<memory_hold>& after,
                base::time_point now);
+    /// An attempt brought down an engine.
+    void crashed(base::attempt_id culprit, base::time_point now) {
+        unjudged_[culprit] = now;
+    }
     /// Announces the crash that the next `engine_crashed` event of the entry
     /// tells of, with the memory of its table before that event.
     void crash_known(base::instance_id entry,
@@ -151,6 +155,7 @@
     std::map<base::request_id, asked> requests_;
     std::map<base::attempt_id, base::request_id> attempts_;
     std::set<std::pair<base::attempt_id, base::upstream_name>> received_;
+    std::map<base::attempt_id, base::time_point> unjudged_;
     std::map<base::instance_id, knowledge> entries_;
 };
 
--- a/pimentoferry/requests/fuzz/world.cpp
+++ b/pimentoferry/requests/fuzz/world.cpp
@@ -100,11 +100,10 @@
     });
 }
 
-void world::break_streams(unsigned engine) {
-    const fake_engine& chosen = engines_[engine % engines_.size()];
+void world::break_calls(const fake_engine& engine) {
     std::vector<std::uint64_t> broken;
     for (const auto& [id, c] : calls_) {
-        if (c.engine_ == &chosen && c.engine_instance_ != 0) {
+        if (c.engine_ == &engine && c.engine_instance_ != 0) {
             broken.push_back(id);
         }
     }
@@ -114,6 +113,15 @@
     }
 }
 
+// A bad link breaks again what is resumed over it.
+void world::break_streams(unsigned engine) {
+    const fake_engine& chosen = engines_[engine % engines_.size()];
+    break_calls(chosen);
+    for (const unsigned again : {170 + draw(100), 400 + draw(200)}) {
+        after(milliseconds{again}, [this, &chosen] { break_calls(chosen); });
+    }
+}
+
 void world::settle() {
     jitter_ = 0;
     duplicates_ = false;
--- a/pimentoferry/requests/fuzz/world.hpp
+++ b/pimentoferry/requests/fuzz/world.hpp
@@ -154,6 +154,7 @@
     void crash(fake_engine& engine,
                std::optional<base::attempt_id> culprit = std::nullopt);
     void expire_holds();
+    void break_calls(const fake_engine& engine);
     fake_engine& engine_named(const base::upstream_name& name);
     held hold_for(holding kind, base::request_id request);
 
--- a/pimentoferry/requests/fuzz/world_engines.cpp
+++ b/pimentoferry/requests/fuzz/world_engines.cpp
@@ -103,7 +103,13 @@
     stream_broken& last = entries_.at(c.entry_).last_broken_[c.request_];
     if (duplicates_ && last.position_ < position &&
         last.attempt_ != base::attempt_id{}) {
-        post_stream(c.entry_, last);
+        // An old report, late enough to meet the stream that was opened since.
+        const base::time_point due =
+            entries_.at(c.entry_).last_stream_event_ + milliseconds{draw(800)};
+        agenda_.emplace(due, [this, c, old = last] {
+            deliver(c.entry_, c.from_,
+                    [this, c, old] { handle(c.entry_, old); });
+        });
     }
     last = report;
 }
@@ -281,6 +287,8 @@
     }
     if (!memory->streamed_) {
         from = 0;
+        // Around the limit of the table, so that tokens cross its decision.
+        time += engine.slow_ ? milliseconds{4'940 + draw(80)} : milliseconds{};
     }
     memory->streamed_ = true;
     memory->stream_ = id;
@@ -407,6 +415,9 @@
                   std::optional<base::attempt_id> culprit) {
     ++totals_.crashes_;
     culprits_[{engine.name_, engine.instance_}] = culprit;
+    if (culprit) {
+        oracle_.crashed(*culprit, now_);
+    }
     std::set<base::attempt_id>& ran = ran_at_crash_[engine.name_];
     for (const auto& [attempt, memory] : engine.held_) {
         if (memory.kind_ != holding::result) {
--- a/pimentoferry/requests/request_table_test.cpp
+++ b/pimentoferry/requests/request_table_test.cpp
@@ -25,6 +25,11 @@
     CPPUNIT_TEST(gives_back_a_late_grant);
     CPPUNIT_TEST(ignores_the_import_answer_of_an_earlier_engine);
     CPPUNIT_TEST(drain_lets_running_requests_end);
+    CPPUNIT_TEST(unsent_call_takes_no_blame);
+    CPPUNIT_TEST(idle_prefill_result_takes_no_blame);
+    CPPUNIT_TEST(suspect_waits_for_its_earlier_attempt);
+    CPPUNIT_TEST(crash_during_a_pause_is_judged_after_waiting_events);
+    CPPUNIT_TEST(crash_after_a_long_pause_still_finds_its_culprit);
     CPPUNIT_TEST_SUITE_END();
 
     request_table table_{settings()};
@@ -68,6 +73,18 @@
         return nullptr;
     }
 
+    template <class Action>
+    const Action& the() const {
+        CPPUNIT_ASSERT(last<Action>() != nullptr);
+        return *last<Action>();
+    }
+
+    template <class Message>
+    const Message& the_message() const {
+        CPPUNIT_ASSERT(last_message<Message>() != nullptr);
+        return *last_message<Message>();
+    }
+
     base::attempt_id arrive(base::request_id id = request) {
         arrived e;
         e.request_ = id;
@@ -100,10 +117,10 @@
     void answers_a_request() {
         const auto attempt = arrive();
         run_until_decode(attempt);
-        CPPUNIT_ASSERT_EQUAL(0U, last<start_decode>()->position_);
+        CPPUNIT_ASSERT_EQUAL(0U, the<start_decode>().position_);
         pass(first_token{attempt});
         CPPUNIT_ASSERT(last_message<placement::decode_started>() != nullptr);
-        CPPUNIT_ASSERT(last<cancel_attempts>()->engine_ == prefill);
+        CPPUNIT_ASSERT(the<cancel_attempts>().engine_ == prefill);
         pass(cancel_confirmed{prefill, {attempt}});
         pass(stream_ended{attempt, 9});
         CPPUNIT_ASSERT(last<finish>() != nullptr);
@@ -118,19 +135,17 @@
         auto attempt = arrive();
         grant(attempt);
         pass(prefill_failed{attempt, engine_failure::not_sent});
-        attempt = last_message<placement::place_request>()->attempt_;
+        attempt = the_message<placement::place_request>().attempt_;
         pass(placed{placement::place_refusal{
             attempt, base::refusal_code::overloaded, milliseconds{5}}});
-        CPPUNIT_ASSERT(last<refuse>()->refusal_.ran_ ==
-                       base::ran_state::not_run);
+        CPPUNIT_ASSERT(the<refuse>().refusal_.ran_ == base::ran_state::not_run);
 
         attempt = arrive();
         grant(attempt);
         pass(prefill_failed{attempt, engine_failure::full});
-        attempt = last_message<placement::place_request>()->attempt_;
+        attempt = the_message<placement::place_request>().attempt_;
         pass(placed{placement::place_refusal{attempt}});
-        CPPUNIT_ASSERT(last<refuse>()->refusal_.ran_ ==
-                       base::ran_state::unknown);
+        CPPUNIT_ASSERT(the<refuse>().refusal_.ran_ == base::ran_state::unknown);
     }
 
     // Guards against a request that waits for a dead owner.
@@ -138,13 +153,13 @@
         pass(engines_known{cell, {{prefill, false, 3}, {decode, true, 3}}});
         const auto first = arrive();
         wait(milliseconds{300});
-        const auto* second = last_message<placement::place_request>();
-        CPPUNIT_ASSERT(second->attempt_ != first);
+        CPPUNIT_ASSERT(the_message<placement::place_request>().attempt_ !=
+                       first);
         wait(milliseconds{300});
-        CPPUNIT_ASSERT(last<start_prefill>()->engine_ == prefill);
-        const auto own = last<start_prefill>()->attempt_;
+        CPPUNIT_ASSERT(the<start_prefill>().engine_ == prefill);
+        const auto own = the<start_prefill>().attempt_;
         pass(prefill_done{own, "h", 2'000, 0});
-        CPPUNIT_ASSERT(last<start_import>()->decode_ == decode);
+        CPPUNIT_ASSERT(the<start_import>().decode_ == decode);
     }
 
     // Guards against repeated and missing tokens after a break.
@@ -154,13 +169,11 @@
         pass(first_token{attempt});
         pass(stream_broken{attempt, 5, engine_failure::broken});
         wait(milliseconds{100});
-        const auto* resumed = last<start_decode>();
-        CPPUNIT_ASSERT(resumed->attempt_ == attempt);
-        CPPUNIT_ASSERT_EQUAL(5U, resumed->position_);
+        CPPUNIT_ASSERT(the<start_decode>().attempt_ == attempt);
+        CPPUNIT_ASSERT_EQUAL(5U, the<start_decode>().position_);
         // The engine no longer holds it, and its answers vary.
         pass(stream_broken{attempt, 5, engine_failure::gone});
-        CPPUNIT_ASSERT(last<refuse>()->refusal_.ran_ ==
-                       base::ran_state::unknown);
+        CPPUNIT_ASSERT(the<refuse>().refusal_.ran_ == base::ran_state::unknown);
     }
 
     // Guards against a patient request that is placed twice because its
@@ -180,7 +193,7 @@
         wait(milliseconds{300});
         grant(attempt);
         CPPUNIT_ASSERT(last<start_prefill>() == nullptr);
-        CPPUNIT_ASSERT(last_message<placement::place_release>()->attempt_ ==
+        CPPUNIT_ASSERT(the_message<placement::place_release>().attempt_ ==
                        attempt);
     }
 
@@ -195,7 +208,7 @@
         pass(import_done{attempt, decode});
         CPPUNIT_ASSERT(last<start_decode>() == nullptr);
         pass(import_done{attempt, other});
-        CPPUNIT_ASSERT(last<start_decode>()->engine_ == other);
+        CPPUNIT_ASSERT(the<start_decode>().engine_ == other);
     }
 
     // Guards P7: a drain refuses what is new and ends only with the rest.
@@ -205,7 +218,7 @@
         pass(drain_started{});
         CPPUNIT_ASSERT(!table_.idle());
         arrive(base::request_id{8});
-        CPPUNIT_ASSERT(last<refuse>()->refusal_.code_ ==
+        CPPUNIT_ASSERT(the<refuse>().refusal_.code_ ==
                        base::refusal_code::draining);
         pass(first_token{attempt});
         pass(stream_ended{attempt, 3});
@@ -213,6 +226,73 @@
         pass(cancel_confirmed{prefill, {attempt}});
         CPPUNIT_ASSERT(table_.idle());
     }
+
+    // The tests below keep faults that the stateful tests found with seed
+    // 20261204.
+
+    // An engine that was already down refused the call of an innocent
+    // request, which was marked for the crash.
+    void unsent_call_takes_no_blame() {
+        const auto attempt = arrive();
+        grant(attempt);
+        pass(engine_crashed{prefill});
+        CPPUNIT_ASSERT(last<spread_mark>() == nullptr);
+        pass(prefill_failed{attempt, engine_failure::not_sent});
+        CPPUNIT_ASSERT(last<spread_mark>() == nullptr);
+        CPPUNIT_ASSERT(table_.memory().empty());
+    }
+
+    // A request whose prefill was long done was marked for a crash of the
+    // prefill engine.
+    void idle_prefill_result_takes_no_blame() {
+        run_until_decode(arrive());
+        pass(engine_crashed{prefill});
+        CPPUNIT_ASSERT(last<spread_mark>() == nullptr);
+    }
+
+    // A suspect ran again while a slow engine still ran its earlier attempt,
+    // and crashed both.
+    void suspect_waits_for_its_earlier_attempt() {
+        auto attempt = arrive();
+        grant(attempt);
+        pass(engine_crashed{prefill});
+        pass(prefill_failed{attempt, engine_failure::broken});
+        CPPUNIT_ASSERT(the_message<placement::place_request>().suspect_);
+        attempt = the_message<placement::place_request>().attempt_;
+        grant(attempt);
+        pass(prefill_failed{attempt, engine_failure::timed_out});
+        wait(milliseconds{250});
+        CPPUNIT_ASSERT(last_message<placement::place_request>() == nullptr);
+        pass(cancel_confirmed{prefill, {attempt}});
+        CPPUNIT_ASSERT(last_message<placement::place_request>() != nullptr);
+    }
+
+    // The deadline of a judgement passed while the entry was paused, and the
+    // crash was judged before the failure that waited behind it.
+    void crash_during_a_pause_is_judged_after_waiting_events() {
+        const auto attempt = arrive();
+        const auto other = arrive(base::request_id{8});
+        grant(attempt);
+        pass(engine_crashed{prefill});
+        now_ += std::chrono::seconds{2};
+        pass(placed{placement::place_queued{other}});
+        CPPUNIT_ASSERT(last<spread_mark>() == nullptr);
+        pass(prefill_failed{attempt, engine_failure::not_sent});
+        CPPUNIT_ASSERT(last<spread_mark>() == nullptr);
+    }
+
+    // The hold of a cancelled attempt ended while the entry was paused, and
+    // the attempt was forgotten before the crash that it had caused.
+    void crash_after_a_long_pause_still_finds_its_culprit() {
+        const auto attempt = arrive();
+        const auto other = arrive(base::request_id{8});
+        grant(attempt);
+        pass(prefill_failed{attempt, engine_failure::broken});
+        now_ += std::chrono::seconds{60};
+        pass(placed{placement::place_queued{other}});
+        pass(engine_crashed{prefill});
+        CPPUNIT_ASSERT_EQUAL(request.value_, the<spread_mark>().fingerprint_);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(request_table_test);
--- /dev/null
+++ b/tools/fuzz_requests.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# A longer run of the invariant tests of the request table than CI makes.
+# Usage: tools/fuzz_requests.sh [CASES] [SEED]
+# A new seed is drawn when none is given; the run prints it, and a failure
+# prints what reproduces it. 100,000 cases take about a minute.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cases=${1:-1000000}
+seed=${2:-$(od -An -N4 -tu4 /dev/urandom | tr -d ' ')}
+echo "cases $cases, seed $seed"
+RC_PARAMS="seed=$seed max_success=$cases max_size=${MAX_SIZE:-150}" \
+  exec build/pimentoferry/requests/requests_fuzz_test
