once: Read the head after each creation of a segment

Cause: an entry that had taken the head and was then replaced read a segment that the new owner had deleted in the meantime. It took it for one that was never created, created it without a conflict, and let a key run again. Excluded: appends and seals; their revisions never come back.

--- a/pimentoferry/once/shard_log.cpp
+++ b/pimentoferry/once/shard_log.cpp
@@ -130,7 +130,9 @@
         return out;
     }
     operation_ = {};
-    if (reading_back_) {
+    if (checking_head_) {
+        on_head_checked(result.outcome_, out, ctx);
+    } else if (reading_back_) {
         on_read_back(result.outcome_, out, ctx);
     } else if (is_writing()) {
         on_write(result.outcome_, out, ctx);
@@ -145,7 +147,9 @@
         return;
     }
     retry_at_.reset();
-    if (reading_back_) {
+    if (checking_head_) {
+        check_head(ctx);
+    } else if (reading_back_) {
         read_back(ctx);
     } else if (is_writing()) {
         write_again(ctx);
@@ -354,20 +358,50 @@
 void shard_log::on_written(store::revision revision,
                            events& out,
                            context& ctx) {
+    if (step_ != step::writing_head && pending_.put_.expected_ == 0) {
+        created_revision_ = revision;
+        check_head(ctx);
+    } else {
+        settle_write(revision, out, ctx);
+    }
+}
+
+void shard_log::check_head(context& ctx) {
+    checking_head_ = true;
+    send(store::get{head_key(shard_)}, ctx);
+}
+
+void shard_log::on_head_checked(const store::outcome& outcome,
+                                events& out,
+                                context& ctx) {
+    if (std::holds_alternative<store::unavailable>(outcome)) {
+        out.emplace_back(store_blocked{});
+        retry_later(ctx);
+        return;
+    }
+    checking_head_ = false;
+    const auto* found = std::get_if<store::found>(&outcome);
+    if (found != nullptr && found->revision_ == head_revision_) {
+        settle_write(created_revision_, out, ctx);
+    } else {
+        lose(out);
+    }
+}
+
+void shard_log::settle_write(store::revision revision,
+                             events& out,
+                             context& ctx) {
     const auto written = step_;
     step_ = step::idle;
     switch (written) {
     case step::writing_head:
+        on_head_written(revision);
+        read_segment(head_.first_segment_, ctx);
+        break;
     case step::raising:
-        head_ = next_head_;
-        head_revision_ = revision;
-        pending_ = {};
-        if (written == step::raising) {
-            erase_sealed(ctx);
-            out.emplace_back(floor_raised{});
-        } else {
-            read_segment(head_.first_segment_, ctx);
-        }
+        on_head_written(revision);
+        erase_sealed(ctx);
+        out.emplace_back(floor_raised{});
         break;
     case step::fencing:
         on_segment_written(revision);
@@ -395,6 +429,12 @@
     }
 }
 
+void shard_log::on_head_written(store::revision revision) {
+    head_ = next_head_;
+    head_revision_ = revision;
+    pending_ = {};
+}
+
 void shard_log::on_segment_written(store::revision revision) {
     content_ = std::move(pending_.put_.value_);
     revision_ = revision;
--- a/pimentoferry/once/shard_log.hpp
+++ b/pimentoferry/once/shard_log.hpp
@@ -10,6 +10,11 @@
 /// when its answer is lost, or it fails, the value is read back. A write that
 /// is found not to have taken effect may still do so later, so the same bytes
 /// are written again until they stand or another write has won.
+///
+/// A segment that is absent may not have been created yet, or it may have been
+/// deleted by a newer owner, and then its creation conflicts with nothing. So
+/// the head is read after each creation: the segment counts only if the head
+/// has not changed hands by then.
 #ifndef PIMENTOFERRY_ONCE_SHARD_LOG_HPP
 #define PIMENTOFERRY_ONCE_SHARD_LOG_HPP
 
@@ -154,6 +159,12 @@
     void on_not_written(events& out, context& ctx);
     void on_superseded(events& out, context& ctx);
     void on_written(store::revision revision, events& out, context& ctx);
+    void check_head(context& ctx);
+    void
+    on_head_checked(const store::outcome& outcome, events& out, context& ctx);
+    /// The write in flight stands; goes on with what it was for.
+    void settle_write(store::revision revision, events& out, context& ctx);
+    void on_head_written(store::revision revision);
     void on_segment_written(store::revision revision);
     void lose(events& out);
 
@@ -167,6 +178,8 @@
     store::token garbage_list_;
     std::optional<base::time_point> retry_at_;
     bool reading_back_{false};
+    bool checking_head_{false};
+    store::revision created_revision_{0}; ///< While `checking_head_`.
     pending_write pending_;
 
     log_head head_;
