--- a/pimentoferry/once/fuzz_commands.cpp
+++ b/pimentoferry/once/fuzz_commands.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <ostream>
+#include <regex>
 #include <string>
 
 namespace pimentoferry::once {
@@ -51,6 +52,22 @@
                << command.a_ << "," << command.b_ << "," << command.c_ << ")";
 }
 
+std::vector<fuzz_command> parse_commands(const std::string& printed) {
+    static const std::regex form{R"(([a-z_]+)\((\d+),(\d+),(\d+)\))"};
+    std::vector<fuzz_command> commands;
+    const std::sregex_iterator begin{printed.begin(), printed.end(), form};
+    std::for_each(begin, std::sregex_iterator{}, [&](const auto& match) {
+        const auto number = [&](std::size_t group) {
+            return static_cast<std::uint32_t>(std::stoul(match[group].str()));
+        };
+        const auto* name = std::ranges::find(command_names, match[1].str());
+        commands.push_back(
+            {static_cast<command_kind>(name - command_names.begin()), number(2),
+             number(3), number(4)});
+    });
+    return commands;
+}
+
 rc::Gen<fuzz_command> command_generator() {
     using kind = command_kind;
     const auto one = [](std::size_t weight, kind of) {
--- a/pimentoferry/once/fuzz_commands.hpp
+++ b/pimentoferry/once/fuzz_commands.hpp
@@ -48,6 +48,9 @@
 
 std::ostream& operator<<(std::ostream& out, const fuzz_command& command);
 
+/// Reads commands back from the form in which a counterexample is printed.
+std::vector<fuzz_command> parse_commands(const std::string& printed);
+
 rc::Gen<fuzz_command> command_generator();
 
 class fuzz_run {
