--- a/bench/cell_simulation.cpp
+++ b/bench/cell_simulation.cpp
@@ -258,6 +258,22 @@
     feed_all(death_notice_ms, placement::entry_dead{dead});
 }
 
+workload_means cell_simulation::window_means() const {
+    workload_means means;
+    double count = 0;
+    for (const request& r : requests_) {
+        if (r.in_window_) {
+            count += 1;
+            means.output_tokens_ += r.sample_.output_tokens_;
+            means.uncached_tokens_ +=
+                r.sample_.prompt_tokens_ - r.sample_.shared_pieces_ * 1'000.0;
+        }
+    }
+    means.output_tokens_ /= std::max(count, 1.0);
+    means.uncached_tokens_ /= std::max(count, 1.0);
+    return means;
+}
+
 // See `docs/policy.md`: what the engines that are up can decode and prefill,
 // and what arrives and is not cancelled, second by second.
 double cell_simulation::bound() const {
@@ -271,6 +287,7 @@
         }
     }
     const machine_settings& m = settings_.machines_;
+    const workload_means means = window_means();
     double answers = 0;
     // Requests that wait for at most the budget may run in a later second.
     double carried = 0;
@@ -285,8 +302,8 @@
                       at < decode_loss_ms + decode_loss_for_ms;
             decode -= at >= leaving_ms;
         }
-        const double capacity = std::min(decode_capacity(m, means_, decode),
-                                         prefill_capacity(m, means_, prefill));
+        const double capacity = std::min(decode_capacity(m, means, decode),
+                                         prefill_capacity(m, means, prefill));
         const double offered = arrived[i] + carried;
         const double served = std::min(offered, capacity);
         answers += served;
--- a/bench/cell_simulation.hpp
+++ b/bench/cell_simulation.hpp
@@ -150,6 +150,8 @@
     void plan_faults();
     void crash_engine(int engine, double at_ms, double for_ms);
     void lose_entry(int number);
+    /// Of the requests that arrived in the window.
+    [[nodiscard]] workload_means window_means() const;
     [[nodiscard]] double bound() const;
 
     run_settings settings_;
--- a/bench/metrics.cpp
+++ b/bench/metrics.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
-#include <cstdlib>
 
 namespace pimentoferry::bench {
 
@@ -128,7 +126,6 @@
     at(f, figure::interval_p50_ms) = percentile(intervals, 0.50);
     at(f, figure::interval_p95_ms) = percentile(intervals, 0.95);
     at(f, figure::interval_p99_ms) = percentile(intervals, 0.99);
-    if (std::getenv("FAIR")) { auto sh = fair_shares(asked, good_answers); double l=0, ls=0, lo=9; for (std::size_t i=1;i<n;++i){l+=got[i];ls+=sh[i];lo=std::min(lo,got[i]/sh[i]);} std::fprintf(stderr,"heavy asked %.0f got %.0f share %.1f; light asked.. got %.0f share %.1f lowest %.2f\n",asked[0],got[0],sh[0],l,ls,lo);}
     at(f, figure::fairness) = jain(got, fair_shares(asked, good_answers));
     return f;
 }
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -27,7 +27,7 @@
                                         "prefill_first"};
 
 struct options {
-    int seeds_{3};
+    int seeds_{5};
     std::string csv_;
     std::string workload_;
     double load_{0};
--- /dev/null
+++ b/pimentoferry/placement/cell_binding.cpp
@@ -0,0 +1,103 @@
+// Binding of decode engines to done prefills.
+
+#include "pimentoferry/placement/cell_core.hpp"
+
+#include <algorithm>
+
+namespace pimentoferry::placement::internal {
+
+namespace {
+
+// Advantage of a decode engine in the failure domain of the prefill engine,
+// in requests of its batch.
+constexpr double same_domain_advantage = 1;
+
+} // namespace
+
+engine_index cell_core::choose_decode(const attempt_state& a,
+                                      candidates* weighed) const {
+    const base::failure_domain* near =
+        a.prefill_ == no_engine
+            ? &a.failure_domain_
+            : &engine(a.prefill_).description().failure_domain_;
+    engine_index best = no_engine;
+    double best_score = 0;
+    each_serving(engine_role::decode, [&](engine_index i,
+                                          const engine_view& e) {
+        const auto cap =
+            std::max(e.batch_cap(settings_.token_interval_target_), 1U);
+        const bool same = e.description().failure_domain_ == *near;
+        const double load =
+            e.used_slots() - (same ? same_domain_advantage : 0.0);
+        const double score = load / cap;
+        if (weighed != nullptr) {
+            weighed->push_back(
+                {e.name(),
+                 base::microseconds{static_cast<std::int64_t>(score * 1'000)}});
+        }
+        const bool lost = ((a.lost_engines_ >> i) & 1U) != 0;
+        const bool fits = e.free_slots(settings_.token_interval_target_) > 0 &&
+                          e.free_pieces() >= pieces_of(a);
+        const bool apart = !a.suspect_ || !e.has_suspect();
+        const bool better = best == no_engine || score < best_score;
+        if (!lost && fits && apart && better) {
+            best = i;
+            best_score = score;
+        }
+    });
+    return best;
+}
+
+bool cell_core::try_bind(attempt_state& a) {
+    candidates weighed;
+    const engine_index decode =
+        choose_decode(a, settings_.record_decisions_ ? &weighed : nullptr);
+    if (decode == no_engine) {
+        return false;
+    }
+    bind(a, decode);
+    record(a, decision_kind::bind, "least loaded with memory", decode,
+           std::move(weighed));
+    return true;
+}
+
+void cell_core::bind(attempt_state& a, engine_index decode) {
+    engine_view& e = engine(decode);
+    e.hold(pieces_of(a));
+    if (a.suspect_) {
+        e.hold_suspect();
+    }
+    --promised_.slots_;
+    promised_.pieces_ -= pieces_of(a);
+    ++bound_;
+    a.decode_ = decode;
+    a.stage_ = attempt_stage::bound;
+    a.since_ = now_;
+    send(a, decode_bound{a.id_, e.name()});
+}
+
+// Done prefills come before all queued requests: their results are evicted
+// within a second. A request that fits nowhere does not hold up the others.
+void cell_core::bind_waiting() {
+    std::deque<base::attempt_id> left;
+    for (const base::attempt_id id : waiting_) {
+        attempt_state* a = find(id);
+        if (a == nullptr || a->stage_ != attempt_stage::unbound) {
+            continue;
+        }
+        if (try_bind(*a)) {
+            continue;
+        }
+        if (a->result_until_ <= now_) {
+            refuse(*a, base::refusal_code::overloaded,
+                   admission::retry_after(0), "no decode place for the result",
+                   decision_kind::expire);
+            forget(id);
+            continue;
+        }
+        left.push_back(id);
+    }
+    waiting_ = std::move(left);
+}
+
+} // namespace pimentoferry::placement::internal
