placement: Add unit and invariant tests

Four first failures of the unit tests led to changes: the prior point turned the slope of an estimate, so it has no weight now; a role change needs a moving share of 0.63 instead of an unbroken time, which an idle instant reset; the reserve against late requests counts slots and is nothing in tiny pools.

--- a/pimentoferry/placement/cell_binding.cpp
+++ b/pimentoferry/placement/cell_binding.cpp
@@ -32,8 +32,7 @@
         const double score = load / cap;
         if (weighed != nullptr) {
             weighed->push_back(
-                {e.name(),
-                 base::microseconds{static_cast<std::int64_t>(score * 1'000)}});
+                {e.name(), static_cast<std::int64_t>(score * 1'000)});
         }
         const bool lost = ((a.lost_engines_ >> i) & 1U) != 0;
         const bool fits = e.free_slots(settings_.token_interval_target_) > 0 &&
--- a/pimentoferry/placement/cell_core.cpp
+++ b/pimentoferry/placement/cell_core.cpp
@@ -477,6 +477,11 @@
         std::ranges::count_if(attempts_, [](const auto& entry) {
             return entry.second.stage_ == attempt_stage::prefilling;
         }));
+    u.promised_slots_ = promised_.slots_;
+    u.promised_pieces_ = promised_.pieces_;
+    each_serving(engine_role::prefill, [&](engine_index, const engine_view& e) {
+        u.prefill_pieces_held_ += e.held().pieces_;
+    });
     each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
         u.slots_ += e.description().slots_;
         u.pieces_ += e.description().pieces_;
--- a/pimentoferry/placement/cell_core.hpp
+++ b/pimentoferry/placement/cell_core.hpp
@@ -127,6 +127,7 @@
     void check_rebuilt();
     void publish();
     void watch_balance();
+    void follow(double& share, bool short_now) const;
     void propose(engine_role from, engine_role to, std::string_view reason);
     engine_index index_of(const base::upstream_name& name) const;
     engine_view& engine(engine_index index);
@@ -204,8 +205,8 @@
     base::time_point headroom_sent_;
     places headroom_; ///< Free and queued as last published.
     base::time_point balance_checked_;
-    base::time_point prefill_short_since_;
-    base::time_point decode_short_since_;
+    double prefill_short_{0}; ///< Recent share of the time.
+    double decode_short_{0};
     base::time_point role_change_proposed_;
     base::time_point next_cleanup_;
     std::uint32_t prefill_turn_{0};
--- a/pimentoferry/placement/cell_dispatch.cpp
+++ b/pimentoferry/placement/cell_dispatch.cpp
@@ -39,8 +39,8 @@
         std::chrono::duration<double, std::milli>(ms));
 }
 
-base::microseconds score_of(double ms) {
-    return base::microseconds{static_cast<std::int64_t>(ms * 1'000)};
+std::int64_t score_of(double ms) {
+    return static_cast<std::int64_t>(ms * 1'000);
 }
 
 double ms_between(base::time_point from, base::time_point to) {
@@ -271,6 +271,7 @@
             e.free_slots(settings_.token_interval_target_);
         slots += e.description().slots_;
         fitting += std::min(free_here, e.free_pieces() / size);
+        free.slots_ += free_here;
         free.pieces_ += e.free_pieces();
         held_slots += e.held().slots_;
         held_pieces += e.held().pieces_;
@@ -281,9 +282,9 @@
             : admission_.frees_lower_bound(bound_, horizon_ms, waste_weight());
     const std::uint32_t coming_pieces =
         held_slots == 0 ? 0 : coming * (held_pieces / held_slots);
-    const std::uint32_t reserve =
-        a.late_ ? slots / late_reserve_divisor + 1 : 0;
-    return promised_.slots_ + 1 + reserve <= fitting + coming &&
+    const std::uint32_t reserve = a.late_ ? slots / late_reserve_divisor : 0;
+    return promised_.slots_ + 1 <= fitting + coming &&
+           promised_.slots_ + 1 + reserve <= free.slots_ + coming &&
            promised_.pieces_ + pieces <= free.pieces_ + coming_pieces;
 }
 
--- a/pimentoferry/placement/cell_engines.cpp
+++ b/pimentoferry/placement/cell_engines.cpp
@@ -23,6 +23,8 @@
 constexpr double prefill_short_share = 0.25;
 constexpr double decode_short_share = 0.02;
 constexpr double busy_backlog_ms = 40;
+// Reached when a pool is short for the whole of `role_change_after_`.
+constexpr double lasting_share = 0.63;
 
 } // namespace
 
@@ -250,21 +252,25 @@
         waiting && prefill_busy && free > prefill_short_share;
     const bool decode_short =
         waiting && !prefill_busy && free < decode_short_share;
-    if (!prefill_short) {
-        prefill_short_since_ = now_;
-    }
-    if (!decode_short) {
-        decode_short_since_ = now_;
-    }
-    if (now_ - prefill_short_since_ >= settings_.role_change_after_) {
+    follow(prefill_short_, prefill_short);
+    follow(decode_short_, decode_short);
+    if (prefill_short_ >= lasting_share) {
         propose(engine_role::decode, engine_role::prefill,
                 "prefills wait while decode places are free");
-    } else if (now_ - decode_short_since_ >= settings_.role_change_after_) {
+    } else if (decode_short_ >= lasting_share) {
         propose(engine_role::prefill, engine_role::decode,
                 "decode places are short while prefill engines are idle");
     }
 }
 
+// A moving share rather than the time since the last change, because a pool
+// that is short is idle now and then for an instant.
+void cell_core::follow(double& share, bool short_now) const {
+    const double gain = std::chrono::duration<double>(balance_interval) /
+                        settings_.role_change_after_;
+    share += std::min(gain, 1.0) * ((short_now ? 1.0 : 0.0) - share);
+}
+
 void cell_core::propose(engine_role from,
                         engine_role to,
                         std::string_view reason) {
@@ -277,6 +283,8 @@
         return;
     }
     role_change_proposed_ = now_;
+    prefill_short_ = 0;
+    decode_short_ = 0;
     const engine_index chosen = least_used(from, 0);
     out_.emplace_back(propose_role_change{engine(chosen).name(), to, reason});
 }
--- /dev/null
+++ b/pimentoferry/placement/cell_scheduler_test.cpp
@@ -0,0 +1,352 @@
+#include "pimentoferry/placement/cell_scheduler.hpp"
+
+#include "pimentoferry/placement/cell_test_rig.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace pimentoferry;
+using namespace pimentoferry::placement;
+using namespace std::chrono_literals;
+
+class cell_scheduler_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(cell_scheduler_test);
+    CPPUNIT_TEST(prefill_waits_for_a_decode_place);
+    CPPUNIT_TEST(decode_engine_is_bound_when_the_prefill_ends);
+    CPPUNIT_TEST(memory_limits_beside_slots);
+    CPPUNIT_TEST(hopeless_request_is_refused_at_once);
+    CPPUNIT_TEST(patient_request_outlives_its_target);
+    CPPUNIT_TEST(lost_decode_place_is_replaced_before_the_queue);
+    CPPUNIT_TEST(suspects_share_no_engine);
+    CPPUNIT_TEST(new_owner_grants_half);
+    CPPUNIT_TEST(dead_entry_is_cancelled_everywhere);
+    CPPUNIT_TEST(batch_is_capped_by_learnt_step_time);
+    CPPUNIT_TEST(short_prompt_avoids_busy_prefill_pool);
+    CPPUNIT_TEST(leaving_engine_gets_no_work);
+    CPPUNIT_TEST(lost_release_does_not_keep_a_place);
+    CPPUNIT_TEST(role_change_needs_a_lasting_imbalance);
+    CPPUNIT_TEST(only_the_owner_grants);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::vector<engine_description> engines(int prefill,
+                                                   int decode,
+                                                   std::uint32_t slots,
+                                                   std::uint32_t pieces = 100) {
+        std::vector<engine_description> all;
+        for (int i = 0; i < prefill; ++i) {
+            all.push_back(cell_rig::make_engine("p" + std::to_string(i),
+                                                engine_role::prefill, 20, 400));
+        }
+        for (int i = 0; i < decode; ++i) {
+            all.push_back(cell_rig::make_engine(
+                "d" + std::to_string(i), engine_role::decode, slots, pieces));
+        }
+        return all;
+    }
+
+    /// Brings an attempt to its first token.
+    static void run_to_decode(cell_rig& rig, std::uint64_t sequence) {
+        rig.ask(sequence);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rig.sent<place_grant>().size());
+        rig.now_ += 60ms;
+        rig.finish_prefill(sequence);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rig.sent<decode_bound>().size());
+        rig.tell(decode_started{rig.id(sequence)});
+    }
+
+    // A prefill that starts without a place is evicted and wasted.
+    void prefill_waits_for_a_decode_place() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(3, 1, 1));
+        rig.ask(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rig.sent<place_grant>().size());
+        rig.ask(2);
+        CPPUNIT_ASSERT(rig.sent<place_grant>().empty());
+        rig.release(1);
+        const auto grants = rig.sent<place_grant>();
+        const bool refused = rig.cell_.usage().attempts_ == 0;
+        CPPUNIT_ASSERT(refused || (grants.size() == 1 &&
+                                   grants.front().attempt_ == rig.id(2)));
+    }
+
+    // An engine chosen before the prefill may have filled up meanwhile.
+    void decode_engine_is_bound_when_the_prefill_ends() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(1, 2, 4));
+        rig.ask(1);
+        const auto provisional = rig.sent<place_grant>().at(0).decode_;
+        load_report full;
+        full.engine_ = provisional;
+        full.slots_ = 4;
+        full.pieces_ = 100;
+        full.pieces_free_ = 50;
+        for (std::uint64_t other = 1; other <= 4; ++other) {
+            full.attempts_.push_back({base::instance_id{99}, other});
+        }
+        rig.now_ += 10ms;
+        rig.feed(full);
+        rig.finish_prefill(1);
+        const auto bound = rig.sent<decode_bound>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bound.size());
+        CPPUNIT_ASSERT(bound.front().decode_ != provisional);
+    }
+
+    // Slots alone would admit long prompts that do not fit into memory.
+    void memory_limits_beside_slots() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(3, 2, 8, 10));
+        rig.ask(1, 5'500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rig.sent<place_grant>().size());
+        rig.ask(2, 5'500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rig.sent<place_grant>().size());
+        // 8 pieces are free, but no engine has more than 4.
+        rig.ask(3, 5'500);
+        CPPUNIT_ASSERT(rig.sent<place_grant>().empty());
+        rig.ask(4, 50'000);
+        const auto refusals = rig.sent<place_refusal>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, refusals.size());
+        CPPUNIT_ASSERT(refusals.front().code_ ==
+                       base::refusal_code::no_upstream);
+    }
+
+    // A caller that waits for a refusal in vain could have gone elsewhere.
+    void hopeless_request_is_refused_at_once() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(1, 1, 1));
+        run_to_decode(rig, 1);
+        rig.ask(2);
+        const auto refusals = rig.sent<place_refusal>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, refusals.size());
+        CPPUNIT_ASSERT(refusals.front().code_ ==
+                       base::refusal_code::overloaded);
+        CPPUNIT_ASSERT(refusals.front().retry_after_ > 0ms);
+    }
+
+    // Gedeo's callers prefer a late verdict to none.
+    void patient_request_outlives_its_target() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(3, 1, 20));
+        for (std::uint64_t i = 1; i <= 20; ++i) {
+            rig.now_ += 100ms;
+            run_to_decode(rig, i);
+        }
+        place_request patient = rig.make_request(30);
+        patient.first_token_budget_ = 200'000ms;
+        rig.tell(patient);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rig.sent<place_queued>().size());
+        rig.pass(5'000ms);
+        CPPUNIT_ASSERT_EQUAL(1U, rig.cell_.usage().queued_);
+        for (std::uint64_t i = 1; i <= 19; ++i) {
+            rig.tell(place_release{rig.id(i), release_reason::cancelled, 0});
+        }
+        CPPUNIT_ASSERT_EQUAL(0U, rig.cell_.usage().queued_);
+        CPPUNIT_ASSERT_EQUAL(1U, rig.cell_.usage().prefilling_);
+    }
+
+    // A result that waits behind the queue is evicted within a second.
+    void lost_decode_place_is_replaced_before_the_queue() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(2, 2, 1));
+        rig.ask(1);
+        rig.ask(2);
+        rig.now_ += 60ms;
+        rig.finish_prefill(1);
+        const auto lost = rig.sent<decode_bound>().at(0).decode_;
+        rig.finish_prefill(2);
+        place_request waiting = rig.make_request(3);
+        waiting.first_token_budget_ = 60'000ms;
+        rig.tell(waiting);
+        rig.tell(engine_lost{rig.id(1), lost, loss_reason::stalled});
+        CPPUNIT_ASSERT(rig.sent<decode_bound>().empty());
+        rig.release(2);
+        const auto bound = rig.sent<decode_bound>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bound.size());
+        CPPUNIT_ASSERT(bound.front().attempt_ == rig.id(1));
+        CPPUNIT_ASSERT(bound.front().decode_ != lost);
+    }
+
+    // Two suspects on a crashed engine could not be told apart.
+    void suspects_share_no_engine() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(2, 1, 8));
+        place_request first = rig.make_request(1);
+        first.suspect_ = true;
+        place_request second = rig.make_request(2);
+        second.suspect_ = true;
+        rig.tell(first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rig.sent<place_grant>().size());
+        rig.tell(second);
+        CPPUNIT_ASSERT(rig.sent<place_grant>().empty());
+        // It does not hold up those behind it.
+        rig.ask(3);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rig.sent<place_grant>().size());
+        rig.release(1);
+        const auto grants = rig.sent<place_grant>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, grants.size());
+        CPPUNIT_ASSERT(grants.front().attempt_ == rig.id(2));
+    }
+
+    // Grants of the old owner that are not announced yet hold places too.
+    void new_owner_grants_half() {
+        cell_rig rig{cell_rig::strict()};
+        rig.feed(engines_changed{engines(3, 1, 4)});
+        rig.feed(became_owner{});
+        rig.tell(place_hold{rig.id(50),
+                            {},
+                            {},
+                            base::upstream_name{"p0"},
+                            base::upstream_name{"d0"},
+                            hold_stage::decoding,
+                            2'000,
+                            100,
+                            false});
+        std::size_t granted = 0;
+        for (std::uint64_t i = 1; i <= 3; ++i) {
+            place_request m = rig.make_request(i);
+            m.first_token_budget_ = 200'000ms;
+            rig.tell(m);
+            granted += rig.sent<place_grant>().size();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, granted);
+        rig.pass(1'000ms);
+        CPPUNIT_ASSERT(rig.cell_.usage().prefilling_ > 1);
+    }
+
+    // The memory of a dead entry's attempts would be held for up to 30 s.
+    void dead_entry_is_cancelled_everywhere() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(1, 1, 4));
+        run_to_decode(rig, 1);
+        rig.feed(entry_dead{rig.entry_});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             rig.done<cancel_attempts>().size());
+        CPPUNIT_ASSERT_EQUAL(0U, rig.cell_.usage().attempts_);
+        // One that this owner did not grant.
+        load_report r;
+        r.engine_ = base::upstream_name{"d0"};
+        r.attempts_ = {rig.id(77)};
+        rig.feed(r);
+        const auto cancels = rig.done<cancel_attempts>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cancels.size());
+        CPPUNIT_ASSERT(cancels.front().attempts_ == r.attempts_);
+    }
+
+    // A full batch of slow steps misses the interval target of all.
+    void batch_is_capped_by_learnt_step_time() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(2, 1, 20));
+        for (std::uint64_t i = 1; i <= 60; ++i) {
+            run_to_decode(rig, i);
+            rig.now_ += 60ms * 49;
+            rig.release(i);
+        }
+        std::size_t granted = 0;
+        for (std::uint64_t i = 101; i <= 120; ++i) {
+            rig.now_ += 200ms;
+            rig.ask(i);
+            const bool grant = !rig.sent<place_grant>().empty();
+            granted += grant ? 1 : 0;
+            if (grant) {
+                rig.now_ += 60ms;
+                rig.finish_prefill(i);
+            }
+        }
+        // 60 ms for one request and at least 2 ms for each other one.
+        CPPUNIT_ASSERT(granted >= 2);
+        CPPUNIT_ASSERT(granted <= 8);
+    }
+
+    // A short prompt behind long ones waits for many times its own prefill.
+    void short_prompt_avoids_busy_prefill_pool() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(1, 1, 8));
+        rig.ask(1, 20'000);
+        rig.ask(2, 300);
+        const auto grants = rig.sent<place_grant>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, grants.size());
+        CPPUNIT_ASSERT(grants.front().prefill_at_decode_);
+        CPPUNIT_ASSERT(grants.front().decode_ == base::upstream_name{"d0"});
+    }
+
+    // P6: an upstream that is leaving receives no new work.
+    void leaving_engine_gets_no_work() {
+        cell_rig rig{cell_rig::strict()};
+        auto all = engines(1, 2, 4);
+        rig.own(all);
+        rig.ask(1);
+        all.at(1).leaving_ = true;
+        rig.feed(engines_changed{all});
+        rig.finish_prefill(1);
+        CPPUNIT_ASSERT(rig.sent<decode_bound>().at(0).decode_ ==
+                       base::upstream_name{"d1"});
+    }
+
+    // A release that is lost with a peer link would shrink the pool for ever.
+    void lost_release_does_not_keep_a_place() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(1, 1, 4));
+        run_to_decode(rig, 1);
+        load_report empty;
+        empty.engine_ = base::upstream_name{"d0"};
+        for (int i = 0; i < 3; ++i) {
+            rig.now_ += 2'500ms;
+            rig.feed(empty);
+        }
+        CPPUNIT_ASSERT_EQUAL(0U, rig.cell_.usage().slots_held_);
+    }
+
+    // Proposals at each burst would drain engines all day.
+    void role_change_needs_a_lasting_imbalance() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(1, 2, 20));
+        int proposals = 0;
+        std::uint64_t next = 1;
+        std::vector<base::attempt_id> granted;
+        const auto collect = [&] {
+            for (const place_grant& g : rig.sent<place_grant>()) {
+                granted.push_back(g.attempt_);
+            }
+        };
+        for (int i = 0; i < 400; ++i) {
+            place_request m = rig.make_request(next++, 30'000);
+            m.first_token_budget_ = 300'000ms;
+            rig.tell(m);
+            collect();
+            rig.pass(250ms);
+            collect();
+            const auto made = rig.done<propose_role_change>();
+            proposals += static_cast<int>(made.size());
+            CPPUNIT_ASSERT(made.empty() || i >= 100);
+            // A prefill takes 1 s, four times the gap between requests.
+            if (i % 4 == 3) {
+                rig.tell(place_release{granted.front(),
+                                       release_reason::cancelled, 0});
+                granted.erase(granted.begin());
+                collect();
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(1, proposals);
+    }
+
+    // Two entries that grant in one cell fill engines twice.
+    void only_the_owner_grants() {
+        cell_rig rig{cell_rig::strict()};
+        rig.feed(engines_changed{engines(1, 1, 4)});
+        rig.ask(1);
+        CPPUNIT_ASSERT(rig.sent<place_refusal>().at(0).code_ ==
+                       base::refusal_code::not_owner);
+        rig.feed(became_owner{});
+        rig.pass(1'000ms);
+        run_to_decode(rig, 2);
+        rig.feed(lost_ownership{});
+        CPPUNIT_ASSERT_EQUAL(0U, rig.cell_.usage().attempts_);
+        rig.ask(3);
+        CPPUNIT_ASSERT(rig.sent<place_refusal>().at(0).code_ ==
+                       base::refusal_code::not_owner);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(cell_scheduler_test);
+
+} // namespace
--- /dev/null
+++ b/pimentoferry/placement/cell_test_rig.hpp
@@ -0,0 +1,109 @@
+/// A cell on made-up time for the tests of `placement`.
+#ifndef PIMENTOFERRY_PLACEMENT_CELL_TEST_RIG_HPP
+#define PIMENTOFERRY_PLACEMENT_CELL_TEST_RIG_HPP
+
+#include "pimentoferry/placement/cell_scheduler.hpp"
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pimentoferry::placement {
+
+struct cell_rig {
+    cell_scheduler cell_;
+    base::time_point now_{std::chrono::hours{1}};
+    base::instance_id entry_{7};
+    std::vector<action> last_; ///< Actions of the last event.
+
+    explicit cell_rig(const scheduler_settings& s) : cell_{s} {}
+
+    /// Whole half-second reports end the time of a new owner.
+    static scheduler_settings strict() {
+        scheduler_settings s;
+        s.cell_ = base::cell_name{"c"};
+        s.policy_ = reserved{1}; // Counts on no place that is not free yet.
+        return s;
+    }
+
+    static engine_description make_engine(const std::string& name,
+                                          engine_role role,
+                                          std::uint32_t slots,
+                                          std::uint32_t pieces) {
+        return {base::upstream_name{name},
+                role,
+                base::failure_domain{"a"},
+                false,
+                slots,
+                pieces};
+    }
+
+    void feed(const event& e) { last_ = cell_.handle(e, now_); }
+    void pass(std::chrono::milliseconds time) {
+        now_ += time;
+        feed(tick{});
+    }
+
+    /// Owns a cell of these engines, with the time of a new owner over.
+    void own(const std::vector<engine_description>& engines) {
+        feed(engines_changed{engines});
+        feed(became_owner{});
+        pass(std::chrono::milliseconds{1'000});
+    }
+
+    base::attempt_id id(std::uint64_t sequence) const {
+        return {entry_, sequence};
+    }
+
+    place_request make_request(std::uint64_t sequence,
+                               std::uint32_t prompt = 2'000) const {
+        place_request m;
+        m.attempt_ = id(sequence);
+        m.caller_ = base::caller_name{"caller"};
+        m.prompt_tokens_ = prompt;
+        m.max_output_tokens_ = 100;
+        m.first_token_budget_ = std::chrono::milliseconds{1'600};
+        return m;
+    }
+
+    void tell(to_owner message) {
+        feed(entry_message{entry_, std::move(message)});
+    }
+    void ask(std::uint64_t sequence, std::uint32_t prompt = 2'000) {
+        tell(make_request(sequence, prompt));
+    }
+    void finish_prefill(std::uint64_t sequence, std::uint32_t prompt = 2'000) {
+        tell(prefill_finished{id(sequence), prompt, 0});
+    }
+    void release(std::uint64_t sequence) {
+        tell(place_release{id(sequence), release_reason::completed, 50});
+    }
+
+    /// Messages of one kind among the last actions.
+    template <class Message>
+    std::vector<Message> sent() const {
+        std::vector<Message> found;
+        for (const action& a : last_) {
+            const auto* s = std::get_if<send_to_entry>(&a);
+            if (s != nullptr && std::holds_alternative<Message>(s->message_)) {
+                found.push_back(std::get<Message>(s->message_));
+            }
+        }
+        return found;
+    }
+    template <class Action>
+    std::vector<Action> done() const {
+        std::vector<Action> found;
+        for (const action& a : last_) {
+            if (const auto* one = std::get_if<Action>(&a)) {
+                found.push_back(*one);
+            }
+        }
+        return found;
+    }
+};
+
+} // namespace pimentoferry::placement
+
+#endif
--- a/pimentoferry/placement/events.hpp
+++ b/pimentoferry/placement/events.hpp
@@ -115,10 +115,12 @@
     std::uint32_t queued_{0};
 };
 
-/// An engine that was weighed in a decision; a lower score is better.
+/// An engine that was weighed in a decision; a lower score is better. For a
+/// prefill it is the predicted time to its end, for a decode the used share
+/// of the batch in thousandths.
 struct candidate {
     base::upstream_name engine_;
-    base::microseconds score_{0};
+    std::int64_t score_{0}; ///< Microseconds or thousandths.
 };
 
 enum class decision_kind : std::uint8_t {
--- a/pimentoferry/placement/latency_model.hpp
+++ b/pimentoferry/placement/latency_model.hpp
@@ -12,8 +12,10 @@
 
 namespace pimentoferry::placement {
 
-/// What is assumed before the first observation: one observation at `load_`,
-/// and `slope_` with the weight of `slope_weight_` squared loads.
+/// What is assumed before the first observation: `time_ms_` at `load_`, and
+/// afterwards `slope_` with the weight of `slope_weight_` squared loads. The
+/// point itself gets no weight: against observations of a slower engine it
+/// would turn the slope.
 struct estimate_prior {
     double load_{0};
     double time_ms_{0};
@@ -45,7 +47,7 @@
     void refit();
 
     estimate_prior prior_;
-    double count_{1};
+    double count_{0};
     double mean_load_{0};
     double mean_time_{0};
     double load_squares_{0};
