--- a/pimentoferry/placement/cell_binding.cpp
+++ b/pimentoferry/placement/cell_binding.cpp
@@ -78,6 +78,9 @@
 // Done prefills come before all queued requests: their results are evicted
 // within a second. A request that fits nowhere does not hold up the others.
 void cell_core::bind_waiting() {
+    if (waiting_.empty()) {
+        return;
+    }
     std::deque<base::attempt_id> left;
     for (const base::attempt_id id : waiting_) {
         attempt_state* a = find(id);
--- a/pimentoferry/placement/cell_core.hpp
+++ b/pimentoferry/placement/cell_core.hpp
@@ -149,7 +149,7 @@
     void unpark();
     bool may_promise(const attempt_state& a, double horizon_ms) const;
     engine_index choose_prefill(const attempt_state& a,
-                                candidates& weighed,
+                                candidates* weighed,
                                 double& finish_ms) const;
     engine_index choose_inline(const attempt_state& a) const;
     engine_index choose_decode(const attempt_state& a,
--- a/pimentoferry/placement/cell_dispatch.cpp
+++ b/pimentoferry/placement/cell_dispatch.cpp
@@ -215,6 +215,9 @@
 }
 
 void cell_core::unpark() {
+    if (parked_.empty()) {
+        return;
+    }
     const std::vector<base::attempt_id> parked = std::move(parked_);
     parked_.clear();
     for (const base::attempt_id id : parked) {
@@ -289,7 +292,7 @@
 }
 
 engine_index cell_core::choose_prefill(const attempt_state& a,
-                                       candidates& weighed,
+                                       candidates* weighed,
                                        double& finish_ms) const {
     engine_index best = no_engine;
     each_serving(engine_role::prefill,
@@ -298,7 +301,9 @@
                      const double rest = e.prefill_ms(uncached_tokens(a, e));
                      const double backlog = e.backlog_ms(now_);
                      const double finish = backlog + rest;
-                     weighed.push_back({e.name(), score_of(finish)});
+                     if (weighed != nullptr) {
+                         weighed->push_back({e.name(), score_of(finish)});
+                     }
                      // The engine may be busy for as long as its cache saves.
                      const bool soon = backlog <= grant_ahead_ms + whole - rest;
                      const bool fits = e.free_pieces() >= prompt_pieces_of(a);
@@ -348,9 +353,8 @@
         parked_.push_back(a.id_);
         return true;
     }
-    candidates weighed;
     double finish_ms = 0;
-    const engine_index prefill = choose_prefill(a, weighed, finish_ms);
+    const engine_index prefill = choose_prefill(a, nullptr, finish_ms);
     if (prefill == no_engine) {
         const engine_index decode = choose_inline(a);
         if (decode == no_engine) {
@@ -364,6 +368,11 @@
     if (!may_promise(a, finish_ms + grace)) {
         return false;
     }
+    // A second look, so that requests that go on waiting cost no list.
+    candidates weighed;
+    if (settings_.record_decisions_) {
+        choose_prefill(a, &weighed, finish_ms);
+    }
     grant(a, prefill, std::move(weighed), finish_ms);
     return true;
 }
