--- a/pimentoferry/placement/cell_binding.cpp
+++ b/pimentoferry/placement/cell_binding.cpp
@@ -24,8 +24,7 @@
     double best_score = 0;
     each_serving(engine_role::decode, [&](engine_index i,
                                           const engine_view& e) {
-        const auto cap =
-            std::max(e.batch_cap(settings_.token_interval_target_), 1U);
+        const auto cap = std::max(e.batch_cap(), 1U);
         const bool same = e.description().failure_domain_ == *near;
         const double load =
             e.used_slots() - (same ? same_domain_advantage : 0.0);
@@ -35,8 +34,7 @@
                 {e.name(), static_cast<std::int64_t>(score * 1'000)});
         }
         const bool lost = ((a.lost_engines_ >> i) & 1U) != 0;
-        const bool fits = e.free_slots(settings_.token_interval_target_) > 0 &&
-                          e.free_pieces() >= pieces_of(a);
+        const bool fits = e.free_slots() > 0 && e.free_pieces() >= pieces_of(a);
         const bool apart = !a.suspect_ || !e.has_suspect();
         const bool better = best == no_engine || score < best_score;
         if (!lost && fits && apart && better) {
@@ -48,12 +46,15 @@
 }
 
 bool cell_core::try_bind(attempt_state& a) {
-    candidates weighed;
-    const engine_index decode =
-        choose_decode(a, settings_.record_decisions_ ? &weighed : nullptr);
+    const engine_index decode = choose_decode(a, nullptr);
     if (decode == no_engine) {
         return false;
     }
+    candidates weighed;
+    if (settings_.record_decisions_) {
+        weighed.reserve(engines_.size());
+        choose_decode(a, &weighed);
+    }
     bind(a, decode);
     record(a, decision_kind::bind, "least loaded with memory", decode,
            std::move(weighed));
--- a/pimentoferry/placement/cell_core.cpp
+++ b/pimentoferry/placement/cell_core.cpp
@@ -61,6 +61,9 @@
 
 void cell_core::configure(const scheduler_settings& settings) {
     settings_ = settings;
+    for (engine_view& e : engines_) {
+        e.set_interval_target(settings.token_interval_target_);
+    }
 }
 
 void cell_core::on(const became_owner&) {
--- a/pimentoferry/placement/cell_core.hpp
+++ b/pimentoferry/placement/cell_core.hpp
@@ -60,6 +60,7 @@
     base::time_point since_;         ///< Begin of the stage.
     base::time_point result_until_;  ///< Eviction of the prefill result.
     double expected_ms_{0};          ///< Of the prefill.
+    double service_ms_{0};           ///< From the grant to the first token.
     double integral_{0};             ///< Of the batch at the first token.
 };
 
--- a/pimentoferry/placement/cell_dispatch.cpp
+++ b/pimentoferry/placement/cell_dispatch.cpp
@@ -94,7 +94,7 @@
 places cell_core::free_places() const {
     places free;
     each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
-        free.slots_ += e.free_slots(settings_.token_interval_target_);
+        free.slots_ += e.free_slots();
         free.pieces_ += e.free_pieces();
     });
     return free;
@@ -104,8 +104,8 @@
     cell_capacity c;
     std::uint32_t free = 0;
     each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
-        c.decode_slots_ += e.batch_cap(settings_.token_interval_target_);
-        free += e.free_slots(settings_.token_interval_target_);
+        c.decode_slots_ += e.batch_cap();
+        free += e.free_slots();
     });
     c.free_places_ = free > promised_.slots_ ? free - promised_.slots_ : 0;
     double backlog = std::numeric_limits<double>::max();
@@ -123,7 +123,8 @@
 }
 
 bool cell_core::may_wait(attempt_state& a, double& predicted_ms) const {
-    const double service = first_token_ms(a);
+    a.service_ms_ = first_token_ms(a);
+    const double service = a.service_ms_;
     const cell_capacity c = capacity();
     const double wait =
         admission_.queue_wait_ms(queue_.ahead_of(item_of(a)), c);
@@ -156,6 +157,10 @@
         forget(id);
         return;
     }
+    // Nobody waits: the queue is needed only when there is no place.
+    if (queue_.size() == 0 && parked_.empty() && !a.late_ && dispatch(a)) {
+        return;
+    }
     enqueue(a);
     pump();
     const attempt_state* left = find(id);
@@ -168,7 +173,7 @@
 
 void cell_core::enqueue(attempt_state& a) {
     const base::time_point limit = a.late_ ? a.limit_ : a.target_;
-    const double service = start_margin * first_token_ms(a);
+    const double service = start_margin * a.service_ms_;
     a.expires_ = limit - duration_of(service);
     expiry_.emplace(a.expires_, a.id_);
     queue_.push(item_of(a));
@@ -194,7 +199,7 @@
             continue;
         }
         refuse(a, base::refusal_code::overloaded,
-               admission::retry_after(first_token_ms(a)),
+               admission::retry_after(a.service_ms_),
                "no place within the budget", decision_kind::expire);
         forget(a.id_);
     }
@@ -270,8 +275,7 @@
     std::uint32_t held_slots = 0;
     places free;
     each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
-        const std::uint32_t free_here =
-            e.free_slots(settings_.token_interval_target_);
+        const std::uint32_t free_here = e.free_slots();
         slots += e.description().slots_;
         fitting += std::min(free_here, e.free_pieces() / size);
         free.slots_ += free_here;
@@ -327,8 +331,7 @@
     std::uint32_t free = 0;
     each_serving(
         engine_role::decode, [&](engine_index i, const engine_view& e) {
-            const std::uint32_t slots =
-                e.free_slots(settings_.token_interval_target_);
+            const std::uint32_t slots = e.free_slots();
             free += slots;
             const double step = e.step_ms() + e.prefill_ms(a.prompt_tokens_);
             const bool hidden =
@@ -348,6 +351,9 @@
 
 bool cell_core::dispatch(attempt_state& a) {
     if (suspect_blocked(a)) {
+        if (queue_.find(a.id_) == nullptr) {
+            return false;
+        }
         queue_.remove(a.id_);
         a.parked_ = true;
         parked_.push_back(a.id_);
@@ -371,16 +377,19 @@
     // A second look, so that requests that go on waiting cost no list.
     candidates weighed;
     if (settings_.record_decisions_) {
+        weighed.reserve(engines_.size());
         choose_prefill(a, &weighed, finish_ms);
     }
     grant(a, prefill, std::move(weighed), finish_ms);
     return true;
 }
 
-// The granted request is at the front of the queue.
+// The granted request is at the front of the queue, or never was in it.
 void cell_core::leave_queue(attempt_state& a) {
-    expiry_.erase({a.expires_, a.id_});
-    queue_.pop();
+    if (queue_.size() > 0) {
+        expiry_.erase({a.expires_, a.id_});
+        queue_.pop();
+    }
     admission_.granted(a.caller_, a.prompt_tokens_, now_);
 }
 
--- a/pimentoferry/placement/cell_engines.cpp
+++ b/pimentoferry/placement/cell_engines.cpp
@@ -54,7 +54,8 @@
             engine(known).describe(d);
             continue;
         }
-        engine_view fresh{d, settings_.prefix_limit_};
+        engine_view fresh{d, settings_.prefix_limit_,
+                          settings_.token_interval_target_};
         fresh.set_rebuilding(rebuilding_);
         const auto unused =
             std::ranges::find_if(engines_, [this](const engine_view& old) {
--- a/pimentoferry/placement/engine_view.cpp
+++ b/pimentoferry/placement/engine_view.cpp
@@ -24,12 +24,22 @@
 } // namespace
 
 engine_view::engine_view(const engine_description& description,
-                         std::size_t prefix_limit)
-    : description_{description}, prefixes_{prefix_limit} {}
+                         std::size_t prefix_limit,
+                         base::milliseconds interval_target)
+    : description_{description}, interval_target_{interval_target},
+      prefixes_{prefix_limit} {
+    update_batch_cap();
+}
+
+void engine_view::set_interval_target(base::milliseconds target) {
+    interval_target_ = target;
+    update_batch_cap();
+}
 
 void engine_view::describe(const engine_description& description) {
     description_ = description;
     present_ = true;
+    update_batch_cap();
 }
 
 void engine_view::report(const load_report& r,
@@ -52,6 +62,7 @@
     if (r.pieces_ > 0) {
         description_.pieces_ = r.pieces_;
     }
+    update_batch_cap();
     others_.slots_ = others;
     const std::uint32_t used = less(r.pieces_, r.pieces_free_);
     const auto all = std::max<std::size_t>(listed, 1);
@@ -89,15 +100,16 @@
     return present_ && !down_ && !draining_ && !description_.leaving_;
 }
 
-std::uint32_t engine_view::batch_cap(base::milliseconds target) const {
-    const auto time_ms = static_cast<double>(target.count()) / step_margin;
+void engine_view::update_batch_cap() {
+    const auto time_ms =
+        static_cast<double>(interval_target_.count()) / step_margin;
     const double cap = step_.largest_load_under(time_ms);
     const auto whole = static_cast<std::uint32_t>(std::min(cap, 1e6));
-    return std::min(std::max(whole, 1U), description_.slots_);
+    batch_cap_ = std::min(std::max(whole, 1U), description_.slots_);
 }
 
-std::uint32_t engine_view::usable_slots(base::milliseconds target) const {
-    const std::uint32_t cap = batch_cap(target);
+std::uint32_t engine_view::usable_slots() const {
+    const std::uint32_t cap = batch_cap_;
     if (!rebuilding_) {
         return cap;
     }
@@ -105,8 +117,8 @@
     return before + less(cap, before) / 2;
 }
 
-std::uint32_t engine_view::free_slots(base::milliseconds target) const {
-    return less(usable_slots(target), used_slots());
+std::uint32_t engine_view::free_slots() const {
+    return less(usable_slots(), used_slots());
 }
 
 std::uint32_t engine_view::free_pieces() const {
@@ -196,6 +208,7 @@
 
 void engine_view::observe_step(double mean_batch, double time_ms) {
     step_.observe(mean_batch, time_ms);
+    update_batch_cap();
 }
 
 } // namespace pimentoferry::placement
--- a/pimentoferry/placement/engine_view.hpp
+++ b/pimentoferry/placement/engine_view.hpp
@@ -3,8 +3,8 @@
 /// Joins the owner's own accounts, which are exact for what it granted, with
 /// the engine's lagging load reports, which also show attempts of others.
 ///
-///     engine_view engine{description, prefix_limit};
-///     if (engine.serving() && engine.free_slots(target) > 0) {
+///     engine_view engine{description, prefix_limit, interval_target};
+///     if (engine.serving() && engine.free_slots() > 0) {
 ///         engine.hold(pieces);
 ///     }
 #ifndef PIMENTOFERRY_PLACEMENT_ENGINE_VIEW_HPP
@@ -29,7 +29,8 @@
 class engine_view {
 public:
     engine_view(const engine_description& description,
-                std::size_t prefix_limit);
+                std::size_t prefix_limit,
+                base::milliseconds interval_target);
 
     /// Takes a changed description; the accounts stay.
     void describe(const engine_description& description);
@@ -60,8 +61,9 @@
     [[nodiscard]] bool serving() const;
 
     /// Slots that may be used so that a step stays under the target.
-    [[nodiscard]] std::uint32_t batch_cap(base::milliseconds target) const;
-    [[nodiscard]] std::uint32_t free_slots(base::milliseconds target) const;
+    [[nodiscard]] std::uint32_t batch_cap() const { return batch_cap_; }
+    void set_interval_target(base::milliseconds target);
+    [[nodiscard]] std::uint32_t free_slots() const;
     [[nodiscard]] std::uint32_t free_pieces() const;
     /// Whether the engine has memory for it at all.
     [[nodiscard]] bool has_memory(std::uint32_t pieces) const;
@@ -108,9 +110,12 @@
     [[nodiscard]] base::time_point last_inline() const { return last_inline_; }
 
 private:
-    [[nodiscard]] std::uint32_t usable_slots(base::milliseconds target) const;
+    [[nodiscard]] std::uint32_t usable_slots() const;
+    void update_batch_cap();
 
     engine_description description_;
+    base::milliseconds interval_target_;
+    std::uint32_t batch_cap_{1};
     bool present_{true};
     bool draining_{false};
     bool down_{false};
