--- a/bench/decision_cost.cpp
+++ b/bench/decision_cost.cpp
@@ -77,11 +77,6 @@
 class fleet {
 public:
     fleet(int replicas, int in_flight) {
-        // A request decodes for 6 s, and a turn has about four events.
-        constexpr auto decode_time = 6s;
-        const std::uint32_t places =
-            static_cast<std::uint32_t>(replicas) * slots * 2 / 3;
-        event_gap_ = base::clock::duration{decode_time} / (4 * places);
         const std::int64_t before = live_bytes;
         const int count = (replicas + engines_per_cell - 1) / engines_per_cell;
         for (int i = 0; i < count; ++i) {
@@ -101,6 +96,11 @@
             place(cells_[static_cast<std::size_t>(i) % cells_.size()]);
         }
         bytes_request_ = static_cast<double>(live_bytes - empty) / in_flight;
+        // A request decodes for 6 s, and a turn has about four events.
+        constexpr auto decode_time = 6s;
+        const std::uint32_t places =
+            static_cast<std::uint32_t>(replicas) * slots * 2 / 3;
+        event_gap_ = base::clock::duration{decode_time} / (4 * places);
     }
 
     /// One request in, one request out.
@@ -225,7 +225,7 @@
     std::vector<base::attempt_id> granted_;
     std::mt19937_64 random_{1};
     bool measuring_{false};
-    base::clock::duration event_gap_{20us};
+    base::clock::duration event_gap_{0}; ///< None while the cells are filled.
 };
 
 double percentile_us(std::vector<std::uint32_t>& values, double share) {
--- a/pimentoferry/placement/cell_binding.cpp
+++ b/pimentoferry/placement/cell_binding.cpp
@@ -82,13 +82,17 @@
     if (waiting_.empty()) {
         return;
     }
+    bool any_free = false;
+    each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
+        any_free = any_free || e.free_slots() > 0;
+    });
     std::deque<base::attempt_id> left;
     for (const base::attempt_id id : waiting_) {
         attempt_state* a = find(id);
         if (a == nullptr || a->stage_ != attempt_stage::unbound) {
             continue;
         }
-        if (try_bind(*a)) {
+        if (any_free && try_bind(*a)) {
             continue;
         }
         if (a->result_until_ <= now_) {
--- a/pimentoferry/placement/cell_dispatch.cpp
+++ b/pimentoferry/placement/cell_dispatch.cpp
@@ -414,9 +414,7 @@
     a.since_ = now_;
     ++promised_.slots_;
     promised_.pieces_ += pieces_of(a);
-    const engine_index decode = choose_decode(a, nullptr);
-    const engine_index provisional =
-        decode == no_engine ? least_used(engine_role::decode, 0) : decode;
+    const engine_index provisional = least_used(engine_role::decode, 0);
     send(a, place_grant{a.id_, e.name(), engine(provisional).name(), false});
     const double transfer =
         transfer_.predict(a.prompt_tokens_ / double{tokens_per_piece});
--- a/pimentoferry/placement/engine_view.cpp
+++ b/pimentoferry/placement/engine_view.cpp
@@ -84,22 +84,6 @@
     prefixes_.clear();
 }
 
-const base::upstream_name& engine_view::name() const {
-    return description_.engine_;
-}
-
-const engine_description& engine_view::description() const {
-    return description_;
-}
-
-bool engine_view::is(engine_role role) const {
-    return description_.role_ == role;
-}
-
-bool engine_view::serving() const {
-    return present_ && !down_ && !draining_ && !description_.leaving_;
-}
-
 void engine_view::update_batch_cap() {
     const auto time_ms =
         static_cast<double>(interval_target_.count()) / step_margin;
@@ -132,10 +116,6 @@
     return description_.pieces_ == 0 || description_.pieces_ >= pieces;
 }
 
-std::uint32_t engine_view::used_slots() const {
-    return held_.slots_ + others_.slots_;
-}
-
 void engine_view::hold(std::uint32_t pieces) {
     ++held_.slots_;
     held_.pieces_ += pieces;
--- a/pimentoferry/placement/engine_view.hpp
+++ b/pimentoferry/placement/engine_view.hpp
@@ -54,11 +54,19 @@
     /// as taken until the next report.
     void refused() { ++others_.slots_; }
 
-    [[nodiscard]] const base::upstream_name& name() const;
-    [[nodiscard]] const engine_description& description() const;
-    [[nodiscard]] bool is(engine_role role) const;
+    [[nodiscard]] const base::upstream_name& name() const {
+        return description_.engine_;
+    }
+    [[nodiscard]] const engine_description& description() const {
+        return description_;
+    }
+    [[nodiscard]] bool is(engine_role role) const {
+        return description_.role_ == role;
+    }
     /// Whether it may receive new work.
-    [[nodiscard]] bool serving() const;
+    [[nodiscard]] bool serving() const {
+        return present_ && !down_ && !draining_ && !description_.leaving_;
+    }
 
     /// Slots that may be used so that a step stays under the target.
     [[nodiscard]] std::uint32_t batch_cap() const { return batch_cap_; }
@@ -68,7 +76,9 @@
     /// Whether the engine has memory for it at all.
     [[nodiscard]] bool has_memory(std::uint32_t pieces) const;
     /// Slots in use, by the owner's accounts and by the last report.
-    [[nodiscard]] std::uint32_t used_slots() const;
+    [[nodiscard]] std::uint32_t used_slots() const {
+        return held_.slots_ + others_.slots_;
+    }
     [[nodiscard]] places held() const { return held_; }
 
     void hold(std::uint32_t pieces);
