--- a/pimentoferry/placement/cell_core.cpp
+++ b/pimentoferry/placement/cell_core.cpp
@@ -61,6 +61,9 @@
 
 void cell_core::configure(const scheduler_settings& settings) {
     settings_ = settings;
+    for (engine_view& e : engines_) {
+        e.set_interval_target(settings.token_interval_target_);
+    }
 }
 
 void cell_core::on(const became_owner&) {
@@ -477,6 +480,11 @@
         std::ranges::count_if(attempts_, [](const auto& entry) {
             return entry.second.stage_ == attempt_stage::prefilling;
         }));
+    u.promised_slots_ = promised_.slots_;
+    u.promised_pieces_ = promised_.pieces_;
+    each_serving(engine_role::prefill, [&](engine_index, const engine_view& e) {
+        u.prefill_pieces_held_ += e.held().pieces_;
+    });
     each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
         u.slots_ += e.description().slots_;
         u.pieces_ += e.description().pieces_;
--- a/pimentoferry/placement/cell_dispatch.cpp
+++ b/pimentoferry/placement/cell_dispatch.cpp
@@ -26,24 +26,21 @@
 constexpr double start_margin = 1.4;
 // Share of the decode places that late requests leave free. Without it they
 // take the places of those who still can be served in time.
-constexpr std::uint32_t late_reserve_divisor = 32;
+constexpr std::uint32_t late_reserve_divisor = 8;
 // Part of the lifetime of a prefill result for which it may wait for a decode
 // place; the rest is for the transfer and for a second engine.
 constexpr double wait_share = 0.5;
-// An inline prefill delays one step of every answer at the engine. At this
-// spacing fewer than 1 in 20 intervals of an answer are delayed.
-constexpr auto inline_spacing = 3s;
-// Advantage of a decode engine in the failure domain of the prefill engine,
-// in requests of its batch.
-constexpr double same_domain_advantage = 1;
+// An inline prefill lengthens one step of the whole batch. The next one waits
+// until that step is over, so that two do not share a step.
+constexpr auto inline_spacing = 100ms;
 
 base::clock::duration duration_of(double ms) {
     return std::chrono::duration_cast<base::clock::duration>(
         std::chrono::duration<double, std::milli>(ms));
 }
 
-base::microseconds score_of(double ms) {
-    return base::microseconds{static_cast<std::int64_t>(ms * 1'000)};
+std::int64_t score_of(double ms) {
+    return static_cast<std::int64_t>(ms * 1'000);
 }
 
 double ms_between(base::time_point from, base::time_point to) {
@@ -97,7 +94,7 @@
 places cell_core::free_places() const {
     places free;
     each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
-        free.slots_ += e.free_slots(settings_.token_interval_target_);
+        free.slots_ += e.free_slots();
         free.pieces_ += e.free_pieces();
     });
     return free;
@@ -107,8 +104,8 @@
     cell_capacity c;
     std::uint32_t free = 0;
     each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
-        c.decode_slots_ += e.batch_cap(settings_.token_interval_target_);
-        free += e.free_slots(settings_.token_interval_target_);
+        c.decode_slots_ += e.batch_cap();
+        free += e.free_slots();
     });
     c.free_places_ = free > promised_.slots_ ? free - promised_.slots_ : 0;
     double backlog = std::numeric_limits<double>::max();
@@ -126,7 +123,8 @@
 }
 
 bool cell_core::may_wait(attempt_state& a, double& predicted_ms) const {
-    const double service = first_token_ms(a);
+    a.service_ms_ = first_token_ms(a);
+    const double service = a.service_ms_;
     const cell_capacity c = capacity();
     const double wait =
         admission_.queue_wait_ms(queue_.ahead_of(item_of(a)), c);
@@ -159,6 +157,10 @@
         forget(id);
         return;
     }
+    // Nobody waits: the queue is needed only when there is no place.
+    if (queue_.size() == 0 && parked_.empty() && !a.late_ && dispatch(a)) {
+        return;
+    }
     enqueue(a);
     pump();
     const attempt_state* left = find(id);
@@ -171,7 +173,7 @@
 
 void cell_core::enqueue(attempt_state& a) {
     const base::time_point limit = a.late_ ? a.limit_ : a.target_;
-    const double service = start_margin * first_token_ms(a);
+    const double service = start_margin * a.service_ms_;
     a.expires_ = limit - duration_of(service);
     expiry_.emplace(a.expires_, a.id_);
     queue_.push(item_of(a));
@@ -197,7 +199,7 @@
             continue;
         }
         refuse(a, base::refusal_code::overloaded,
-               admission::retry_after(first_token_ms(a)),
+               admission::retry_after(a.service_ms_),
                "no place within the budget", decision_kind::expire);
         forget(a.id_);
     }
@@ -218,6 +220,9 @@
 }
 
 void cell_core::unpark() {
+    if (parked_.empty()) {
+        return;
+    }
     const std::vector<base::attempt_id> parked = std::move(parked_);
     parked_.clear();
     for (const base::attempt_id id : parked) {
@@ -270,10 +275,10 @@
     std::uint32_t held_slots = 0;
     places free;
     each_serving(engine_role::decode, [&](engine_index, const engine_view& e) {
-        const std::uint32_t free_here =
-            e.free_slots(settings_.token_interval_target_);
+        const std::uint32_t free_here = e.free_slots();
         slots += e.description().slots_;
         fitting += std::min(free_here, e.free_pieces() / size);
+        free.slots_ += free_here;
         free.pieces_ += e.free_pieces();
         held_slots += e.held().slots_;
         held_pieces += e.held().pieces_;
@@ -284,14 +289,14 @@
             : admission_.frees_lower_bound(bound_, horizon_ms, waste_weight());
     const std::uint32_t coming_pieces =
         held_slots == 0 ? 0 : coming * (held_pieces / held_slots);
-    const std::uint32_t reserve =
-        a.late_ ? slots / late_reserve_divisor + 1 : 0;
-    return promised_.slots_ + 1 + reserve <= fitting + coming &&
+    const std::uint32_t reserve = a.late_ ? slots / late_reserve_divisor : 0;
+    return promised_.slots_ + 1 <= fitting + coming &&
+           promised_.slots_ + 1 + reserve <= free.slots_ + coming &&
            promised_.pieces_ + pieces <= free.pieces_ + coming_pieces;
 }
 
 engine_index cell_core::choose_prefill(const attempt_state& a,
-                                       candidates& weighed,
+                                       candidates* weighed,
                                        double& finish_ms) const {
     engine_index best = no_engine;
     each_serving(engine_role::prefill,
@@ -300,7 +305,9 @@
                      const double rest = e.prefill_ms(uncached_tokens(a, e));
                      const double backlog = e.backlog_ms(now_);
                      const double finish = backlog + rest;
-                     weighed.push_back({e.name(), score_of(finish)});
+                     if (weighed != nullptr) {
+                         weighed->push_back({e.name(), score_of(finish)});
+                     }
                      // The engine may be busy for as long as its cache saves.
                      const bool soon = backlog <= grant_ahead_ms + whole - rest;
                      const bool fits = e.free_pieces() >= prompt_pieces_of(a);
@@ -324,8 +331,7 @@
     std::uint32_t free = 0;
     each_serving(
         engine_role::decode, [&](engine_index i, const engine_view& e) {
-            const std::uint32_t slots =
-                e.free_slots(settings_.token_interval_target_);
+            const std::uint32_t slots = e.free_slots();
             free += slots;
             const double step = e.step_ms() + e.prefill_ms(a.prompt_tokens_);
             const bool hidden =
@@ -335,7 +341,7 @@
             const bool fits = slots > 0 && e.free_pieces() >= pieces_of(a);
             const bool apart = !a.suspect_ || !e.has_suspect();
             const bool better = best == no_engine || e.used_slots() < used;
-            if (fits && apart && (hidden || spaced) && better) {
+            if (fits && apart && hidden && spaced && better) {
                 best = i;
                 used = e.used_slots();
             }
@@ -345,14 +351,16 @@
 
 bool cell_core::dispatch(attempt_state& a) {
     if (suspect_blocked(a)) {
+        if (queue_.find(a.id_) == nullptr) {
+            return false;
+        }
         queue_.remove(a.id_);
         a.parked_ = true;
         parked_.push_back(a.id_);
         return true;
     }
-    candidates weighed;
     double finish_ms = 0;
-    const engine_index prefill = choose_prefill(a, weighed, finish_ms);
+    const engine_index prefill = choose_prefill(a, nullptr, finish_ms);
     if (prefill == no_engine) {
         const engine_index decode = choose_inline(a);
         if (decode == no_engine) {
@@ -366,14 +374,22 @@
     if (!may_promise(a, finish_ms + grace)) {
         return false;
     }
+    // A second look, so that requests that go on waiting cost no list.
+    candidates weighed;
+    if (settings_.record_decisions_) {
+        weighed.reserve(engines_.size());
+        choose_prefill(a, &weighed, finish_ms);
+    }
     grant(a, prefill, std::move(weighed), finish_ms);
     return true;
 }
 
-// The granted request is at the front of the queue.
+// The granted request is at the front of the queue, or never was in it.
 void cell_core::leave_queue(attempt_state& a) {
-    expiry_.erase({a.expires_, a.id_});
-    queue_.pop();
+    if (queue_.size() > 0) {
+        expiry_.erase({a.expires_, a.id_});
+        queue_.pop();
+    }
     admission_.granted(a.caller_, a.prompt_tokens_, now_);
 }
 
@@ -398,9 +414,7 @@
     a.since_ = now_;
     ++promised_.slots_;
     promised_.pieces_ += pieces_of(a);
-    const engine_index decode = choose_decode(a, nullptr);
-    const engine_index provisional =
-        decode == no_engine ? least_used(engine_role::decode, 0) : decode;
+    const engine_index provisional = least_used(engine_role::decode, 0);
     send(a, place_grant{a.id_, e.name(), engine(provisional).name(), false});
     const double transfer =
         transfer_.predict(a.prompt_tokens_ / double{tokens_per_piece});
@@ -427,90 +441,6 @@
            e.prefill_ms(a.prompt_tokens_) + e.step_ms());
 }
 
-engine_index cell_core::choose_decode(const attempt_state& a,
-                                      candidates* weighed) const {
-    const base::failure_domain* near =
-        a.prefill_ == no_engine
-            ? &a.failure_domain_
-            : &engine(a.prefill_).description().failure_domain_;
-    engine_index best = no_engine;
-    double best_score = 0;
-    each_serving(engine_role::decode, [&](engine_index i,
-                                          const engine_view& e) {
-        const auto cap =
-            std::max(e.batch_cap(settings_.token_interval_target_), 1U);
-        const bool same = e.description().failure_domain_ == *near;
-        const double load =
-            e.used_slots() - (same ? same_domain_advantage : 0.0);
-        const double score = load / cap;
-        if (weighed != nullptr) {
-            weighed->push_back({e.name(), score_of(score)});
-        }
-        const bool lost = ((a.lost_engines_ >> i) & 1U) != 0;
-        const bool fits = e.free_slots(settings_.token_interval_target_) > 0 &&
-                          e.free_pieces() >= pieces_of(a);
-        const bool apart = !a.suspect_ || !e.has_suspect();
-        const bool better = best == no_engine || score < best_score;
-        if (!lost && fits && apart && better) {
-            best = i;
-            best_score = score;
-        }
-    });
-    return best;
-}
-
-bool cell_core::try_bind(attempt_state& a) {
-    candidates weighed;
-    const engine_index decode =
-        choose_decode(a, settings_.record_decisions_ ? &weighed : nullptr);
-    if (decode == no_engine) {
-        return false;
-    }
-    bind(a, decode);
-    record(a, decision_kind::bind, "least loaded with memory", decode,
-           std::move(weighed));
-    return true;
-}
-
-void cell_core::bind(attempt_state& a, engine_index decode) {
-    engine_view& e = engine(decode);
-    e.hold(pieces_of(a));
-    if (a.suspect_) {
-        e.hold_suspect();
-    }
-    --promised_.slots_;
-    promised_.pieces_ -= pieces_of(a);
-    ++bound_;
-    a.decode_ = decode;
-    a.stage_ = attempt_stage::bound;
-    a.since_ = now_;
-    send(a, decode_bound{a.id_, e.name()});
-}
-
-// Done prefills come before all queued requests: their results are evicted
-// within a second. A request that fits nowhere does not hold up the others.
-void cell_core::bind_waiting() {
-    std::deque<base::attempt_id> left;
-    for (const base::attempt_id id : waiting_) {
-        attempt_state* a = find(id);
-        if (a == nullptr || a->stage_ != attempt_stage::unbound) {
-            continue;
-        }
-        if (try_bind(*a)) {
-            continue;
-        }
-        if (a->result_until_ <= now_) {
-            refuse(*a, base::refusal_code::overloaded,
-                   admission::retry_after(0), "no decode place for the result",
-                   decision_kind::expire);
-            forget(id);
-            continue;
-        }
-        left.push_back(id);
-    }
-    waiting_ = std::move(left);
-}
-
 std::optional<base::time_point> cell_core::next_prefill_opening() const {
     std::optional<base::time_point> next;
     each_serving(engine_role::prefill, [&](engine_index, const engine_view& e) {
