Schedule cells with the library placement

Cause: a stand-in granted places without regard to load. Change: cell owners run a scheduler for each cell, poll its engines, adopt a cell whose owner is silent, and spread its headroom; the stand-in is deleted. Prefix hashes are formed as engines name their blocks.

--- a/pimentoferry/entry/control.cpp
+++ b/pimentoferry/entry/control.cpp
@@ -119,6 +119,9 @@
 }
 
 void control::handle(const requests::event& event) {
+    if (const auto* crash = std::get_if<requests::engine_crashed>(&event)) {
+        to_all_schedulers(placement::engine_crashed{crash->engine_});
+    }
     for (const auto& action : table_.handle(event, base::clock::now())) {
         perform(action);
     }
@@ -173,7 +176,8 @@
 
 void control::arm_timer() {
     auto next = base::clock::now() + longest_tick;
-    for (const auto due : {table_.next_deadline(), once_.next_wakeup()}) {
+    for (const auto due :
+         {table_.next_deadline(), once_.next_wakeup(), cells_.next_wakeup()}) {
         next = std::min(next, due.value_or(next));
     }
     // A timer that is armed again for the same time would never expire under
--- a/pimentoferry/entry/control.hpp
+++ b/pimentoferry/entry/control.hpp
@@ -32,6 +32,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -127,6 +128,7 @@
 
     // control_members.cpp
     void perform(const membership::action& action);
+    void note_end(const membership::member& member);
     void learn(const membership::rumor& rumor);
     void receive(envelope received);
     void send_to(base::instance_id to, peer_message message);
@@ -140,12 +142,37 @@
     // control_cells.cpp
     std::vector<base::instance_id>
     cell_candidates(const base::cell_name& cell) const;
-    void to_cell(base::instance_id from, const cell_message& message);
-    void from_cell(base::instance_id to, const placement::to_entry& answer);
+    cell_set::is_leaving_function leaving_test() const;
+    void find_places();
     void refresh_cells();
+    void refresh_leaving();
+    void open_cell(const base::cell_name& cell);
+    void to_cell(base::instance_id from, const cell_message& message);
+    void to_scheduler(const base::cell_name& cell,
+                      const placement::event& event);
+    void to_all_schedulers(const placement::event& event);
+    void perform_cell(const base::cell_name& cell,
+                      const cell_set::actions& actions);
+    void perform_cell(const base::cell_name& cell,
+                      const placement::send_to_entry& action);
+    void perform_cell(const base::cell_name& cell,
+                      const placement::cancel_attempts& action);
+    void perform_cell(const base::cell_name& cell,
+                      const placement::publish_headroom& action);
+    void perform_cell(const base::cell_name& cell,
+                      const placement::decision_record& record);
+    void perform_cell(const base::cell_name& cell,
+                      const placement::propose_role_change& proposal);
     void step_cells();
     void raise_engines_known();
 
+    // control_polls.cpp
+    void start_poll(const due_poll& poll);
+    http::awaitable<void> poll_engine(due_poll poll);
+    http::awaitable<void> poll_load(due_poll poll);
+    http::awaitable<std::uint64_t> poll_cache(due_poll poll);
+    void note_engine_crash(const base::upstream_name& engine);
+
     // control_snapshot.cpp
     void publish();
     std::optional<base::refusal> closed_by() const;
@@ -186,6 +213,10 @@
     std::uint64_t topology_{0}; ///< Hash of what cell ownership depends on.
     std::vector<membership::cell_place> places_;
     std::map<base::cell_name, base::instance_id> owners_;
+    std::uint64_t headroom_version_{0};
+    std::set<base::instance_id> dead_;      ///< Instances that ended.
+    std::set<base::upstream_name> crashed_; ///< Until they answer again.
+    std::map<base::upstream_name, std::string> engine_instances_;
     std::map<base::instance_id, base::endpoint> reply_addresses_;
     std::vector<base::endpoint> store_seeds_;
     std::vector<base::endpoint> platform_seeds_;
--- a/pimentoferry/entry/control_cells.cpp
+++ b/pimentoferry/entry/control_cells.cpp
@@ -5,46 +5,14 @@
 #include "pimentoferry/entry/log.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace pimentoferry::entry {
 
 namespace {
 
-void log_answer(const placement::to_entry& answer) {
-    std::visit(
-        base::overloaded{
-            [](const placement::place_grant& m) {
-                log_info("place",
-                         {{"attempt", base::to_string(m.attempt_)},
-                          {"prefill", m.prefill_.value_},
-                          {"decode", m.decode_.value_},
-                          {"inline", m.prefill_at_decode_ ? "yes" : "no"}});
-            },
-            [](const placement::place_refusal& m) {
-                log_info("place_refused",
-                         {{"attempt", base::to_string(m.attempt_)},
-                          {"code", std::string{to_string(m.code_)}}});
-            },
-            [](const placement::decode_bound& m) {
-                log_info("bind", {{"attempt", base::to_string(m.attempt_)},
-                                  {"decode", m.decode_.value_}});
-            },
-            [](const placement::place_queued& m) {
-                log_info("queue", {{"attempt", base::to_string(m.attempt_)}});
-            }},
-        answer);
-}
-
-std::string_view outcome_of(const placement::to_entry& answer) {
-    return std::visit(
-        base::overloaded{
-            [](const placement::place_grant&) { return "granted"; },
-            [](const placement::place_refusal&) { return "refused"; },
-            [](const placement::decode_bound&) { return "bound"; },
-            [](const placement::place_queued&) { return "queued"; }},
-        answer);
-}
+// An entry that was asked as the next owner keeps the cell for this long after
+// the last request, unless it becomes the owner.
+constexpr std::chrono::seconds adopted_cell_life{10};
 
 bool is_engine(const config::upstream& upstream) {
     return upstream.kind_ == config::upstream_kind::engine;
@@ -60,12 +28,38 @@
     return regions;
 }
 
+std::string_view to_string(placement::decision_kind kind) {
+    switch (kind) {
+    case placement::decision_kind::grant:
+        return "grant";
+    case placement::decision_kind::bind:
+        return "bind";
+    case placement::decision_kind::queue:
+        return "queue";
+    case placement::decision_kind::refuse:
+        return "refuse";
+    case placement::decision_kind::expire:
+        return "expire";
+    }
+    return "unknown";
+}
+
+std::string candidates_text(const placement::decision_record& record) {
+    std::string text;
+    for (const auto& candidate : record.candidates_) {
+        text += text.empty() ? "" : ",";
+        text += candidate.engine_.value_ + ":" +
+                std::to_string(candidate.score_.count());
+    }
+    return text;
+}
+
 } // namespace
 
 std::vector<base::instance_id>
 control::cell_candidates(const base::cell_name& cell) const {
     const auto place =
-        std::ranges::find(places_, cell, [](const auto& p) { return p.cell_; });
+        std::ranges::find(places_, cell, &membership::cell_place::cell_);
     if (place == places_.end()) {
         return {};
     }
@@ -74,9 +68,8 @@
 
 // An engine in a failure domain without entries counts to this entry's region:
 // tickets do not name regions, and a fleet without entries there has one.
-void control::refresh_cells() {
-    const auto live = swim_.live();
-    const auto regions = regions_of(live);
+void control::find_places() {
+    const auto regions = regions_of(swim_.live());
     std::map<base::cell_name, std::string> cells;
     for (const auto& [name, upstream] : routing_->state_.upstreams_) {
         if (is_engine(upstream)) {
@@ -90,38 +83,161 @@
     for (const auto& [cell, region] : cells) {
         places_.push_back({cell, region});
     }
-    const auto before = std::move(owners_);
-    owners_ = membership::assign_cells(places_, live);
+}
+
+void control::refresh_cells() {
+    find_places();
+    const auto before =
+        std::exchange(owners_, membership::assign_cells(places_, swim_.live()));
     for (const auto& [cell, owner] : owners_) {
         const auto old = before.find(cell);
         if (old == before.end() || old->second != owner) {
             log_info("cell_owner", {{"cell", cell.value_},
                                     {"owner", base::to_hex(owner.value_)}});
+            // The scheduler is there before announcements reach it.
+            if (owner == instance_ && !cells_.owns(cell)) {
+                open_cell(cell);
+            }
             raise(requests::event{requests::owner_changed{cell}});
         }
     }
+    const auto now = base::clock::now();
+    for (const auto& cell : cells_.names()) {
+        const auto owner = owners_.find(cell);
+        if (owner != owners_.end() && owner->second == instance_) {
+            perform_cell(cell,
+                         cells_.refresh(cell, *routing_, leaving_test(), now));
+        } else {
+            perform_cell(cell, cells_.close(cell, now));
+        }
+    }
+}
+
+cell_set::is_leaving_function control::leaving_test() const {
+    return [this](const base::upstream_name& name) {
+        return swim_.gossip().is_leaving(name);
+    };
+}
+
+void control::open_cell(const base::cell_name& cell) {
+    const std::vector<base::instance_id> dead{dead_.begin(), dead_.end()};
+    perform_cell(cell, cells_.open(cell, *routing_, leaving_test(), dead,
+                                   base::clock::now()));
+}
+
+void control::refresh_leaving() {
+    snapshot_changed_ = true;
+    raise_engines_known();
+    for (const auto& cell : cells_.names()) {
+        perform_cell(cell, cells_.refresh(cell, *routing_, leaving_test(),
+                                          base::clock::now()));
+    }
 }
 
 void control::to_cell(base::instance_id from, const cell_message& message) {
-    const auto answer =
-        cells_.handle(*snapshot_, message.cell_, message.message_);
-    if (answer) {
-        from_cell(from, *answer);
+    const auto& cell = message.cell_;
+    const bool place =
+        std::holds_alternative<placement::place_request>(message.message_);
+    // An entry asks the next owner when the owner is silent, which is some
+    // seconds before membership declares it dead.
+    const auto candidates = cell_candidates(cell);
+    const bool candidate =
+        std::ranges::count(candidates, instance_) > 0 && !drain_.begun();
+    if (place && !cells_.owns(cell) && candidate) {
+        log_info("cell_adopted", {{"cell", cell.value_}});
+        open_cell(cell);
     }
+    to_scheduler(cell, placement::entry_message{from, message.message_});
 }
 
-void control::from_cell(base::instance_id to,
-                        const placement::to_entry& answer) {
-    log_answer(answer);
-    metrics_.count_placement(outcome_of(answer));
-    if (to == instance_) {
-        raise(requests::event{requests::placed{answer}});
+void control::to_scheduler(const base::cell_name& cell,
+                           const placement::event& event) {
+    perform_cell(cell, cells_.handle(cell, event, base::clock::now()));
+}
+
+void control::to_all_schedulers(const placement::event& event) {
+    for (const auto& cell : cells_.names()) {
+        to_scheduler(cell, event);
+    }
+}
+
+void control::perform_cell(const base::cell_name& cell,
+                           const cell_set::actions& actions) {
+    for (const auto& action : actions) {
+        std::visit(base::overloaded{[this, &cell](const auto& a) {
+                       perform_cell(cell, a);
+                   }},
+                   action);
+    }
+}
+
+void control::perform_cell(const base::cell_name&,
+                           const placement::send_to_entry& action) {
+    if (action.to_ == instance_) {
+        raise(requests::event{requests::placed{action.message_}});
     } else {
-        send_to(to, answer);
+        send_to(action.to_, action.message_);
     }
 }
 
-void control::step_cells() {}
+void control::perform_cell(const base::cell_name&,
+                           const placement::cancel_attempts& action) {
+    perform(requests::cancel_attempts{action.engine_, action.attempts_});
+}
+
+// A new owner counts from zero, and the higher version wins everywhere, so
+// versions are taken from the wall clock.
+void control::perform_cell(const base::cell_name& cell,
+                           const placement::publish_headroom& action) {
+    const auto wall = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<base::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count());
+    headroom_version_ = std::max(headroom_version_ + 1, wall);
+    raise(membership::event{membership::publish{
+        membership::cell_headroom{cell, instance_, headroom_version_,
+                                  action.free_places_, action.queued_}}});
+    snapshot_changed_ = true;
+}
+
+void control::perform_cell(const base::cell_name& cell,
+                           const placement::decision_record& record) {
+    const auto kind = to_string(record.kind_);
+    metrics_.count_placement(kind);
+    log_info("place",
+             {{"attempt", base::to_string(record.attempt_)},
+              {"cell", cell.value_},
+              {"decision", std::string{kind}},
+              {"choice", record.choice_.value_},
+              {"reason", std::string{record.reason_}},
+              {"candidates", candidates_text(record)},
+              {"first_token_us",
+               std::to_string(record.predicted_first_token_.count())}});
+}
+
+void control::perform_cell(const base::cell_name& cell,
+                           const placement::propose_role_change& proposal) {
+    log_info("role_change_proposed",
+             {{"cell", cell.value_},
+              {"engine", proposal.engine_.value_},
+              {"reason", std::string{proposal.reason_}}});
+}
+
+void control::step_cells() {
+    const auto now = base::clock::now();
+    to_all_schedulers(placement::tick{});
+    for (const auto& cell : cells_.names()) {
+        const auto owner = owners_.find(cell);
+        const bool own = owner != owners_.end() && owner->second == instance_;
+        if (!own && cells_.last_request(cell) + adopted_cell_life < now) {
+            log_info("cell_released", {{"cell", cell.value_}});
+            perform_cell(cell, cells_.close(cell, now));
+        }
+    }
+    for (const auto& poll : cells_.due(now)) {
+        start_poll(poll);
+    }
+}
 
 void control::raise_engines_known() {
     std::map<base::cell_name, requests::engines_known> cells;
--- a/pimentoferry/entry/control_members.cpp
+++ b/pimentoferry/entry/control_members.cpp
@@ -61,11 +61,27 @@
                                   {"state",
                                    std::string{to_string(a.member_.state_)}}});
                        view_changed_ = true;
+                       note_end(a.member_);
                    },
                    [this](const membership::learned& a) { learn(a.rumor_); }},
                action);
 }
 
+// Attempts of an instance that ended are cancelled by the cell owners.
+void control::note_end(const membership::member& member) {
+    const bool ended = member.state_ == membership::member_state::dead ||
+                       member.state_ == membership::member_state::left;
+    if (!ended) {
+        dead_.erase(member.instance_);
+    } else if (dead_.insert(member.instance_).second) {
+        log_info("entry_ended",
+                 {{"name", member.name_},
+                  {"instance", base::to_hex(member.instance_.value_)},
+                  {"state", std::string{to_string(member.state_)}}});
+        to_all_schedulers(placement::entry_dead{member.instance_});
+    }
+}
+
 void control::learn(const membership::rumor& rumor) {
     std::visit(base::overloaded{
                    [this](const membership::crash_mark& m) {
@@ -74,8 +90,7 @@
                    },
                    [this](const membership::leaving_upstream& m) {
                        log_info("leaving", {{"upstream", m.upstream_.value_}});
-                       raise_engines_known();
-                       snapshot_changed_ = true;
+                       refresh_leaving();
                    },
                    [this](const membership::cell_headroom&) {
                        snapshot_changed_ = true;
--- a/pimentoferry/entry/control_platform.cpp
+++ b/pimentoferry/entry/control_platform.cpp
@@ -69,8 +69,7 @@
             raise(membership::event{membership::publish{
                 membership::leaving_upstream{name, instance.address_}}});
             handle_queue();
-            raise_engines_known();
-            snapshot_changed_ = true;
+            refresh_leaving();
         }
     }
     if (!std::ranges::equal(seeds, platform_seeds_)) {
--- a/pimentoferry/entry/prompt.cpp
+++ b/pimentoferry/entry/prompt.cpp
@@ -11,14 +11,14 @@
 constexpr std::string_view white_space = " \t\r\n\f\v";
 constexpr std::uint32_t tokens_per_piece = 1000;
 
-/// Calls `visit` with the end of each word.
+/// Calls `visit` with each word.
 template <class Visitor>
 void for_each_word(std::string_view text, Visitor visit) {
     auto start = text.find_first_not_of(white_space);
     while (start != std::string_view::npos) {
         const auto end =
             std::min(text.find_first_of(white_space, start), text.size());
-        visit(end);
+        visit(text.substr(start, end - start));
         start = text.find_first_not_of(white_space, end);
     }
 }
@@ -27,23 +27,26 @@
 
 std::uint32_t estimate_tokens(std::string_view prompt) {
     std::uint32_t words = 0;
-    for_each_word(prompt, [&words](std::size_t) { ++words; });
+    for_each_word(prompt, [&words](std::string_view) { ++words; });
     return words;
 }
 
+// Engines name their cached blocks in the same way: words joined by single
+// spaces, and each hash combined with the one before.
 std::vector<std::uint64_t> prefix_hashes(std::string_view prompt) {
     std::vector<std::uint64_t> hashes;
+    std::string piece;
     std::uint32_t words = 0;
     std::uint64_t hash = 0;
-    std::size_t piece_start = 0;
-    for_each_word(prompt, [&](std::size_t end) {
+    for_each_word(prompt, [&](std::string_view word) {
+        piece += piece.empty() ? "" : " ";
+        piece += word;
         if (++words % tokens_per_piece != 0) {
             return;
         }
-        const auto piece = prompt.substr(piece_start, end - piece_start);
         hash = base::hash_combine(hash, base::hash_bytes(piece));
         hashes.push_back(hash);
-        piece_start = end;
+        piece.clear();
     });
     return hashes;
 }
