--- a/bench/cell_simulation.cpp
+++ b/bench/cell_simulation.cpp
@@ -110,6 +110,7 @@
 std::vector<placement::engine_description>
 cell_simulation::descriptions() const {
     std::vector<placement::engine_description> all;
+    all.reserve(engines_.size());
     for (const auto& e : engines_) {
         all.push_back(e->description());
     }
@@ -229,7 +230,8 @@
     loop_.at(late_reports_end_ms,
              [this] { report_lag_ms_ = settings_.machines_.report_lag_ms_; });
     loop_.at(leaving_ms, [this, first_decode] {
-        engines_.at(static_cast<std::size_t>(first_decode + 4))->set_leaving();
+        const auto leaving = static_cast<std::size_t>(first_decode) + 4;
+        engines_.at(leaving)->set_leaving();
         feed_all(0, placement::engines_changed{descriptions()});
     });
 }
--- a/bench/fake_engine.cpp
+++ b/bench/fake_engine.cpp
@@ -209,7 +209,7 @@
           [this, batch = std::move(batch)] { end_step(batch); });
 }
 
-void fake_engine::end_step(std::vector<base::attempt_id> batch) {
+void fake_engine::end_step(const std::vector<base::attempt_id>& batch) {
     stepping_ = false;
     for (const base::attempt_id id : batch) {
         const auto found = streams_.find(id);
--- a/bench/fake_engine.hpp
+++ b/bench/fake_engine.hpp
@@ -99,7 +99,7 @@
     std::uint32_t cached_pieces(const request_sample& s) const;
     void remember(const request_sample& s);
     void start_step();
-    void end_step(std::vector<base::attempt_id> batch);
+    void end_step(const std::vector<base::attempt_id>& batch);
     double noisy(double ms);
     /// Ignores callbacks from before a crash.
     void after(double ms, event_loop::callback what);
--- a/bench/metrics.cpp
+++ b/bench/metrics.cpp
@@ -134,6 +134,7 @@
     std::array<spread, figure_count> result{};
     for (std::size_t i = 0; i < figure_count; ++i) {
         std::vector<double> values;
+        values.reserve(runs.size());
         for (const figures& f : runs) {
             values.push_back(f.at(i));
         }
--- a/pimentoferry/placement/cell_scheduler_test.cpp
+++ b/pimentoferry/placement/cell_scheduler_test.cpp
@@ -34,6 +34,8 @@
                                                    std::uint32_t slots,
                                                    std::uint32_t pieces = 100) {
         std::vector<engine_description> all;
+        all.reserve(static_cast<std::size_t>(prefill) +
+                    static_cast<std::size_t>(decode));
         for (int i = 0; i < prefill; ++i) {
             all.push_back(cell_rig::make_engine("p" + std::to_string(i),
                                                 engine_role::prefill, 20, 400));
