placement: Count only serving engines in expected frees

The check of pieces prevented a wrong grant already, so no test failed before; the new test guards the rule.

--- a/pimentoferry/placement/cell_dispatch.cpp
+++ b/pimentoferry/placement/cell_dispatch.cpp
@@ -23,7 +23,7 @@
 constexpr double admission_share = 0.65;
 // A request that starts later than this many times its predicted service
 // before its target goes past the target too often.
-constexpr double start_margin = 1.4;
+constexpr double start_margin = 1.8;
 // Share of the decode places that late requests leave free. Without it they
 // take the places of those who still can be served in time.
 constexpr std::uint32_t late_reserve_divisor = 8;
@@ -284,9 +284,9 @@
         held_pieces += e.held().pieces_;
     });
     const std::uint32_t coming =
-        rebuilding_
-            ? 0
-            : admission_.frees_lower_bound(bound_, horizon_ms, waste_weight());
+        rebuilding_ ? 0
+                    : admission_.frees_lower_bound(held_slots, horizon_ms,
+                                                   waste_weight());
     const std::uint32_t coming_pieces =
         held_slots == 0 ? 0 : coming * (held_pieces / held_slots);
     const std::uint32_t reserve = a.late_ ? slots / late_reserve_divisor : 0;
--- a/pimentoferry/placement/cell_scheduler_test.cpp
+++ b/pimentoferry/placement/cell_scheduler_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(batch_is_capped_by_learnt_step_time);
     CPPUNIT_TEST(short_prompt_avoids_busy_prefill_pool);
     CPPUNIT_TEST(leaving_engine_gets_no_work);
+    CPPUNIT_TEST(places_of_leaving_engines_are_not_promised);
     CPPUNIT_TEST(lost_release_does_not_keep_a_place);
     CPPUNIT_TEST(role_change_needs_a_lasting_imbalance);
     CPPUNIT_TEST(only_the_owner_grants);
@@ -284,6 +285,36 @@
                        base::upstream_name{"d1"});
     }
 
+    // Expected frees at an engine that is leaving serve nobody; a prefill that
+    // counts on them is wasted.
+    void places_of_leaving_engines_are_not_promised() {
+        scheduler_settings bold = cell_rig::strict();
+        bold.policy_ = reserved{0};
+        cell_rig rig{bold};
+        auto all = engines(1, 1, 20);
+        rig.own(all);
+        for (std::uint64_t i = 1; i <= 200; ++i) {
+            run_to_decode(rig, i);
+            rig.now_ += 100ms;
+            rig.tell(place_release{rig.id(i), release_reason::cancelled, 0});
+        }
+        for (std::uint64_t i = 301; i <= 315; ++i) {
+            run_to_decode(rig, i);
+        }
+        place_request waiting = rig.make_request(401, 20'000);
+        waiting.first_token_budget_ = 20'000ms;
+        rig.tell(waiting);
+        waiting.attempt_ = rig.id(402);
+        rig.tell(waiting);
+        CPPUNIT_ASSERT_EQUAL(1U, rig.cell_.usage().queued_);
+        all.at(1).leaving_ = true;
+        rig.feed(engines_changed{all});
+        rig.now_ += 600ms;
+        rig.finish_prefill(401, 20'000);
+        CPPUNIT_ASSERT(rig.sent<place_grant>().empty());
+        CPPUNIT_ASSERT_EQUAL(1U, rig.cell_.usage().queued_);
+    }
+
     // A release that is lost with a peer link would shrink the pool for ever.
     void lost_release_does_not_keep_a_place() {
         cell_rig rig{cell_rig::strict()};
