Print the score of a placement candidate as the number it is now

Cause: the score became a plain integer in library placement while the daemon still called count() on it. Change: one expression in the decision log. Conclusion: none.

--- a/pimentoferry/entry/control_cells.cpp
+++ b/pimentoferry/entry/control_cells.cpp
@@ -49,7 +49,7 @@
     for (const auto& candidate : record.candidates_) {
         text += text.empty() ? "" : ",";
         text += candidate.engine_.value_ + ":" +
-                std::to_string(candidate.score_.count());
+                std::to_string(candidate.score_);
     }
     return text;
 }
