--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -1,6 +1,7 @@
 // Compares the policies of the cell scheduler on virtual time.
 //
-//     policy_bench [--seeds N] [--csv FILE] [--only WORKLOAD LOAD FAULTS]
+//     policy_bench [--seeds N] [--first-seed N] [--csv FILE]
+//                  [--only WORKLOAD LOAD FAULTS] [--waste-weight W] [--trace]
 //
 // Prints a table of medians over the seeds, with lowest and highest values in
 // the CSV file, and two lines of summary.
@@ -21,13 +22,13 @@
 using namespace pimentoferry;
 
 constexpr unsigned worker_threads = 4;
-constexpr std::uint64_t first_seed = 1'001;
 const std::vector<double> loads{0.7, 0.95, 1.2, 1.5};
 const std::vector<std::string> policies{"reserved", "round_robin", "least_load",
                                         "prefill_first"};
 
 struct options {
     int seeds_{5};
+    std::uint64_t first_seed_{1'001};
     std::string csv_;
     std::string workload_;
     double load_{0};
@@ -51,6 +52,8 @@
     for (std::size_t i = 0; i < words.size(); ++i) {
         if (words[i] == "--seeds" && i + 1 < words.size()) {
             o.seeds_ = std::max(1, std::atoi(words[++i].c_str()));
+        } else if (words[i] == "--first-seed" && i + 1 < words.size()) {
+            o.first_seed_ = std::strtoull(words[++i].c_str(), nullptr, 10);
         } else if (words[i] == "--csv" && i + 1 < words.size()) {
             o.csv_ = words[++i];
         } else if (words[i] == "--waste-weight" && i + 1 < words.size()) {
@@ -104,7 +107,7 @@
             s.policy_ =
                 placement::make_policy(cell.policy_, o.waste_weight_).value();
             // The same seeds for all policies: they meet the same requests.
-            s.seed_ = first_seed + i % seeds;
+            s.seed_ = o.first_seed_ + i % seeds;
             s.trace_ = o.trace_ && cell.policy_ == "reserved";
             cell.runs_[i % seeds] =
                 bench::figures_of(bench::run(s), cell.workload_.callers_);
