--- a/pimentoferry/placement/cell_test_rig.hpp
+++ b/pimentoferry/placement/cell_test_rig.hpp
@@ -19,11 +19,11 @@
 
     explicit cell_rig(const scheduler_settings& s) : cell_{s} {}
 
-    /// Whole half-second reports end the time of a new owner.
+    /// Settings that promise only places that are free.
     static scheduler_settings strict() {
         scheduler_settings s;
         s.cell_ = base::cell_name{"c"};
-        s.policy_ = reserved{1}; // Counts on no place that is not free yet.
+        s.policy_ = reserved{1};
         return s;
     }
 
