Hold calls to a crashed engine back until its crash is handled

Cause: a call that reached the next instance of an engine before the request table handled the crash left memory there that nobody knew of. A peer of a later version could send a refusal code that ended the process, and a handler that failed kept the drain waiting. Excluded: waiting in the relay; the table places the request elsewhere sooner.

--- a/pimentoferry/entry/cell_set.cpp
+++ b/pimentoferry/entry/cell_set.cpp
@@ -53,6 +53,7 @@
 
 std::vector<base::cell_name> cell_set::names() const {
     std::vector<base::cell_name> names;
+    names.reserve(cells_.size());
     for (const auto& [name, cell] : cells_) {
         names.push_back(name);
     }
--- a/pimentoferry/entry/control.cpp
+++ b/pimentoferry/entry/control.cpp
@@ -125,6 +125,11 @@
     for (const auto& action : table_.handle(event, base::clock::now())) {
         perform(action);
     }
+    if (const auto* crash = std::get_if<requests::engine_crashed>(&event)) {
+        for (auto* traffic : traffic_) {
+            traffic->crash_handled(crash->engine_);
+        }
+    }
 }
 
 void control::handle(const once::event& event) {
--- a/pimentoferry/entry/control_members.cpp
+++ b/pimentoferry/entry/control_members.cpp
@@ -26,6 +26,15 @@
     return "unknown";
 }
 
+// An entry of a later version may send a code that this one does not have.
+void make_code_known(placement::to_entry& message) {
+    auto* refusal = std::get_if<placement::place_refusal>(&message);
+    if (refusal != nullptr &&
+        static_cast<std::size_t>(refusal->code_) >= base::refusal_code_count) {
+        refusal->code_ = base::refusal_code::internal_error;
+    }
+}
+
 // Joins come from strangers; more addresses than a large fleet has are not
 // remembered.
 constexpr std::size_t reply_address_limit = 4096;
@@ -104,9 +113,10 @@
     if (from == instance_) {
         return;
     }
-    if (reply_addresses_.size() < reply_address_limit) {
-        reply_addresses_[from] = received.reply_to_;
+    if (reply_addresses_.size() >= reply_address_limit) {
+        reply_addresses_.clear();
     }
+    reply_addresses_[from] = received.reply_to_;
     raise(tickets::event{tickets::peer_heard{from}});
     std::visit(base::overloaded{
                    [this, from](membership::message& m) {
@@ -121,6 +131,7 @@
                        raise(cell_request{from, std::move(m)});
                    },
                    [this](placement::to_entry& m) {
+                       make_code_known(m);
                        raise(requests::event{requests::placed{std::move(m)}});
                    },
                    [this, from](once::to_owner& m) {
--- a/pimentoferry/entry/engine_watch.cpp
+++ b/pimentoferry/entry/engine_watch.cpp
@@ -44,6 +44,7 @@
 void engine_watch::report_crash(const base::upstream_name& engine) {
     if (refused_.insert(engine).second) {
         instances_.erase(engine);
+        blocked_.insert(engine);
         log_warn("engine_crashed", {{"engine", engine.value_}});
         report_(requests::event{requests::engine_crashed{engine}});
     }
--- a/pimentoferry/entry/engine_watch.hpp
+++ b/pimentoferry/entry/engine_watch.hpp
@@ -30,6 +30,16 @@
 
     void answered(const base::upstream_name& engine);
 
+    /// A crash was reported and the request table has not handled it yet. No
+    /// call may reach the next instance of the engine before, because the
+    /// table then forgets what the engine holds.
+    bool blocked(const base::upstream_name& engine) const {
+        return blocked_.contains(engine);
+    }
+    void crash_handled(const base::upstream_name& engine) {
+        blocked_.erase(engine);
+    }
+
 private:
     void report_crash(const base::upstream_name& engine);
     http::awaitable<void> probe(base::upstream_name engine,
@@ -39,6 +49,7 @@
     http::client& client_;
     report_function report_;
     std::set<base::upstream_name> refused_;
+    std::set<base::upstream_name> blocked_;
     std::set<base::upstream_name> probing_;
     /// The engine's own instance id, by its last load report.
     std::map<base::upstream_name, std::string> instances_;
--- a/pimentoferry/entry/model_relay.cpp
+++ b/pimentoferry/entry/model_relay.cpp
@@ -133,8 +133,9 @@
 std::optional<base::endpoint>
 model_relay::address_of(const base::upstream_name& engine) const {
     const auto* upstream = find_upstream(*traffic_.snapshot_, engine);
-    return upstream == nullptr ? std::nullopt
-                               : std::optional{upstream->address_};
+    const bool usable =
+        upstream != nullptr && !traffic_.engines_.blocked(engine);
+    return usable ? std::optional{upstream->address_} : std::nullopt;
 }
 
 engine_failure model_relay::note_failure(const base::upstream_name& engine,
--- a/pimentoferry/entry/model_relay.hpp
+++ b/pimentoferry/entry/model_relay.hpp
@@ -65,7 +65,7 @@
     relay_events(http::open_answer& answer, base::attempt_id attempt);
     http::awaitable<bool> relay_token(token_event token);
 
-    /// Address of an engine that the snapshot knows.
+    /// Address of an engine that may be called now.
     std::optional<base::endpoint>
     address_of(const base::upstream_name& engine) const;
     http::awaitable<std::variant<http::response, requests::engine_failure>>
--- a/pimentoferry/entry/traffic_thread.cpp
+++ b/pimentoferry/entry/traffic_thread.cpp
@@ -36,6 +36,20 @@
                       command);
 }
 
+/// Counts a call for its lifetime, also when its handler fails.
+class running_call {
+public:
+    explicit running_call(std::atomic<std::size_t>& count) : count_(count) {
+        ++count_;
+    }
+    running_call(const running_call&) = delete;
+    running_call& operator=(const running_call&) = delete;
+    ~running_call() { --count_; }
+
+private:
+    std::atomic<std::size_t>& count_;
+};
+
 /// The failure of an action whose caller left in the meantime: nothing was
 /// sent for it. Nothing for actions that need no answer.
 std::optional<requests::event> unexecuted(const request_command& command) {
@@ -77,9 +91,8 @@
     }
 
     http::awaitable<void> serve(http::exchange& call) {
-        ++in_flight_;
+        const running_call running{in_flight_};
         co_await serve_caller(context_, call);
-        --in_flight_;
     }
 
     void execute(const request_command& command) {
@@ -213,6 +226,12 @@
     });
 }
 
+void traffic_thread::crash_handled(base::upstream_name engine) {
+    asio::post(impl_->io_, [this, engine = std::move(engine)] {
+        impl_->context_.engines_.crash_handled(engine);
+    });
+}
+
 void traffic_thread::stop_accepting() {
     asio::post(impl_->io_, [this] { impl_->server_->stop(); });
 }
--- a/pimentoferry/entry/traffic_thread.hpp
+++ b/pimentoferry/entry/traffic_thread.hpp
@@ -50,6 +50,9 @@
     void cancel(base::upstream_name engine,
                 std::vector<base::attempt_id> attempts);
 
+    /// The request table handled the crash of the engine.
+    void crash_handled(base::upstream_name engine);
+
     /// Refuses new connections; calls in progress are completed.
     void stop_accepting();
 
