--- a/bench/cell_simulation.cpp
+++ b/bench/cell_simulation.cpp
@@ -110,6 +110,7 @@
 std::vector<placement::engine_description>
 cell_simulation::descriptions() const {
     std::vector<placement::engine_description> all;
+    all.reserve(engines_.size());
     for (const auto& e : engines_) {
         all.push_back(e->description());
     }
@@ -229,7 +230,8 @@
     loop_.at(late_reports_end_ms,
              [this] { report_lag_ms_ = settings_.machines_.report_lag_ms_; });
     loop_.at(leaving_ms, [this, first_decode] {
-        engines_.at(static_cast<std::size_t>(first_decode + 4))->set_leaving();
+        const auto leaving = static_cast<std::size_t>(first_decode) + 4;
+        engines_.at(leaving)->set_leaving();
         feed_all(0, placement::engines_changed{descriptions()});
     });
 }
@@ -258,6 +260,22 @@
     feed_all(death_notice_ms, placement::entry_dead{dead});
 }
 
+workload_means cell_simulation::window_means() const {
+    workload_means means;
+    double count = 0;
+    for (const request& r : requests_) {
+        if (r.in_window_) {
+            count += 1;
+            means.output_tokens_ += r.sample_.output_tokens_;
+            means.uncached_tokens_ +=
+                r.sample_.prompt_tokens_ - r.sample_.shared_pieces_ * 1'000.0;
+        }
+    }
+    means.output_tokens_ /= std::max(count, 1.0);
+    means.uncached_tokens_ /= std::max(count, 1.0);
+    return means;
+}
+
 // See `docs/policy.md`: what the engines that are up can decode and prefill,
 // and what arrives and is not cancelled, second by second.
 double cell_simulation::bound() const {
@@ -271,6 +289,7 @@
         }
     }
     const machine_settings& m = settings_.machines_;
+    const workload_means means = window_means();
     double answers = 0;
     // Requests that wait for at most the budget may run in a later second.
     double carried = 0;
@@ -285,8 +304,8 @@
                       at < decode_loss_ms + decode_loss_for_ms;
             decode -= at >= leaving_ms;
         }
-        const double capacity = std::min(decode_capacity(m, means_, decode),
-                                         prefill_capacity(m, means_, prefill));
+        const double capacity = std::min(decode_capacity(m, means, decode),
+                                         prefill_capacity(m, means, prefill));
         const double offered = arrived[i] + carried;
         const double served = std::min(offered, capacity);
         answers += served;
--- a/pimentoferry/placement/cell_core.hpp
+++ b/pimentoferry/placement/cell_core.hpp
@@ -60,6 +60,7 @@
     base::time_point since_;         ///< Begin of the stage.
     base::time_point result_until_;  ///< Eviction of the prefill result.
     double expected_ms_{0};          ///< Of the prefill.
+    double service_ms_{0};           ///< From the grant to the first token.
     double integral_{0};             ///< Of the batch at the first token.
 };
 
@@ -127,6 +128,7 @@
     void check_rebuilt();
     void publish();
     void watch_balance();
+    void follow(double& share, bool short_now) const;
     void propose(engine_role from, engine_role to, std::string_view reason);
     engine_index index_of(const base::upstream_name& name) const;
     engine_view& engine(engine_index index);
@@ -148,7 +150,7 @@
     void unpark();
     bool may_promise(const attempt_state& a, double horizon_ms) const;
     engine_index choose_prefill(const attempt_state& a,
-                                candidates& weighed,
+                                candidates* weighed,
                                 double& finish_ms) const;
     engine_index choose_inline(const attempt_state& a) const;
     engine_index choose_decode(const attempt_state& a,
@@ -204,8 +206,8 @@
     base::time_point headroom_sent_;
     places headroom_; ///< Free and queued as last published.
     base::time_point balance_checked_;
-    base::time_point prefill_short_since_;
-    base::time_point decode_short_since_;
+    double prefill_short_{0}; ///< Recent share of the time.
+    double decode_short_{0};
     base::time_point role_change_proposed_;
     base::time_point next_cleanup_;
     std::uint32_t prefill_turn_{0};
