Avoid crashes of the linter

Cause: clang-tidy 16 crashes in bugprone-unchecked-optional-access on two functions that mix structured bindings and optional values. Change: the functions are split; behaviour is unchanged.

--- a/pimentoferry/requests/fuzz/oracle.hpp
+++ b/pimentoferry/requests/fuzz/oracle.hpp
@@ -90,9 +90,12 @@
                const std::vector<action>& actions,
                const std::vector<memory_hold>& after,
                base::time_point now);
-    /// An attempt brought down an engine.
-    void crashed(base::attempt_id culprit, base::time_point now) {
-        unjudged_[culprit] = now;
+    /// An engine crashed, by an attempt or by itself.
+    void crashed(const std::optional<base::attempt_id>& culprit,
+                 base::time_point now) {
+        if (culprit) {
+            unjudged_[*culprit] = now;
+        }
     }
     /// Announces the crash that the next `engine_crashed` event of the entry
     /// tells of, with the memory of its table before that event.
--- a/pimentoferry/requests/fuzz/world.cpp
+++ b/pimentoferry/requests/fuzz/world.cpp
@@ -101,13 +101,7 @@
 }
 
 void world::break_calls(const fake_engine& engine) {
-    std::vector<std::uint64_t> broken;
-    for (const auto& [id, c] : calls_) {
-        if (c.engine_ == &engine && c.engine_instance_ != 0) {
-            broken.push_back(id);
-        }
-    }
-    for (const std::uint64_t id : broken) {
+    for (const std::uint64_t id : received_calls(engine)) {
         fail_call(id, draw(2) == 0 ? engine_failure::broken
                                    : engine_failure::timed_out);
     }
--- a/pimentoferry/requests/fuzz/world.hpp
+++ b/pimentoferry/requests/fuzz/world.hpp
@@ -153,6 +153,8 @@
     void pump(std::uint64_t id);
     void crash(fake_engine& engine,
                std::optional<base::attempt_id> culprit = std::nullopt);
+    std::vector<std::uint64_t> received_calls(const fake_engine& engine) const;
+    void note_running(const fake_engine& engine);
     void expire_holds();
     void break_calls(const fake_engine& engine);
     fake_engine& engine_named(const base::upstream_name& name);
--- a/pimentoferry/requests/fuzz/world_engines.cpp
+++ b/pimentoferry/requests/fuzz/world_engines.cpp
@@ -411,29 +411,37 @@
           [this, index, instance, tell] { deliver(index, instance, tell); });
 }
 
-void world::crash(fake_engine& engine,
-                  std::optional<base::attempt_id> culprit) {
-    ++totals_.crashes_;
-    culprits_[{engine.name_, engine.instance_}] = culprit;
-    if (culprit) {
-        oracle_.crashed(*culprit, now_);
+// Calls that the engine has received and not answered.
+std::vector<std::uint64_t>
+world::received_calls(const fake_engine& engine) const {
+    std::vector<std::uint64_t> received;
+    for (const auto& [id, c] : calls_) {
+        if (c.engine_ == &engine && c.engine_instance_ != 0) {
+            received.push_back(id);
+        }
     }
+    return received;
+}
+
+void world::note_running(const fake_engine& engine) {
     std::set<base::attempt_id>& ran = ran_at_crash_[engine.name_];
     for (const auto& [attempt, memory] : engine.held_) {
         if (memory.kind_ != holding::result) {
             ran.insert(attempt);
         }
     }
+}
+
+void world::crash(fake_engine& engine,
+                  std::optional<base::attempt_id> culprit) {
+    ++totals_.crashes_;
+    culprits_[{engine.name_, engine.instance_}] = culprit;
+    oracle_.crashed(culprit, now_);
+    note_running(engine);
     engine.crash();
-    std::vector<std::uint64_t> broken;
     std::set<std::size_t> callers;
-    for (const auto& [id, c] : calls_) {
-        if (c.engine_ == &engine && c.engine_instance_ != 0) {
-            broken.push_back(id);
-            callers.insert(c.entry_);
-        }
-    }
-    for (const std::uint64_t id : broken) {
+    for (const std::uint64_t id : received_calls(engine)) {
+        callers.insert(calls_.at(id).entry_);
         fail_call(id, engine_failure::broken);
     }
     for (const std::size_t index : callers) {
--- a/pimentoferry/requests/table_core.cpp
+++ b/pimentoferry/requests/table_core.cpp
@@ -6,6 +6,12 @@
 
 namespace pimentoferry::requests::internal {
 
+namespace {
+
+constexpr base::time_point no_deadline = base::time_point::max();
+
+} // namespace
+
 table_core::table_core(const table_settings& settings)
     : settings_(settings), quarantine_(settings.quarantine_),
       cancels_(settings.cancels_), picker_(settings.seed_) {}
@@ -22,15 +28,15 @@
 }
 
 std::optional<base::time_point> table_core::next_deadline() const {
-    std::optional<base::time_point> next = cancels_.next_due();
-    const auto consider = [&](base::time_point time) {
-        next = next ? std::min(*next, time) : time;
-    };
+    base::time_point next = cancels_.next_due().value_or(no_deadline);
     if (!timers_.empty()) {
-        consider(timers_.begin()->first);
+        next = std::min(next, timers_.begin()->first);
+    }
+    for (const auto& each : crashes_) {
+        next = std::min(next, each.second.deadline_);
     }
-    for (const auto& [unused, crash] : crashes_) {
-        consider(crash.deadline_);
+    if (next == no_deadline) {
+        return std::nullopt;
     }
     return next;
 }
