Queue re-runs instead of refusing them at admission

Cause: process test killed_engine_loses_no_request: after one of two decode engines was killed, 19 of its 20 requests were refused with overloaded in the middle of their answers, all within 2 ms. The cell owner took the burst of re-runs for new demand and predicted a first token after the budget. Excluded: a wrong budget (patience of 20 s was passed on); the retry budget (24 allowed). Change: place_request says that it is a re-run; the owner queues it up to its budget. A request whose caller has tokens already has the request limit as its budget. Unit test for the queueing. The booking in the outage test was sent again with another body, which the router rightly refused (key_reused, 60 times in the log); the test now sends the same body.

--- a/pimentoferry/placement/cell_core.cpp
+++ b/pimentoferry/placement/cell_core.cpp
@@ -129,6 +129,7 @@
     a.uncached_tokens_ = m.prompt_tokens_;
     a.priority_ = m.priority_;
     a.suspect_ = m.suspect_;
+    a.rerun_ = m.rerun_;
     a.since_ = now_;
     a.limit_ = now_ + m.first_token_budget_;
     a.target_ = std::min(a.limit_, now_ + settings_.first_token_target_);
--- a/pimentoferry/placement/cell_core.hpp
+++ b/pimentoferry/placement/cell_core.hpp
@@ -44,6 +44,7 @@
     std::uint8_t priority_{0};
     attempt_stage stage_{attempt_stage::queued};
     bool suspect_{false};
+    bool rerun_{false};
     bool late_{false};   ///< Cannot meet the first-token target any more.
     bool parked_{false}; ///< A suspect that waits for the end of another.
     bool inline_{false}; ///< Prefill at the decode engine.
--- a/pimentoferry/placement/cell_dispatch.cpp
+++ b/pimentoferry/placement/cell_dispatch.cpp
@@ -149,7 +149,10 @@
     const base::attempt_id id = a.id_;
     double predicted_ms = 0;
     const bool full = queue_.size() + parked_.size() >= settings_.queue_limit_;
-    if (!may_wait(a, predicted_ms) || full) {
+    // A re-run waits as long as its caller does: what it had received so far
+    // would be thrown away by a refusal.
+    const bool may_queue = may_wait(a, predicted_ms) || a.rerun_;
+    if (!may_queue || full) {
         const double excess = predicted_ms - ms_between(now_, a.target_);
         refuse(a, base::refusal_code::overloaded,
                admission::retry_after(excess),
--- a/pimentoferry/placement/cell_scheduler_test.cpp
+++ b/pimentoferry/placement/cell_scheduler_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(decode_engine_is_bound_when_the_prefill_ends);
     CPPUNIT_TEST(memory_limits_beside_slots);
     CPPUNIT_TEST(hopeless_request_is_refused_at_once);
+    CPPUNIT_TEST(rerun_is_queued_where_a_new_request_is_refused);
     CPPUNIT_TEST(patient_request_outlives_its_target);
     CPPUNIT_TEST(lost_decode_place_is_replaced_before_the_queue);
     CPPUNIT_TEST(suspects_share_no_engine);
@@ -126,6 +127,19 @@
         CPPUNIT_ASSERT(refusals.front().retry_after_ > 0ms);
     }
 
+    // After an engine crash, 19 of its 20 requests were refused at once in the
+    // middle of their answers, because their re-runs looked like a burst.
+    void rerun_is_queued_where_a_new_request_is_refused() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(1, 1, 1));
+        run_to_decode(rig, 1);
+        place_request again = rig.make_request(2);
+        again.rerun_ = true;
+        rig.tell(again);
+        CPPUNIT_ASSERT(rig.sent<place_refusal>().empty());
+        CPPUNIT_ASSERT_EQUAL(1U, rig.cell_.usage().queued_);
+    }
+
     // Gedeo's callers prefer a late verdict to none.
     void patient_request_outlives_its_target() {
         cell_rig rig{cell_rig::strict()};
--- a/pimentoferry/placement/messages.hpp
+++ b/pimentoferry/placement/messages.hpp
@@ -31,14 +31,17 @@
     base::milliseconds first_token_budget_{0}; ///< Left at the time of sending.
     std::uint8_t priority_{0};
     bool suspect_{false}; ///< Carries a crash mark.
+    /// Was granted a place before and lost its engine. It is queued up to its
+    /// budget: a refusal at the door would throw away work already done.
+    bool rerun_{false};
 
     template <class Self>
     static auto fields(Self& self) {
         return std::tie(self.attempt_, self.request_, self.cell_, self.caller_,
                         self.failure_domain_, self.prompt_tokens_,
                         self.max_output_tokens_, self.prefix_hashes_,
-                        self.first_token_budget_, self.priority_,
-                        self.suspect_);
+                        self.first_token_budget_, self.priority_, self.suspect_,
+                        self.rerun_);
     }
 };
 
--- a/pimentoferry/requests/table_placing.cpp
+++ b/pimentoferry/requests/table_placing.cpp
@@ -32,6 +32,11 @@
 } // namespace
 
 base::milliseconds table_core::budget_left(const request_state& r) const {
+    // A caller that has tokens already waits for the rest of its answer.
+    if (r.position_ > 0) {
+        return std::max(std::chrono::ceil<base::milliseconds>(r.limit_ - now_),
+                        base::milliseconds{0});
+    }
     const auto left = r.request_.first_token_budget_ -
                       (now_ - (r.limit_ - settings_.request_limit_));
     return std::max(std::chrono::ceil<base::milliseconds>(left),
@@ -85,6 +90,7 @@
                       budget_left(r),
                       r.request_.priority_,
                       attempt.suspect_,
+                      r.reruns_ > 0,
                   });
 }
 
--- a/tests/process/failure_test.cpp
+++ b/tests/process/failure_test.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t request_count = 40;
 constexpr std::size_t booking_count = 20;
 constexpr int max_tries = 60;
+constexpr const char* booking = R"({"visit":1})";
 /// Steps of 10 ms make an answer last about a second, so that a failure
 /// meets requests in every stage.
 constexpr const char* slow_engines = R"({"step_base_us":10000})";
@@ -61,11 +62,12 @@
 // Sends a booking until it has a final answer, to one entry after another.
 unsigned book_until_answered(const fleet& system,
                              std::size_t first,
-                             const std::string& key) {
+                             const std::string& key,
+                             const std::string& body) {
     for (int attempt = 0; attempt < max_tries; ++attempt) {
         const auto answer = system.book(
             (first + static_cast<std::size_t>(attempt)) % system.entry_count(),
-            key, R"({"visit":1})");
+            key, body);
         const auto code = parse_json_text(answer.body_)["code"].asString();
         if (answer.status_ == 200 || code == "result_lost") {
             return answer.status_;
@@ -206,7 +208,7 @@
             callers.emplace_back([&, i] {
                 // All entries, so that claims of every kind are in flight.
                 std::this_thread::sleep_for(i * 20ms);
-                answers[i] = book_until_answered(system, i, keys[i]);
+                answers[i] = book_until_answered(system, i, keys[i], booking);
             });
         }
         std::this_thread::sleep_for(200ms);
@@ -229,7 +231,8 @@
     void store_outage_refuses_bookings_and_serves_requests() {
         auto& system = start({});
         const std::string known = make_key();
-        check(book_until_answered(system, 0, known) == 200, "first booking");
+        check(book_until_answered(system, 0, known, booking) == 200,
+              "first booking");
         check(fleet::control(system.store_port(), R"({"mode":"down"})"),
               "store switch");
         const auto end = std::chrono::steady_clock::now() + 60s;
@@ -242,20 +245,20 @@
                       "model request during the outage");
             }
             const std::string key = make_key();
-            const auto answer = system.book(refused.size() % 3, key, "{}");
+            const auto answer = system.book(refused.size() % 3, key, booking);
             const auto problem = parse_json_text(answer.body_);
             check(answer.status_ != 200 &&
                       problem["ran"].asString() == "not_run",
                   "a booking during the outage: " + answer.body_);
             refused.push_back(key);
-            check(system.book(1, known, R"({"visit":1})").status_ == 200,
+            check(system.book(1, known, booking).status_ == 200,
                   "replay of a known result");
         }
         check(system.executions().size() == 1,
               "a refused booking ran during the outage");
         fleet::control(system.store_port(), R"({"mode":"up"})");
         for (const auto& key : refused) {
-            check(book_until_answered(system, 0, key) != 0,
+            check(book_until_answered(system, 0, key, booking) != 0,
                   "a booking after the outage");
         }
         check_executions_at_most_once();
