Refuse work in time on the cut-off half of a large fleet

Cause: at 330 entries the cut-off half took 10.5 s until half of it refused work, and 20 s were not enough for all of it. Gossip about 165 lost entries does not pass through 1,200 bytes a message in 8 s, and the rule counts exact numbers.

Change: rumor sizes are estimated from their values instead of the largest ones, so about twice as many fit; each rumor is sent log2 n + 3 times instead of 2 log2 n; and a tenth of the known entries is added to the half that must be heard.

Excluded: judging by the own failed probes alone; 10 probes in 5 s miss an even split too often.

--- a/bench/control_fleet.hpp
+++ b/bench/control_fleet.hpp
@@ -86,8 +86,9 @@
     };
 
     void at(time_point when, std::function<void()> work);
-    void
-    every(milliseconds period, milliseconds first, std::function<void()> work);
+    void every(milliseconds period,
+               milliseconds first,
+               const std::function<void()>& work);
     void swim_event(std::size_t index, const membership::event& occurred);
     void ticket_event(std::size_t index, const tickets::event& occurred);
     void run_action(std::size_t from, membership::send_message& wanted);
--- a/pimentoferry/membership/member_view.cpp
+++ b/pimentoferry/membership/member_view.cpp
@@ -30,7 +30,11 @@
 merge_result member_view::merge(const member& told, base::time_point now) {
     const auto [place, added] =
         members_.try_emplace(told.instance_, known_member{told, now});
-    return added ? merge_result::state : merge(update_of(told), now);
+    if (!added) {
+        return merge(update_of(told), now);
+    }
+    note_state(told);
+    return merge_result::state;
 }
 
 merge_result member_view::merge(const member_update& told,
@@ -54,6 +58,7 @@
         }
         known.incarnation_ = told.incarnation_;
         known.state_ = told.state_;
+        note_state(known);
         result = merge_result::state;
     }
     return result;
@@ -77,9 +82,8 @@
 std::vector<base::instance_id>
 member_view::overdue_suspects(base::time_point now) const {
     std::vector<base::instance_id> overdue;
-    for (const auto& [instance, known] : members_) {
-        if (known.member_.state_ == member_state::suspect &&
-            now - known.since_ >= suspicion_limit) {
+    for (const auto instance : suspects_) {
+        if (now - members_.at(instance).since_ >= suspicion_limit) {
             overdue.push_back(instance);
         }
     }
@@ -87,10 +91,16 @@
 }
 
 void member_view::restart_suspicions(base::time_point now) {
-    for (auto& [instance, known] : members_) {
-        if (known.member_.state_ == member_state::suspect) {
-            known.since_ = now;
-        }
+    for (const auto instance : suspects_) {
+        members_.at(instance).since_ = now;
+    }
+}
+
+void member_view::note_state(const member& known) {
+    if (known.state_ == member_state::suspect) {
+        suspects_.insert(known.instance_);
+    } else {
+        suspects_.erase(known.instance_);
     }
 }
 
--- a/pimentoferry/membership/member_view.hpp
+++ b/pimentoferry/membership/member_view.hpp
@@ -11,7 +11,7 @@
 #include "pimentoferry/membership/messages.hpp"
 
 #include <map>
-#include <optional>
+#include <set>
 #include <vector>
 
 namespace pimentoferry::membership {
@@ -61,7 +61,11 @@
     void forget_ended(base::time_point now);
 
 private:
+    void note_state(const member& known);
+
     std::map<base::instance_id, known_member> members_;
+    /// Saves a search of all members at each tick.
+    std::set<base::instance_id> suspects_;
 };
 
 /// The part of a member that changes.
--- a/pimentoferry/membership/rumor_queue.cpp
+++ b/pimentoferry/membership/rumor_queue.cpp
@@ -1,27 +1,48 @@
 #include "pimentoferry/membership/rumor_queue.hpp"
 
 #include "pimentoferry/base/overloaded.hpp"
+#include "pimentoferry/membership/member_view.hpp"
 
 #include <algorithm>
 #include <bit>
+#include <cstdint>
 #include <utility>
 
 namespace pimentoferry::membership {
 namespace {
 
-// Upper bounds in msgpack: an id is 9 bytes, other numbers up to 5, texts have
-// a header of up to 3, and lists and the kind tag take a few more.
+// Upper bounds in msgpack: an id is 9 bytes, texts have a header of up to 3,
+// and lists and the kind tag take a few more.
 constexpr std::size_t id_bytes = 9;
-constexpr std::size_t number_bytes = 5;
+constexpr std::size_t millisecond_bytes = 5;
 constexpr std::size_t text_header_bytes = 3;
 constexpr std::size_t rumor_header_bytes = 4;
 
+/// A number as msgpack writes it: small ones take one byte.
+std::size_t number_bytes(std::uint64_t value) {
+    constexpr std::uint64_t one_byte_limit = 128;
+    if (value < one_byte_limit) {
+        return 1;
+    }
+    return value <= UINT8_MAX    ? 2
+           : value <= UINT16_MAX ? 3
+           : value <= UINT32_MAX ? 5
+                                 : id_bytes;
+}
+
 std::size_t text_bytes(const std::string& text) {
     return text_header_bytes + text.size();
 }
 
 std::size_t address_bytes(const base::endpoint& address) {
-    return 1 + text_bytes(address.ip_) + number_bytes;
+    return 1 + text_bytes(address.ip_) + number_bytes(address.port_);
+}
+
+std::size_t detail_bytes(const member_update& value) {
+    constexpr std::size_t state_and_draining = 2;
+    return number_bytes(value.incarnation_) + state_and_draining +
+           number_bytes(value.applied_ticket_) +
+           number_bytes(value.in_flight_) + number_bytes(value.version_);
 }
 
 bool is_state_change(const rumor& told) {
@@ -43,20 +64,26 @@
                        address_bytes(value.peer_address_) +
                        address_bytes(value.traffic_address_) +
                        text_bytes(value.failure_domain_.value_) +
-                       text_bytes(value.region_) + 5 * number_bytes + 2;
+                       text_bytes(value.region_) +
+                       detail_bytes(update_of(value));
+            },
+            [](const shard_owner& value) {
+                return id_bytes + number_bytes(value.shard_) +
+                       number_bytes(value.epoch_);
             },
-            [](const shard_owner&) { return 2 * id_bytes + number_bytes; },
             [](const cell_headroom& value) {
                 return text_bytes(value.cell_.value_) + id_bytes +
-                       3 * number_bytes;
+                       number_bytes(value.version_) +
+                       number_bytes(value.free_places_) +
+                       number_bytes(value.queued_);
             },
-            [](const crash_mark&) { return id_bytes + 1 + number_bytes; },
+            [](const crash_mark&) { return id_bytes + 1 + millisecond_bytes; },
             [](const leaving_upstream& value) {
                 return text_bytes(value.upstream_.value_) +
                        address_bytes(value.address_);
             },
-            [](const member_update&) {
-                return id_bytes + 4 * number_bytes + 2;
+            [](const member_update& value) {
+                return id_bytes + detail_bytes(value);
             },
         },
         told);
@@ -64,10 +91,11 @@
 }
 
 std::uint32_t transmissions(std::size_t members) {
-    // Each receiver passes a rumor on as often as its first sender, so twice
-    // the logarithm leaves a negligible part of the fleet without it.
-    constexpr std::uint32_t factor = 2;
-    return factor * static_cast<std::uint32_t>(std::bit_width(members + 1));
+    // Each receiver passes a rumor on as often as its first sender. With k
+    // transmissions about e^-k of the entries miss a rumor; the exchange of
+    // whole views reaches those.
+    constexpr std::uint32_t margin = 3;
+    return margin + static_cast<std::uint32_t>(std::bit_width(members));
 }
 
 void rumor_queue::add(const rumor& told) {
--- a/pimentoferry/tickets/serving_gate.cpp
+++ b/pimentoferry/tickets/serving_gate.cpp
@@ -121,7 +121,10 @@
     }
     const auto heard = std::ranges::count_if(
         known_, [&](const auto& name) { return live_.contains(name); });
-    return 2 * static_cast<std::size_t>(heard) <= known_.size();
+    // Gossip of a large partition is complete only after more than 8 s.
+    constexpr std::size_t slack_divisor = 10;
+    const auto slack = known_.size() / slack_divisor;
+    return 2 * static_cast<std::size_t>(heard) <= known_.size() + 2 * slack;
 }
 
 bool serving_gate::isolated(base::time_point now) const {
--- a/pimentoferry/tickets/serving_gate.hpp
+++ b/pimentoferry/tickets/serving_gate.hpp
@@ -11,7 +11,10 @@
 /// * Without the store, an entry that hears at most half of the entries it
 ///   knew at its last contact with the store may be on the far side of a
 ///   partition. Exactly half is included: two equal sides exist in a fleet of
-///   two regions, and the other side may accept tickets.
+///   two regions, and the other side may accept tickets. A tenth of the known
+///   entries is added, because gossip about the last of a hundred lost entries
+///   takes longer than the entry may serve: from 10 entries on, it refuses
+///   when it hears at most 60 % of them.
 #ifndef PIMENTOFERRY_TICKETS_SERVING_GATE_HPP
 #define PIMENTOFERRY_TICKETS_SERVING_GATE_HPP
 
