--- a/pimentoferry/entry/control_cells.cpp
+++ b/pimentoferry/entry/control_cells.cpp
@@ -48,8 +48,8 @@
     std::string text;
     for (const auto& candidate : record.candidates_) {
         text += text.empty() ? "" : ",";
-        text += candidate.engine_.value_ + ":" +
-                std::to_string(candidate.score_);
+        text +=
+            candidate.engine_.value_ + ":" + std::to_string(candidate.score_);
     }
     return text;
 }
