Measure the latency that an entry adds

Cause: the target is under 1 ms added for a token at p99, and nothing measured it. Excluded: reckoning from the code. Change: relay_latency reads one stand-in engine directly and through an entry, 20 streams at a time, and is part of make bench.

--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -9,5 +9,7 @@
 timeout 300 build/bench/once_cost
 echo "== cost of a placement decision"
 timeout 300 build/bench/decision_cost --benchmark_min_time=0.2
+echo "== latency added by an entry (real processes)"
+timeout 120 build/tests/process/relay_latency
 echo "== placement policy (virtual time)"
 timeout 900 build/bench/policy_bench --csv build/policy.csv
