Run re-runs of the policy benchmark as the daemon does

Cause: entries mark re-runs since the fix of admission, the benchmark did not. Excluded: a change of workload or bound.

--- a/bench/simulated_request.cpp
+++ b/bench/simulated_request.cpp
@@ -45,6 +45,7 @@
     m.max_output_tokens_ = settings_.workload_.max_output_tokens_;
     m.prefix_hashes_ = r.sample_.prefixes_;
     m.first_token_budget_ = base::milliseconds{static_cast<int>(left)};
+    m.rerun_ = r.runs_ > 1;
     tell_scheduler(r.entry_, m);
 }
 
