--- a/tests/process/failure_test.cpp
+++ b/tests/process/failure_test.cpp
@@ -312,7 +312,7 @@
         const auto port = system.ports(0).traffic_;
         const standins::request_headers key{
             {"Authorization", "Bearer caller-key"}};
-        const auto status = [&](standins::http_call call) {
+        const auto status = [&](const standins::http_call& call) {
             return standins::send_http(port, call).status_;
         };
         check(status({"POST", "/v1/completions", "{", key}) == 400,
