--- a/pimentoferry/cli/commands.hpp
+++ b/pimentoferry/cli/commands.hpp
@@ -11,6 +11,8 @@
 int run_status(const arguments& args);
 int run_drain(const arguments& args);
 int run_entry(const arguments& args);
+int run_gateway(const arguments& args);
+int run_check_gateway(const arguments& args);
 
 } // namespace pimentoferry::cli
 
--- a/pimentoferry/cli/help.cpp
+++ b/pimentoferry/cli/help.cpp
@@ -18,11 +18,17 @@
     "  -a, --admin IP:PORT      administration address of any entry\n"
     "  -t, --token-file FILE    file that holds the administration token\n";
 
-constexpr std::array<command_help, 10> commands{{
+constexpr std::array<command_help, 12> commands{{
     {"entry", "entry --settings FILE",
      "Runs an entry. SIGTERM drains it; a second SIGTERM ends it at once.\n"},
     {"check-settings", "check-settings FILE",
      "Checks a settings file and names the first error.\n"},
+    {"gateway", "gateway [--settings FILE]",
+     "Runs a gateway. Without --settings the file is named by the variable "
+     "PIMENTOFERRY_SETTINGS. SIGTERM drains it; SIGHUP reads the file "
+     "again.\n"},
+    {"check-gateway", "check-gateway FILE",
+     "Checks the settings file of a gateway and names the first error.\n"},
     {"ticket validate", "ticket validate FILE [--admin IP:PORT]",
      "Checks a ticket; with --admin also against the state in force.\n"},
     {"ticket apply", "ticket apply FILE --admin IP:PORT",
--- a/pimentoferry/cli/main.cpp
+++ b/pimentoferry/cli/main.cpp
@@ -20,9 +20,11 @@
     int (*run_)(const cli::arguments&);
 };
 
-constexpr std::array<command, 5> commands{{
+constexpr std::array<command, 7> commands{{
     {"entry", cli::run_entry},
     {"check-settings", cli::run_check_settings},
+    {"gateway", cli::run_gateway},
+    {"check-gateway", cli::run_check_gateway},
     {"ticket", cli::run_ticket},
     {"status", cli::run_status},
     {"drain", cli::run_drain},
--- /dev/null
+++ b/pimentoferry/config/gateway_settings.hpp
@@ -0,0 +1,53 @@
+/// Settings of one gateway process, read at start and on SIGHUP from a JSON
+/// file with comments. What is routed where is not in the settings: it comes
+/// from the store.
+///
+/// The header is valid C++17 because the parser needs that language level.
+#ifndef PIMENTOFERRY_CONFIG_GATEWAY_SETTINGS_HPP
+#define PIMENTOFERRY_CONFIG_GATEWAY_SETTINGS_HPP
+
+#include "pimentoferry/base/ids.hpp"
+#include "pimentoferry/base/time.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pimentoferry::config {
+
+using seconds = std::chrono::duration<double>;
+
+/// The retries that all gateways together may cause at a service: in each
+/// window at most `ratio_` of its requests and `constant_`.
+struct retry_settings {
+    double ratio_{0};
+    std::uint32_t constant_{0};
+    seconds window_{0};
+};
+
+struct gateway_settings {
+    std::string name_; ///< Of this gateway, unique in the fleet.
+    base::failure_domain failure_domain_;
+    std::string region_;
+    base::endpoint traffic_address_; ///< Callers connect here.
+    base::endpoint readiness_address_;
+    base::endpoint directory_address_; ///< Callers ask here for addresses.
+    base::endpoint peer_address_;
+    std::optional<base::endpoint> metrics_address_;
+    std::vector<base::endpoint> peers_; ///< Peer addresses of some gateways.
+    base::endpoint store_address_;
+    std::string fleet_key_;     ///< 64 hexadecimal digits; signs peer frames.
+    double processor_share_{1}; ///< Of a core; the weight among gateways.
+    /// Time from SIGTERM to the forced end of the process.
+    seconds drain_limit_{0};
+    /// How long callers keep a list of addresses at most.
+    seconds address_ttl_{0};
+    retry_settings retries_;
+    std::string log_level_{"info"};
+};
+
+} // namespace pimentoferry::config
+
+#endif
--- a/pimentoferry/config/objects.hpp
+++ b/pimentoferry/config/objects.hpp
@@ -3,6 +3,7 @@
 #ifndef PIMENTOFERRY_CONFIG_OBJECTS_HPP
 #define PIMENTOFERRY_CONFIG_OBJECTS_HPP
 
+#include "pimentoferry/config/gateway_settings.hpp"
 #include "pimentoferry/config/settings.hpp"
 #include "pimentoferry/config/state.hpp"
 #include "pimentoferry/config/writer.hpp"
@@ -156,6 +157,38 @@
     fields.optional("policy", value.policy_, described{});
 }
 
+template <class Fields, class Object>
+void describe_fields(Fields& fields, Object& value, const retry_settings&) {
+    constexpr real_range ratio{0, 1};
+    constexpr real_range window{0.1, 3600};
+    constexpr number_range constant{0, max_uint32};
+    fields.required("ratio", value.ratio_, ratio);
+    fields.required("constant", value.constant_, constant);
+    fields.required("window_s", value.window_, window);
+}
+
+template <class Fields, class Object>
+void describe_fields(Fields& fields, Object& value, const gateway_settings&) {
+    constexpr real_range seconds{0.1, 3600};
+    constexpr real_range share{0.001, 1024};
+    fields.required("name", value.name_, object_name);
+    fields.required("failure_domain", value.failure_domain_, object_name);
+    fields.required("region", value.region_, object_name);
+    fields.required("traffic_address", value.traffic_address_);
+    fields.required("readiness_address", value.readiness_address_);
+    fields.required("directory_address", value.directory_address_);
+    fields.required("peer_address", value.peer_address_);
+    fields.optional("metrics_address", value.metrics_address_);
+    fields.optional("peers", value.peers_);
+    fields.required("store_address", value.store_address_);
+    fields.required("fleet_key", value.fleet_key_, key_digest);
+    fields.optional("processor_share", value.processor_share_, share);
+    fields.required("drain_limit_s", value.drain_limit_, seconds);
+    fields.required("address_ttl_s", value.address_ttl_, seconds);
+    fields.required("retries", value.retries_, described{});
+    fields.optional("log_level", value.log_level_, log_level);
+}
+
 template <class Fields, class Object>
 void describe_fields(Fields& fields, Object& value, const settings&) {
     static const enum_names<partition_policy> policies{
--- a/pimentoferry/config/parse.cpp
+++ b/pimentoferry/config/parse.cpp
@@ -212,6 +212,11 @@
     return parse<settings>(text, source);
 }
 
+parsed<gateway_settings> parse_gateway_settings(std::string_view text,
+                                                std::string_view source) {
+    return parse<gateway_settings>(text, source);
+}
+
 parsed<ticket> parse_ticket(std::string_view text, std::string_view source) {
     auto result = parse<ticket>(text, source);
     const auto* value = std::get_if<ticket>(&result);
--- a/pimentoferry/config/parse.hpp
+++ b/pimentoferry/config/parse.hpp
@@ -17,6 +17,7 @@
 #define PIMENTOFERRY_CONFIG_PARSE_HPP
 
 #include "pimentoferry/config/error.hpp"
+#include "pimentoferry/config/gateway_settings.hpp"
 #include "pimentoferry/config/settings.hpp"
 #include "pimentoferry/config/state.hpp"
 
@@ -27,6 +28,8 @@
 
 /// `source` names the text in errors, for example a file name.
 parsed<settings> parse_settings(std::string_view text, std::string_view source);
+parsed<gateway_settings> parse_gateway_settings(std::string_view text,
+                                                std::string_view source);
 parsed<ticket> parse_ticket(std::string_view text, std::string_view source);
 parsed<state> parse_state(std::string_view text, std::string_view source);
 
--- a/pimentoferry/config/reader.hpp
+++ b/pimentoferry/config/reader.hpp
@@ -103,6 +103,16 @@
     }
 }
 
+inline void read(const json& in,
+                 const std::string& path,
+                 error_sink& errors,
+                 std::chrono::duration<double>& out,
+                 real_range range) {
+    double value = out.count();
+    read(in, path, errors, value, range);
+    out = std::chrono::duration<double>{value};
+}
+
 template <class Tag>
 void read(const json& in,
           const std::string& path,
--- a/pimentoferry/entry/admin_tickets.cpp
+++ b/pimentoferry/entry/admin_tickets.cpp
@@ -13,7 +13,7 @@
 constexpr int status_bad_request = 400;
 
 admin::admin_answer json_answer(int status, const Json::Value& body) {
-    return {status, "application/json", http::internal::write_json(body)};
+    return {status, "application/json", http::write_json(body)};
 }
 
 admin::admin_answer invalid(const config::config_error& error) {
--- a/pimentoferry/entry/caller_api.cpp
+++ b/pimentoferry/entry/caller_api.cpp
@@ -231,8 +231,7 @@
             body["data"].append(model);
         }
     }
-    const auto answer =
-        http::json_response(status_ok, http::internal::write_json(body));
+    const auto answer = http::json_response(status_ok, http::write_json(body));
     co_await call.respond(answer);
 }
 
@@ -247,8 +246,7 @@
         body["entries"].append(item);
     }
     body["keep_ms"] = static_cast<Json::Int64>(address_keep.count());
-    const auto answer =
-        http::json_response(status_ok, http::internal::write_json(body));
+    const auto answer = http::json_response(status_ok, http::write_json(body));
     co_await call.respond(answer);
 }
 
@@ -259,9 +257,8 @@
     body["status"] =
         state.closed_ ? std::string{to_string(state.closed_->code_)} : "ok";
     body["ticket"] = static_cast<Json::UInt64>(state.routing_->ticket_number_);
-    const auto answer =
-        http::json_response(state.closed_ ? status_not_serving : status_ok,
-                            http::internal::write_json(body));
+    const auto answer = http::json_response(
+        state.closed_ ? status_not_serving : status_ok, http::write_json(body));
     co_await call.respond(answer);
 }
 
--- a/pimentoferry/entry/control_admin.cpp
+++ b/pimentoferry/entry/control_admin.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-using http::internal::write_json;
+using http::write_json;
 
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
--- a/pimentoferry/entry/control_members.cpp
+++ b/pimentoferry/entry/control_members.cpp
@@ -43,7 +43,7 @@
 
 std::optional<peer_net_failure> control::open_peers() {
     auto opened =
-        peer_net::open(io_, settings_, instance_, [this](envelope received) {
+        open_peer_net(io_, settings_, instance_, [this](envelope received) {
             receive(std::move(received));
             handle_queue();
             arm_timer();
--- a/pimentoferry/entry/engine_api.cpp
+++ b/pimentoferry/entry/engine_api.cpp
@@ -6,8 +6,8 @@
 
 namespace pimentoferry::entry {
 
-using http::internal::parse_object;
-using http::internal::write_json;
+using http::parse_object;
+using http::write_json;
 
 namespace {
 
@@ -80,10 +80,8 @@
     }
     prefill_answer answer;
     answer.handle_ = (*parsed)["handle"].asString();
-    answer.prompt_tokens_ =
-        http::internal::uint_member(*parsed, "prompt_tokens", 0);
-    answer.cached_tokens_ =
-        http::internal::uint_member(*parsed, "cached_tokens", 0);
+    answer.prompt_tokens_ = http::uint_member(*parsed, "prompt_tokens", 0);
+    answer.cached_tokens_ = http::uint_member(*parsed, "cached_tokens", 0);
     return answer;
 }
 
--- a/pimentoferry/entry/engine_reports.cpp
+++ b/pimentoferry/entry/engine_reports.cpp
@@ -8,9 +8,9 @@
 
 namespace pimentoferry::entry {
 
-using http::internal::parse_object;
-using http::internal::string_member;
-using http::internal::uint_member;
+using http::parse_object;
+using http::string_member;
+using http::uint_member;
 
 namespace {
 
--- a/pimentoferry/entry/engine_watch.cpp
+++ b/pimentoferry/entry/engine_watch.cpp
@@ -66,11 +66,11 @@
         co_return;
     }
     const auto& body = std::get<http::response>(result).body_;
-    const auto load = http::internal::parse_object(body);
+    const auto load = http::parse_object(body);
     if (!load) {
         co_return;
     }
-    const auto instance = http::internal::string_member(*load, "instance");
+    const auto instance = http::string_member(*load, "instance");
     auto& known = instances_[engine];
     const bool restarted = !known.empty() && known != instance;
     known = instance;
--- a/pimentoferry/entry/model_relay.hpp
+++ b/pimentoferry/entry/model_relay.hpp
@@ -4,10 +4,10 @@
 #define PIMENTOFERRY_ENTRY_MODEL_RELAY_HPP
 
 #include "pimentoferry/entry/engine_api.hpp"
-#include "pimentoferry/entry/mailbox.hpp"
 #include "pimentoferry/entry/traffic_context.hpp"
 #include "pimentoferry/http/completion.hpp"
 #include "pimentoferry/http/exchange.hpp"
+#include "pimentoferry/http/mailbox.hpp"
 
 #include <cstddef>
 #include <map>
@@ -83,9 +83,9 @@
     http::exchange& call_;
     model_request request_;
     base::time_point arrived_;
-    mailbox<item> items_;
+    http::mailbox<item> items_;
     std::multimap<call_key, std::shared_ptr<http::cancellation>> open_calls_;
-    wake_signal call_ended_;
+    http::wake_signal call_ended_;
     std::uint32_t position_{0}; ///< Tokens that the caller has.
     std::uint32_t prompt_tokens_{0};
     std::string text_; ///< Of an answer that is not streamed.
--- a/pimentoferry/entry/peer_net.hpp
+++ b/pimentoferry/entry/peer_net.hpp
@@ -8,9 +8,8 @@
 #include "pimentoferry/once/messages.hpp"
 #include "pimentoferry/placement/messages.hpp"
 #include "pimentoferry/tickets/messages.hpp"
-#include "pimentoferry/wire/peer_hub.hpp"
+#include "pimentoferry/wire/peer_channel.hpp"
 
-#include <functional>
 #include <memory>
 #include <string>
 #include <tuple>
@@ -38,46 +37,19 @@
                                   once::to_owner,
                                   once::to_entry>;
 
-struct envelope {
-    peer_message message_;
-    base::instance_id from_;
-    /// Where the sender is reached, also by a receiver that does not know it
-    /// yet; links carry frames in one direction only.
-    base::endpoint reply_to_;
-
-    template <class Self>
-    static auto fields(Self& self) {
-        return std::tie(self.message_, self.from_, self.reply_to_);
-    }
-};
+using envelope = wire::envelope<peer_message>;
+using peer_net = wire::peer_channel<peer_message>;
 
 /// Why the links could not be opened.
 struct peer_net_failure {
     std::string reason_;
 };
 
-class peer_net {
-public:
-    using receive_function = std::function<void(envelope)>;
-
-    static std::variant<std::unique_ptr<peer_net>, peer_net_failure>
-    open(boost::asio::io_context& io,
-         const config::settings& settings,
-         base::instance_id self,
-         receive_function receive);
-
-    void send(const base::endpoint& to, peer_message message);
-
-    wire::peer_hub_stats stats() const { return hub_->stats(); }
-
-private:
-    peer_net(base::instance_id self, base::endpoint address)
-        : self_(self), address_(std::move(address)) {}
-
-    base::instance_id self_;
-    base::endpoint address_;
-    std::unique_ptr<wire::peer_hub> hub_;
-};
+std::variant<std::unique_ptr<peer_net>, peer_net_failure>
+open_peer_net(boost::asio::io_context& io,
+              const config::settings& settings,
+              base::instance_id self,
+              peer_net::receive_function receive);
 
 } // namespace pimentoferry::entry
 
--- a/pimentoferry/entry/platform_list.cpp
+++ b/pimentoferry/entry/platform_list.cpp
@@ -7,8 +7,8 @@
 
 std::optional<std::vector<platform_instance>>
 parse_instances(std::string_view body) {
-    using http::internal::string_member;
-    const auto parsed = http::internal::parse_object(body);
+    using http::string_member;
+    const auto parsed = http::parse_object(body);
     if (!parsed || !(*parsed)["instances"].isArray()) {
         return std::nullopt;
     }
--- a/pimentoferry/entry/service_relay.hpp
+++ b/pimentoferry/entry/service_relay.hpp
@@ -3,9 +3,9 @@
 #ifndef PIMENTOFERRY_ENTRY_SERVICE_RELAY_HPP
 #define PIMENTOFERRY_ENTRY_SERVICE_RELAY_HPP
 
-#include "pimentoferry/entry/mailbox.hpp"
 #include "pimentoferry/entry/traffic_context.hpp"
 #include "pimentoferry/http/exchange.hpp"
+#include "pimentoferry/http/mailbox.hpp"
 
 #include <optional>
 #include <string>
@@ -67,7 +67,7 @@
     traffic_context& traffic_;
     http::exchange& call_;
     service_request request_;
-    mailbox<item> items_;
+    http::mailbox<item> items_;
     std::shared_ptr<http::cancellation> cancel_;
 };
 
--- /dev/null
+++ b/pimentoferry/gateway/event_splitter.hpp
@@ -0,0 +1,46 @@
+/// Cuts a stream of server-sent events into whole events, byte for byte.
+///
+/// An upstream may stop in the middle of an event. Only whole events are
+/// passed on, so that another upstream can continue after the last one.
+///
+///     splitter.append(piece);
+///     caller.write(splitter.take_whole());
+#ifndef PIMENTOFERRY_GATEWAY_EVENT_SPLITTER_HPP
+#define PIMENTOFERRY_GATEWAY_EVENT_SPLITTER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace pimentoferry::gateway {
+
+class event_splitter {
+public:
+    void append(std::string_view bytes) { buffer_.append(bytes); }
+
+    /// The whole events that have arrived since the last call.
+    std::string take_whole();
+
+    /// Bytes of an event that is not complete yet.
+    std::size_t incomplete_bytes() const { return buffer_.size(); }
+
+    /// The number in the `id` field of the last whole event taken.
+    std::optional<std::uint64_t> last_id() const { return last_id_; }
+
+    /// Whole events taken.
+    std::uint64_t events() const { return events_; }
+
+private:
+    void note_event(std::string_view event);
+
+    std::string buffer_;
+    std::size_t searched_{0};
+    std::optional<std::uint64_t> last_id_;
+    std::uint64_t events_{0};
+};
+
+} // namespace pimentoferry::gateway
+
+#endif
--- /dev/null
+++ b/pimentoferry/gateway/gateway.cpp
@@ -0,0 +1,504 @@
+#include "pimentoferry/gateway/gateway.hpp"
+
+#include "pimentoferry/config/parse.hpp"
+#include "pimentoferry/gateway/directory.hpp"
+#include "pimentoferry/gateway/peers.hpp"
+#include "pimentoferry/gateway/plain_relay.hpp"
+#include "pimentoferry/gateway/registration.hpp"
+#include "pimentoferry/gateway/runtime.hpp"
+#include "pimentoferry/gateway/store_follower.hpp"
+#include "pimentoferry/gateway/stream_relay.hpp"
+#include "pimentoferry/http/error_token.hpp"
+#include "pimentoferry/http/server.hpp"
+#include "pimentoferry/log/log.hpp"
+
+#include <sodium/core.h>
+#include <sodium/randombytes.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <optional>
+#include <set>
+#include <sstream>
+
+namespace pimentoferry::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+
+constexpr base::milliseconds tick_interval{50};
+// A store that is slow answers in hundreds of ms; later answers are of no use.
+constexpr base::milliseconds store_timeout{1000};
+// How long callers keep a list of addresses: short, so that few callers hold
+// the address of a gateway that is gone.
+constexpr base::milliseconds address_keep{2000};
+// The last part of the drain limit is left for the process to end by itself.
+constexpr base::milliseconds exit_margin{700};
+// After the last request, so that peers and callers learn of the end.
+constexpr base::milliseconds farewell{300};
+constexpr base::milliseconds no_configuration_retry_after{500};
+// For the body of a request; its head has a limit in the configuration.
+constexpr base::milliseconds body_timeout{10'000};
+
+base::instance_id make_instance_id() {
+    base::instance_id instance;
+    while (instance.value_ == 0) {
+        randombytes_buf(&instance.value_, sizeof instance.value_);
+    }
+    return instance;
+}
+
+std::optional<std::string> read_file(const std::string& path) {
+    std::ifstream in{path};
+    if (!in) {
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+class gateway_process {
+public:
+    gateway_process(std::string settings_path,
+                    const config::gateway_settings& settings,
+                    const ports& adapter,
+                    base::instance_id self);
+
+    int run();
+
+private:
+    peer_handlers make_peer_handlers();
+    bool listen();
+    std::optional<http::server> open(const base::endpoint& address,
+                                     http::handler handle);
+    void on_changes(const std::vector<store::mirror_change>& changes);
+    void update_seeds();
+    void apply_limits();
+
+    http::awaitable<void> serve_caller(http::exchange& exchange);
+    http::awaitable<void> route(http::exchange& exchange,
+                                caller_request request,
+                                base::time_point arrived);
+    http::awaitable<void> serve_directory(http::exchange& exchange);
+    http::awaitable<void> serve_readiness(http::exchange& exchange);
+    http::awaitable<void> serve_metrics(http::exchange& exchange);
+    http::awaitable<void> answer_early(http::exchange& exchange,
+                                       const std::string& request,
+                                       base::refusal refusal);
+
+    void await_signals();
+    void on_signal(int number);
+    void reload();
+    void drain();
+    void arm_timer();
+    void tick();
+    void stop_when_idle(base::time_point now);
+
+    const std::string settings_path_;
+    const ports adapter_;
+    asio::io_context io_{1};
+    runtime shared_;
+    store::http_store store_;
+    store_follower follower_;
+    registration registration_;
+    peers peers_;
+    stream_placement placement_;
+    asio::signal_set signals_;
+    asio::steady_timer timer_;
+    std::optional<http::server> callers_;
+    std::optional<http::server> directory_;
+    std::optional<http::server> readiness_;
+    std::optional<http::server> metrics_server_;
+    std::optional<base::time_point> drain_began_;
+    std::optional<base::time_point> idle_since_;
+    int exit_code_{exit_ok};
+};
+
+store::http_store_options
+store_options(const config::gateway_settings& settings, const ports& adapter) {
+    store::http_store_options options;
+    options.address_ = settings.store_address_;
+    options.timeout_ = store_timeout;
+    options.codec_ = adapter.store_;
+    return options;
+}
+
+gateway_process::gateway_process(std::string settings_path,
+                                 const config::gateway_settings& settings,
+                                 const ports& adapter,
+                                 base::instance_id self)
+    : settings_path_(std::move(settings_path)), adapter_(adapter),
+      shared_(
+          io_, settings, adapter.upstreams_, adapter.registry_, self.value_),
+      store_(io_, store_options(settings, adapter)),
+      follower_(io_,
+                store_,
+                shared_.metrics_,
+                {"", base::milliseconds{1500}, self.value_},
+                [this](const auto& changes) { on_changes(changes); }),
+      registration_(io_,
+                    store_,
+                    shared_.metrics_,
+                    settings.name_,
+                    settings.peer_address_),
+      peers_(io_, settings, self, make_peer_handlers()),
+      placement_(io_, peers_, shared_.metrics_, settings.region_),
+      signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_) {
+    shared_.streams_ = &placement_;
+}
+
+peer_handlers gateway_process::make_peer_handlers() {
+    peer_handlers handlers;
+    handlers.read_copy_ = [this](store::revision since) {
+        return follower_.copy().since(since);
+    };
+    handlers.merge_copy_ = [this](const store::mirror_delta& delta) {
+        follower_.merge(delta);
+    };
+    handlers.on_stream_message_ = [this](base::instance_id from,
+                                         service_stream_message message) {
+        placement_.receive(from, std::move(message));
+    };
+    handlers.on_stream_reply_ = [this](const placement::stream_reply& reply) {
+        placement_.receive(reply);
+    };
+    handlers.on_member_ = [this](const membership::member& member) {
+        placement_.member_changed(member);
+    };
+    return handlers;
+}
+
+std::optional<http::server> gateway_process::open(const base::endpoint& address,
+                                                  http::handler handle) {
+    auto made = http::server::listen(io_, address, {}, std::move(handle));
+    if (const auto* failure = std::get_if<http::listen_failure>(&made)) {
+        log::log_error("listen_failed",
+                       {{"address", base::to_string(failure->address_)},
+                        {"reason", failure->reason_}});
+        return std::nullopt;
+    }
+    return std::get<http::server>(std::move(made));
+}
+
+bool gateway_process::listen() {
+    const auto& settings = shared_.settings_;
+    callers_ = open(settings.traffic_address_,
+                    [this](auto& call) { return serve_caller(call); });
+    directory_ = open(settings.directory_address_,
+                      [this](auto& call) { return serve_directory(call); });
+    readiness_ = open(settings.readiness_address_,
+                      [this](auto& call) { return serve_readiness(call); });
+    if (settings.metrics_address_) {
+        metrics_server_ = open(*settings.metrics_address_, [this](auto& call) {
+            return serve_metrics(call);
+        });
+    }
+    return callers_ && directory_ && readiness_;
+}
+
+int gateway_process::run() {
+    if (const auto failure = peers_.open(shared_.settings_)) {
+        log::log_error("listen_failed", {{"reason", *failure}});
+        return exit_failed;
+    }
+    if (!listen()) {
+        return exit_failed;
+    }
+    const auto now = base::clock::now();
+    peers_.set_seeds(shared_.settings_.peers_, now);
+    follower_.start();
+    registration_.start();
+    await_signals();
+    arm_timer();
+    log::log_info(
+        "start",
+        {{"instance", base::to_hex(peers_.self().value_)},
+         {"traffic", base::to_string(shared_.settings_.traffic_address_)},
+         {"failure_domain", shared_.settings_.failure_domain_.value_}});
+    io_.run();
+    log::log_info("stop", {{"exit_code", std::to_string(exit_code_)}});
+    return exit_code_;
+}
+
+void gateway_process::on_changes(
+    const std::vector<store::mirror_change>& changes) {
+    const auto now = base::clock::now();
+    const bool disturbed = follower_.disturbed(now);
+    bool configured = false;
+    bool instances = false;
+    for (const auto& change : changes) {
+        const auto effect = shared_.registry_.take(change, disturbed, now);
+        configured = configured || effect == registry_change::configuration;
+        instances = instances || effect == registry_change::instances;
+    }
+    if (configured) {
+        apply_limits();
+    }
+    if (configured || instances) {
+        placement_.set_engines(shared_.registry_, now);
+    }
+    if (!changes.empty()) {
+        update_seeds();
+    }
+}
+
+void gateway_process::update_seeds() {
+    auto seeds = shared_.settings_.peers_;
+    std::ranges::copy(registered_gateways(follower_.copy()),
+                      std::back_inserter(seeds));
+    peers_.set_seeds(seeds, base::clock::now());
+}
+
+void gateway_process::apply_limits() {
+    const auto& limits = shared_.registry_.routes()->source().limits_;
+    http::server_limits applied;
+    applied.body_bytes_ = limits.body_bytes_;
+    applied.header_bytes_ = limits.header_bytes_;
+    applied.header_timeout_ = limits.header_timeout_;
+    applied.receive_timeout_ = body_timeout;
+    applied.idle_timeout_ = limits.idle_timeout_;
+    callers_->set_limits(applied);
+    shared_.metrics_.set_gauge(
+        "configuration_version",
+        static_cast<double>(shared_.registry_.routes()->version()));
+}
+
+http::awaitable<void> gateway_process::answer_early(http::exchange& exchange,
+                                                    const std::string& request,
+                                                    base::refusal refusal) {
+    shared_.metrics_.count_refusal(to_string(refusal.code_));
+    const auto routes = shared_.registry_.routes();
+    log::log_info(
+        "refuse",
+        {{"request", request},
+         {"code", std::string{to_string(refusal.code_)}},
+         {"ran", std::string{to_string(refusal.ran_)}},
+         {"configuration", routes ? std::to_string(routes->version()) : "none"},
+         {"detail", refusal.detail_}});
+    const auto answer = adapter_.upstreams_.write_refusal_(refusal);
+    co_await exchange.respond(answer);
+}
+
+http::awaitable<void> gateway_process::serve_caller(http::exchange& exchange) {
+    const auto arrived = base::clock::now();
+    auto read = adapter_.upstreams_.read_request_(exchange.call());
+    if (const auto* malformed = std::get_if<malformed_request>(&read)) {
+        co_await answer_early(exchange, "none",
+                              {base::refusal_code::malformed_request,
+                               base::ran_state::not_run, std::nullopt,
+                               malformed->detail_});
+        co_return;
+    }
+    ++shared_.in_flight_;
+    co_await route(exchange, std::get<caller_request>(std::move(read)),
+                   arrived);
+    --shared_.in_flight_;
+}
+
+http::awaitable<void> gateway_process::route(http::exchange& exchange,
+                                             caller_request request,
+                                             base::time_point arrived) {
+    const auto routes = shared_.registry_.routes();
+    if (!routes) {
+        co_await answer_early(
+            exchange, request.id_,
+            {base::refusal_code::no_configuration, base::ran_state::not_run,
+             no_configuration_retry_after, "no configuration is known yet"});
+        co_return;
+    }
+    const auto* found = routes->find(request.host_, request.path_);
+    if (found == nullptr) {
+        co_await answer_early(exchange, request.id_,
+                              {base::refusal_code::unknown_call,
+                               base::ran_state::not_run, std::nullopt,
+                               "no route has this host and path"});
+        co_return;
+    }
+    const auto& name = routing::choose_service(*found, shared_.random_point());
+    const auto* service = routes->find_service(name);
+    const auto due = arrived + std::min(request.patience_, found->timeout_);
+    const bool engine = service != nullptr && service->engine_ &&
+                        found->kind_ == routing::call_kind::stream;
+    routed_call call{
+        exchange, std::move(request), routes, *found, name, arrived, due};
+    if (engine) {
+        co_await relay_stream(shared_, std::move(call));
+    } else {
+        co_await relay_plain(shared_, std::move(call));
+    }
+}
+
+http::awaitable<void>
+gateway_process::serve_directory(http::exchange& exchange) {
+    const auto query = adapter_.directory_.read_query_(exchange.call());
+    if (!query) {
+        const auto answer = http::json_response(404, "{}");
+        co_await exchange.respond(answer);
+        co_return;
+    }
+    const auto addresses = addresses_for(query->failure_domain_, peers_.live());
+    const auto longest = std::chrono::duration_cast<base::milliseconds>(
+        shared_.settings_.address_ttl_);
+    const auto answer = adapter_.directory_.write_answer_(
+        addresses, std::min(address_keep, longest));
+    co_await exchange.respond(answer);
+}
+
+http::awaitable<void>
+gateway_process::serve_readiness(http::exchange& exchange) {
+    const bool known = adapter_.directory_.is_readiness_query_(exchange.call());
+    const bool ready =
+        shared_.registry_.routes() != nullptr && !shared_.draining_;
+    constexpr int status_ready = 200;
+    constexpr int status_not_ready = 503;
+    constexpr int status_unknown = 404;
+    const auto answer = http::json_response(!known  ? status_unknown
+                                            : ready ? status_ready
+                                                    : status_not_ready,
+                                            "{}");
+    co_await exchange.respond(answer);
+}
+
+http::awaitable<void> gateway_process::serve_metrics(http::exchange& exchange) {
+    shared_.metrics_.set_gauge("in_flight", shared_.in_flight_);
+    shared_.metrics_.set_gauge(
+        "instances", static_cast<double>(shared_.registry_.instances().size()));
+    shared_.metrics_.set_gauge("store_reachable",
+                               follower_.reachable() ? 1 : 0);
+    shared_.metrics_.set_gauge("log_lines_dropped",
+                               static_cast<double>(log::dropped_lines()));
+    http::response answer;
+    answer.fields_.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    answer.body_ = shared_.metrics_.text();
+    co_await exchange.respond(answer);
+}
+
+void gateway_process::await_signals() {
+    signals_.async_wait(
+        [this](const boost::system::error_code& error, int number) {
+            if (!error) {
+                on_signal(number);
+                await_signals();
+            }
+        });
+}
+
+void gateway_process::on_signal(int number) {
+    if (number == SIGHUP) {
+        reload();
+    } else {
+        drain();
+    }
+}
+
+void gateway_process::reload() {
+    const auto text = read_file(settings_path_);
+    if (!text) {
+        log::log_error("reload_failed", {{"path", settings_path_},
+                                         {"reason", "cannot be read"}});
+        return;
+    }
+    const auto parsed = config::parse_gateway_settings(*text, settings_path_);
+    if (const auto* error = std::get_if<config::config_error>(&parsed)) {
+        log::log_error("reload_failed", {{"path", settings_path_},
+                                         {"reason", to_string(*error)}});
+        return;
+    }
+    const auto& next = std::get<config::gateway_settings>(parsed);
+    shared_.settings_.peers_ = next.peers_;
+    shared_.settings_.retries_ = next.retries_;
+    shared_.settings_.log_level_ = next.log_level_;
+    log::configure_log(next.log_level_, next.name_);
+    update_seeds();
+    log::log_info("reload", {{"path", settings_path_},
+                             {"peers", std::to_string(next.peers_.size())}});
+}
+
+void gateway_process::drain() {
+    if (drain_began_) {
+        return;
+    }
+    drain_began_ = base::clock::now();
+    shared_.draining_ = true;
+    log::log_info("drain", {{"in_flight", std::to_string(shared_.in_flight_)}});
+    peers_.tell(true, 0, shared_.in_flight_, *drain_began_);
+    registration_.withdraw();
+    callers_->stop();
+}
+
+void gateway_process::stop_when_idle(base::time_point now) {
+    const auto limit = std::chrono::duration_cast<base::milliseconds>(
+                           shared_.settings_.drain_limit_) -
+                       exit_margin;
+    const bool busy =
+        shared_.in_flight_ > 0 || callers_->connection_count() > 0;
+    if (busy) {
+        idle_since_.reset();
+    } else if (!idle_since_) {
+        idle_since_ = now;
+    }
+    const bool idle = idle_since_ && now - *idle_since_ >= farewell;
+    if (idle || now - *drain_began_ >= limit) {
+        if (!idle) {
+            log::log_warn("drain_limit",
+                          {{"in_flight", std::to_string(shared_.in_flight_)}});
+        }
+        peers_.leave(now);
+        io_.stop();
+    }
+}
+
+void gateway_process::arm_timer() {
+    timer_.expires_after(tick_interval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            tick();
+            arm_timer();
+        }
+    });
+}
+
+void gateway_process::tick() {
+    const auto now = base::clock::now();
+    shared_.registry_.expire(now);
+    const auto routes = shared_.registry_.routes();
+    if (!drain_began_) {
+        peers_.tell(false, routes ? routes->version() : 0, shared_.in_flight_,
+                    now);
+    }
+    peers_.tick(follower_.copy().at(), now);
+    placement_.tick(now);
+    if (drain_began_) {
+        stop_when_idle(now);
+    }
+}
+
+} // namespace
+
+int run(const std::string& settings_path,
+        const config::gateway_settings& settings,
+        const ports& adapter) {
+    log::configure_log(settings.log_level_, settings.name_);
+    if (sodium_init() < 0) {
+        log::log_error("start_failed",
+                       {{"reason", "libsodium cannot be initialised"}});
+        return exit_failed;
+    }
+    // A peer that closes its socket must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    gateway_process process{settings_path, settings, adapter,
+                            make_instance_id()};
+    return process.run();
+}
+
+} // namespace pimentoferry::gateway
--- /dev/null
+++ b/pimentoferry/gateway/metrics.hpp
@@ -0,0 +1,47 @@
+/// Counters and latency histograms of a gateway, in the text format of
+/// Prometheus. Label values come from fixed sets, so that callers cannot
+/// create time series.
+#ifndef PIMENTOFERRY_GATEWAY_METRICS_HPP
+#define PIMENTOFERRY_GATEWAY_METRICS_HPP
+
+#include "pimentoferry/base/time.hpp"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace pimentoferry::gateway {
+
+class metrics {
+public:
+    metrics();
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+    ~metrics();
+
+    /// `kind`: `idempotent`, `non_idempotent` or `stream`; `outcome`:
+    /// `answered`, `failed`, `refused`, `broken` or `caller_gone`.
+    void count_request(std::string_view kind, std::string_view outcome);
+    void count_refusal(std::string_view code);
+    /// `step`: `call`, `prefill`, `decode` or `release`.
+    void count_send(std::string_view step, std::string_view outcome);
+    void count_store_call(std::string_view operation, std::string_view outcome);
+    /// `decision`: `granted`, `refused` or `autonomous`.
+    void count_placement(std::string_view decision);
+    void observe_answer(std::string_view kind, base::milliseconds took);
+    void observe_first_event(base::milliseconds took);
+    void observe_placement_wait(base::milliseconds took);
+    /// A value of this moment, such as `configuration_version`.
+    void set_gauge(const std::string& name, double value);
+
+    /// The exposition text.
+    std::string text() const;
+
+private:
+    struct families;
+    std::unique_ptr<families> families_;
+};
+
+} // namespace pimentoferry::gateway
+
+#endif
--- /dev/null
+++ b/pimentoferry/gateway/peers.cpp
@@ -0,0 +1,191 @@
+#include "pimentoferry/gateway/peers.hpp"
+
+#include "pimentoferry/base/overloaded.hpp"
+#include "pimentoferry/log/log.hpp"
+
+#include <algorithm>
+
+namespace pimentoferry::gateway {
+
+namespace {
+
+// A change that only some gateways see reaches the others in about two
+// rounds; the limit of the configuration is 2 s.
+constexpr base::milliseconds compare_interval{500};
+constexpr std::size_t compared_peers = 2;
+
+// Messages may come from strangers; more addresses than a large fleet has are
+// not remembered.
+constexpr std::size_t reply_address_limit = 4096;
+
+membership::member describe_self(const config::gateway_settings& settings,
+                                 base::instance_id self) {
+    membership::member member;
+    member.instance_ = self;
+    member.name_ = settings.name_;
+    member.peer_address_ = settings.peer_address_;
+    member.traffic_address_ = settings.traffic_address_;
+    member.failure_domain_ = settings.failure_domain_;
+    member.region_ = settings.region_;
+    return member;
+}
+
+std::string_view to_string(membership::member_state state) {
+    switch (state) {
+    case membership::member_state::alive:
+        return "alive";
+    case membership::member_state::suspect:
+        return "suspect";
+    case membership::member_state::dead:
+        return "dead";
+    case membership::member_state::left:
+        return "left";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+peers::peers(boost::asio::io_context& io,
+             const config::gateway_settings& settings,
+             base::instance_id self,
+             peer_handlers handlers)
+    : io_(io), handlers_(std::move(handlers)),
+      swim_({describe_self(settings, self), self.value_}),
+      random_(self.value_) {}
+
+std::optional<std::string>
+peers::open(const config::gateway_settings& settings) {
+    const auto key = wire::parse_fleet_key(settings.fleet_key_);
+    if (std::holds_alternative<wire::fleet_key_malformed>(key)) {
+        return "fleet_key is not 64 hexadecimal digits";
+    }
+    auto opened = wire::peer_channel<peer_message>::open(
+        io_, {settings.peer_address_, std::get<wire::fleet_key>(key)}, self(),
+        [this](auto received) { receive(std::move(received)); },
+        [](std::size_t bytes) {
+            log::log_warn("peer_message_malformed",
+                          {{"bytes", std::to_string(bytes)}});
+        });
+    if (const auto* failure = std::get_if<wire::listen_failed>(&opened)) {
+        return base::to_string(failure->address_) + ": " +
+               failure->system_message_;
+    }
+    channel_ = std::get<std::unique_ptr<wire::peer_channel<peer_message>>>(
+        std::move(opened));
+    run(membership::start{}, base::clock::now());
+    return std::nullopt;
+}
+
+void peers::tick(store::revision copy_at, base::time_point now) {
+    run(membership::tick{}, now);
+    if (now >= next_compare_) {
+        next_compare_ = now + compare_interval;
+        compare_copies(copy_at);
+    }
+}
+
+void peers::compare_copies(store::revision copy_at) {
+    auto others = swim_.live();
+    std::erase_if(others, [this](const membership::member& member) {
+        return member.instance_ == self();
+    });
+    std::ranges::shuffle(others, random_);
+    const auto count = std::min(compared_peers, others.size());
+    std::for_each_n(others.begin(), count, [&](const auto& member) {
+        send(member.instance_, copy_position{copy_at});
+    });
+}
+
+void peers::set_seeds(const std::vector<base::endpoint>& seeds,
+                      base::time_point now) {
+    run(membership::seeds_known{seeds}, now);
+}
+
+void peers::tell(bool draining,
+                 std::uint64_t configuration_version,
+                 std::uint32_t in_flight,
+                 base::time_point now) {
+    run(membership::self_changed{draining, configuration_version, in_flight},
+        now);
+}
+
+void peers::leave(base::time_point now) {
+    run(membership::leave{}, now);
+}
+
+void peers::send(base::instance_id to, peer_message message) {
+    if (!channel_) {
+        return;
+    }
+    const auto* known = swim_.find(to);
+    const auto reply = reply_addresses_.find(to);
+    if (known != nullptr) {
+        channel_->send(known->member_.peer_address_, std::move(message));
+    } else if (reply != reply_addresses_.end()) {
+        channel_->send(reply->second, std::move(message));
+    }
+}
+
+void peers::run(const membership::event& event, base::time_point now) {
+    for (auto& action : swim_.handle(event, now)) {
+        std::visit(
+            base::overloaded{
+                [this](const membership::send_message& a) { perform(a); },
+                [this](const membership::member_changed& a) {
+                    log::log_info(
+                        "member",
+                        {{"name", a.member_.name_},
+                         {"instance", base::to_hex(a.member_.instance_.value_)},
+                         {"state", std::string{to_string(a.member_.state_)}},
+                         {"draining", a.member_.draining_ ? "yes" : "no"}});
+                    handlers_.on_member_(a.member_);
+                },
+                [](const membership::learned&) {}},
+            action);
+    }
+}
+
+void peers::perform(const membership::send_message& action) {
+    if (!channel_) {
+        return;
+    }
+    if (action.address_.port_ != 0) {
+        channel_->send(action.address_, action.message_);
+    } else {
+        send(action.to_, action.message_);
+    }
+}
+
+void peers::receive(wire::envelope<peer_message> received) {
+    const auto from = received.from_;
+    if (from == self()) {
+        return;
+    }
+    const auto now = base::clock::now();
+    if (reply_addresses_.size() >= reply_address_limit) {
+        reply_addresses_.clear();
+    }
+    reply_addresses_[from] = received.reply_to_;
+    std::visit(
+        base::overloaded{
+            [&](membership::message& m) {
+                run(membership::peer_message{from, std::move(m)}, now);
+            },
+            [&](const copy_position& m) {
+                auto delta = handlers_.read_copy_(m.at_);
+                if (delta.to_ > m.at_) {
+                    send(from, std::move(delta));
+                }
+            },
+            [&](const store::mirror_delta& m) { handlers_.merge_copy_(m); },
+            [&](service_stream_message& m) {
+                handlers_.on_stream_message_(from, std::move(m));
+            },
+            [&](const placement::stream_reply& m) {
+                handlers_.on_stream_reply_(m);
+            }},
+        received.message_);
+}
+
+} // namespace pimentoferry::gateway
--- /dev/null
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -0,0 +1,238 @@
+#include "pimentoferry/gateway/plain_relay.hpp"
+
+#include "pimentoferry/http/proxy.hpp"
+#include "pimentoferry/log/log.hpp"
+
+#include <algorithm>
+#include <set>
+#include <variant>
+
+namespace pimentoferry::gateway {
+
+namespace {
+
+// A connection within the region takes a few ms; a replica that does not
+// accept in this time is down or cut off.
+constexpr base::milliseconds connect_timeout{250};
+// A connection that was idle for longer may be closed by the replica while a
+// call is on its way, and then nobody knows whether the call ran.
+constexpr base::milliseconds longest_idle_for_non_idempotent{2000};
+// Sends that were not run do not count as attempts; this bounds them.
+constexpr std::size_t most_sends = 4;
+
+constexpr base::milliseconds full_retry_after{300};
+constexpr base::milliseconds no_replica_retry_after{500};
+
+/// What became of one send.
+struct sent {
+    answer_meaning meaning_{answer_meaning::foreign};
+    std::optional<http::response> answer_;
+    std::optional<http::call_failure> failure_;
+
+    /// The replica certainly did not run the call.
+    bool not_run() const {
+        return meaning_ == answer_meaning::rejected ||
+               meaning_ == answer_meaning::misrouted ||
+               (failure_ && !failure_->sent_);
+    }
+    bool cancelled() const {
+        return failure_ && failure_->kind_ == http::failure_kind::cancelled;
+    }
+};
+
+routing::call_result result_of(const sent& outcome) {
+    if (outcome.cancelled()) {
+        return routing::call_result::abandoned;
+    }
+    switch (outcome.meaning_) {
+    case answer_meaning::success:
+        return routing::call_result::answered;
+    case answer_meaning::rejected:
+        return routing::call_result::rejected;
+    case answer_meaning::misrouted:
+    case answer_meaning::failure:
+    case answer_meaning::foreign:
+        return routing::call_result::failed;
+    }
+    return routing::call_result::failed;
+}
+
+std::string shown(const sent& outcome) {
+    if (outcome.failure_) {
+        return std::string{to_string(outcome.failure_->kind_)} +
+               (outcome.failure_->sent_ ? "" : "_not_sent");
+    }
+    switch (outcome.meaning_) {
+    case answer_meaning::success:
+        return "success";
+    case answer_meaning::rejected:
+        return "rejected";
+    case answer_meaning::misrouted:
+        return "misrouted";
+    case answer_meaning::failure:
+        return "failure";
+    case answer_meaning::foreign:
+        return "foreign";
+    }
+    return "unknown";
+}
+
+class plain_call {
+public:
+    plain_call(runtime& shared, routed_call& call)
+        : shared_(shared), call_(call) {}
+
+    http::awaitable<void> run();
+
+private:
+    http::awaitable<sent> send(routing::instance replica);
+    bool may_send_again(const sent& last) const;
+    http::awaitable<void> answer(sent last);
+
+    runtime& shared_;
+    routed_call& call_;
+    std::set<base::upstream_name> tried_;
+    std::uint32_t runs_{0}; ///< Sends that may have run.
+};
+
+http::awaitable<sent> plain_call::send(routing::instance replica) {
+    const auto began = base::clock::now();
+    const bool idempotent =
+        call_.route_.kind_ == routing::call_kind::idempotent;
+    http::call_options options;
+    options.deadline_ = call_.due_;
+    options.connect_timeout_ = connect_timeout;
+    if (!idempotent) {
+        options.longest_idle_ = longest_idle_for_non_idempotent;
+    }
+    options.cancel_ = call_.exchange_.caller_gone();
+    auto request = shared_.protocol_.plain_call_(
+        call_.exchange_.call(),
+        {replica.id_, time_left(call_, began), std::nullopt});
+    shared_.picker_.started(replica.id_);
+    auto received = co_await shared_.client_.call(
+        replica.address_, std::move(request), std::move(options));
+    const auto now = base::clock::now();
+    sent outcome;
+    if (const auto* failure = std::get_if<http::call_failure>(&received)) {
+        outcome.failure_ = *failure;
+    } else {
+        outcome.answer_ = std::get<http::response>(std::move(received));
+        outcome.meaning_ = shared_.protocol_.meaning_of_(
+            call_.request_,
+            {outcome.answer_->status_, outcome.answer_->fields_});
+    }
+    const auto took =
+        std::chrono::duration_cast<base::milliseconds>(now - began);
+    shared_.picker_.ended(replica.id_, result_of(outcome), took, now);
+    shared_.metrics_.count_send("call", shown(outcome));
+    log::log_info(
+        "send",
+        {{"request", call_.request_.id_},
+         {"service", call_.service_.value_},
+         {"configuration", std::to_string(call_.routes_->version())},
+         {"instance", replica.id_.value_},
+         {"send", std::to_string(tried_.size())},
+         {"outcome", shown(outcome)},
+         {"status",
+          outcome.answer_ ? std::to_string(outcome.answer_->status_) : "none"},
+         {"ms", std::to_string(took.count())}});
+    runs_ += outcome.not_run() ? 0 : 1;
+    co_return outcome;
+}
+
+bool plain_call::may_send_again(const sent& last) const {
+    if (last.cancelled() || tried_.size() >= most_sends) {
+        return false;
+    }
+    if (last.not_run()) {
+        return true;
+    }
+    const bool idempotent =
+        call_.route_.kind_ == routing::call_kind::idempotent;
+    const bool timed_out =
+        last.failure_ && last.failure_->kind_ == http::failure_kind::timed_out;
+    const bool broken = last.meaning_ == answer_meaning::foreign;
+    return idempotent && broken && !timed_out &&
+           runs_ < call_.route_.max_attempts_;
+}
+
+http::awaitable<void> plain_call::run() {
+    auto& budget = shared_.retries(call_.service_);
+    budget.note_request(call_.arrived_);
+    sent last;
+    last.failure_ = http::call_failure{http::failure_kind::unreachable, false};
+    while (true) {
+        const auto now = base::clock::now();
+        auto candidates =
+            shared_.registry_.instances().usable(call_.service_, now);
+        std::erase_if(candidates, [](const routing::instance* each) {
+            return each->stage_ == routing::engine_stage::prefill;
+        });
+        const auto* chosen = shared_.picker_.choose(
+            candidates, tried_, shared_.settings_.failure_domain_,
+            call_.route_.kind_ == routing::call_kind::idempotent, now);
+        const bool again = !tried_.empty();
+        if (chosen == nullptr || now >= call_.due_ ||
+            (again && !budget.take(now))) {
+            break;
+        }
+        tried_.insert(chosen->id_);
+        last = co_await send(*chosen);
+        if (!may_send_again(last)) {
+            break;
+        }
+    }
+    co_await answer(std::move(last));
+}
+
+http::awaitable<void> plain_call::answer(sent last) {
+    if (last.cancelled()) {
+        note_end(shared_, call_, "caller_gone", 0);
+        co_return;
+    }
+    const bool has_answer =
+        last.answer_ && (last.meaning_ == answer_meaning::success ||
+                         last.meaning_ == answer_meaning::failure);
+    if (has_answer) {
+        const int status = last.answer_->status_;
+        const auto forwarded =
+            http::forwarded_response(std::move(*last.answer_));
+        const auto result = co_await call_.exchange_.respond(forwarded);
+        note_end(shared_, call_,
+                 result == http::write_result::gone         ? "caller_gone"
+                 : last.meaning_ == answer_meaning::success ? "answered"
+                                                            : "failed",
+                 status);
+        co_return;
+    }
+    base::refusal refusal;
+    if (runs_ == 0) {
+        const bool full = last.meaning_ == answer_meaning::rejected;
+        refusal = {full ? base::refusal_code::overloaded
+                        : base::refusal_code::no_upstream,
+                   base::ran_state::not_run,
+                   full ? full_retry_after : no_replica_retry_after,
+                   full ? "every replica that was asked is full"
+                        : "no replica could be reached"};
+    } else {
+        const bool timed_out =
+            last.failure_ &&
+            last.failure_->kind_ == http::failure_kind::timed_out;
+        refusal = {timed_out ? base::refusal_code::upstream_timeout
+                             : base::refusal_code::upstream_failed,
+                   base::ran_state::unknown, std::nullopt,
+                   timed_out ? "the replica did not answer in time"
+                             : "the replica's answer was lost"};
+    }
+    co_await refuse(shared_, call_, std::move(refusal));
+}
+
+} // namespace
+
+http::awaitable<void> relay_plain(runtime& shared, routed_call call) {
+    plain_call relay{shared, call};
+    co_await relay.run();
+}
+
+} // namespace pimentoferry::gateway
--- /dev/null
+++ b/pimentoferry/gateway/registration.cpp
@@ -0,0 +1,154 @@
+#include "pimentoferry/gateway/registration.hpp"
+
+#include "pimentoferry/http/error_token.hpp"
+#include "pimentoferry/http/mailbox.hpp"
+#include "pimentoferry/log/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+
+#include <charconv>
+#include <memory>
+#include <optional>
+
+namespace pimentoferry::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A gateway that is gone stays listed for this long at most; being listed
+// costs its peers one connection attempt now and then.
+constexpr base::milliseconds lease_ttl{30'000};
+// A third of the lease: two renewals may fail.
+constexpr base::milliseconds renewal_interval{10'000};
+constexpr base::milliseconds retry_interval{1'000};
+
+std::optional<base::endpoint> parse_address(const std::string& text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    boost::system::error_code error;
+    const auto ip = text.substr(0, colon);
+    asio::ip::make_address(ip, error);
+    std::uint16_t port = 0;
+    const char* const last = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, last, port);
+    if (error || parsed.ec != std::errc{} || parsed.ptr != last || port == 0) {
+        return std::nullopt;
+    }
+    return base::endpoint{ip, port};
+}
+
+} // namespace
+
+registration::registration(asio::io_context& io,
+                           store::http_store& store,
+                           metrics& counters,
+                           std::string name,
+                           base::endpoint peer_address)
+    : io_(io), store_(store), counters_(counters),
+      key_(gateways_prefix + std::move(name)),
+      value_(base::to_string(peer_address)) {}
+
+void registration::start() {
+    asio::co_spawn(
+        io_, [this] { return run(); }, asio::detached);
+}
+
+http::awaitable<store::outcome> registration::call(store::request request,
+                                                   const char* name) {
+    auto answer = std::make_shared<http::mailbox<store::outcome>>(io_);
+    store_.submit({store::token{1}, std::move(request)},
+                  [answer](const store::result& result) {
+                      answer->deliver(result.outcome_);
+                  });
+    auto outcome = co_await answer->next();
+    const bool lost = std::holds_alternative<store::unavailable>(outcome) ||
+                      std::holds_alternative<store::declined>(outcome);
+    counters_.count_store_call(name, lost ? "unavailable" : "ok");
+    co_return outcome;
+}
+
+http::awaitable<bool> registration::register_once() {
+    if (lease_ == store::lease_id{}) {
+        const auto granted =
+            co_await call(store::grant_lease{lease_ttl}, "grant_lease");
+        const auto* lease = std::get_if<store::lease_granted>(&granted);
+        if (lease == nullptr) {
+            co_return false;
+        }
+        lease_ = lease->lease_;
+    }
+    const auto outcome =
+        co_await call(store::put{key_, value_, known_, lease_}, "register");
+    if (const auto* conflict = std::get_if<store::conflict>(&outcome)) {
+        known_ = conflict->current_;
+        co_return false;
+    }
+    if (std::holds_alternative<store::lease_unknown>(outcome)) {
+        lease_ = {};
+        co_return false;
+    }
+    const auto* written = std::get_if<store::written>(&outcome);
+    if (written == nullptr) {
+        co_return false;
+    }
+    known_ = written->revision_;
+    log::log_info("registered",
+                  {{"key", key_}, {"revision", std::to_string(known_)}});
+    co_return true;
+}
+
+http::awaitable<bool> registration::renew() {
+    const auto outcome = co_await call(store::renew_lease{lease_}, "renew");
+    if (std::holds_alternative<store::lease_unknown>(outcome)) {
+        log::log_info("registration_lapsed", {{"key", key_}});
+        lease_ = {};
+        known_ = 0;
+        co_return false;
+    }
+    co_return true;
+}
+
+http::awaitable<void> registration::run() {
+    bool registered = false;
+    while (!withdrawn_) {
+        if (registered) {
+            registered = co_await renew();
+        } else {
+            registered = co_await register_once();
+        }
+        asio::steady_timer pause{io_, registered ? renewal_interval
+                                                 : retry_interval};
+        boost::system::error_code ignored;
+        co_await pause.async_wait(http::internal::into(ignored));
+    }
+}
+
+void registration::withdraw() {
+    withdrawn_ = true;
+    if (lease_ != store::lease_id{}) {
+        store_.submit({store::token{1}, store::revoke_lease{lease_}},
+                      [](const store::result&) {
+                          // The key disappears with its lease at the latest.
+                      });
+    }
+}
+
+std::vector<base::endpoint> registered_gateways(const store::mirror& copy) {
+    std::vector<base::endpoint> found;
+    const std::string prefix{gateways_prefix};
+    for (auto at = copy.items().lower_bound(prefix);
+         at != copy.items().end() && at->first.starts_with(prefix); ++at) {
+        if (const auto address = parse_address(at->second.value_)) {
+            found.push_back(*address);
+        }
+    }
+    return found;
+}
+
+} // namespace pimentoferry::gateway
--- /dev/null
+++ b/pimentoferry/gateway/registry.cpp
@@ -0,0 +1,98 @@
+#include "pimentoferry/gateway/registry.hpp"
+
+#include "pimentoferry/log/log.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace pimentoferry::gateway {
+
+namespace {
+
+std::string shown(const routing::instance& instance) {
+    if (!instance.stage_) {
+        return "plain";
+    }
+    return *instance.stage_ == routing::engine_stage::prefill ? "prefill"
+                                                              : "decode";
+}
+
+} // namespace
+
+registry_change registry::take_configuration(const store::item& item) {
+    auto read = codec_.read_configuration_(item.value_);
+    if (const auto* failure = std::get_if<unreadable>(&read)) {
+        log::log_error("configuration_unreadable",
+                       {{"revision", std::to_string(item.revision_)},
+                        {"reason", failure->reason_}});
+        return registry_change::nothing;
+    }
+    auto& next = std::get<routing::configuration>(read);
+    const auto before = routes_ ? routes_->version() : 0;
+    if (routes_ && next.version_ <= before) {
+        log::log_warn("configuration_ignored",
+                      {{"version", std::to_string(next.version_)},
+                       {"in_force", std::to_string(before)}});
+        return registry_change::nothing;
+    }
+    log::log_info("configuration",
+                  {{"version", std::to_string(next.version_)},
+                   {"before", std::to_string(before)},
+                   {"revision", std::to_string(item.revision_)},
+                   {"routes", std::to_string(next.routes_.size())}});
+    routes_ = std::make_shared<const routing::route_table>(std::move(next));
+    return registry_change::configuration;
+}
+
+registry_change registry::take_instance(std::string_view id,
+                                        const store::item& item) {
+    auto read = codec_.read_instance_(id, item.value_);
+    if (const auto* failure = std::get_if<unreadable>(&read)) {
+        log::log_warn("registration_unreadable",
+                      {{"instance", std::string{id}},
+                       {"revision", std::to_string(item.revision_)},
+                       {"reason", failure->reason_}});
+        instances_.remove(base::upstream_name{std::string{id}}, false,
+                          base::time_point{});
+        return registry_change::instances;
+    }
+    auto& instance = std::get<routing::instance>(read);
+    log::log_info("instance",
+                  {{"instance", instance.id_.value_},
+                   {"service", instance.service_.value_},
+                   {"address", base::to_string(instance.address_)},
+                   {"state", instance.draining_ ? "draining" : "ready"},
+                   {"stage", shown(instance)},
+                   {"revision", std::to_string(item.revision_)}});
+    instances_.put(std::move(instance));
+    return registry_change::instances;
+}
+
+registry_change registry::take(const store::mirror_change& change,
+                               bool store_disturbed,
+                               base::time_point now) {
+    if (const auto* written = std::get_if<store::item_written>(&change)) {
+        const auto& item = written->item_;
+        if (item.key_ == codec_.configuration_key_) {
+            return take_configuration(item);
+        }
+        if (item.key_.starts_with(codec_.instance_prefix_)) {
+            return take_instance(std::string_view{item.key_}.substr(
+                                     codec_.instance_prefix_.size()),
+                                 item);
+        }
+        return registry_change::nothing;
+    }
+    const auto& key = std::get<store::item_removed>(change).key_;
+    if (!key.starts_with(codec_.instance_prefix_)) {
+        return registry_change::nothing;
+    }
+    const base::upstream_name id{key.substr(codec_.instance_prefix_.size())};
+    log::log_info("instance_gone",
+                  {{"instance", id.value_},
+                   {"kept", store_disturbed ? "until_reregistration" : "no"}});
+    instances_.remove(id, store_disturbed, now);
+    return registry_change::instances;
+}
+
+} // namespace pimentoferry::gateway
--- /dev/null
+++ b/pimentoferry/gateway/runtime.cpp
@@ -0,0 +1,100 @@
+#include "pimentoferry/gateway/runtime.hpp"
+
+#include "pimentoferry/log/log.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+
+namespace pimentoferry::gateway {
+
+requests::retry_limits retry_share(const config::retry_settings& fleet,
+                                   std::uint32_t gateways) {
+    constexpr double part = 0.5;
+    constexpr double percent = 100;
+    requests::retry_limits limits;
+    limits.percent_of_requests_ =
+        static_cast<std::uint32_t>(fleet.ratio_ * percent * part);
+    limits.constant_ = static_cast<std::uint32_t>(fleet.constant_ * part /
+                                                  std::max(gateways, 1U));
+    limits.window_ =
+        std::chrono::duration_cast<base::milliseconds>(fleet.window_);
+    return limits;
+}
+
+runtime::runtime(boost::asio::io_context& io,
+                 const config::gateway_settings& settings,
+                 upstream_protocol protocol,
+                 registry_codec codec,
+                 std::uint64_t seed)
+    : io_(io), settings_(settings), protocol_(std::move(protocol)),
+      registry_(std::move(codec)), client_(io), picker_(seed), random_(seed) {}
+
+requests::retry_budget& runtime::retries(const base::service_name& service) {
+    // The usual size of a fleet; a larger one is known by its members.
+    constexpr std::uint32_t least_gateways = 9;
+    const auto found = retries_.find(service);
+    if (found != retries_.end()) {
+        return found->second;
+    }
+    const auto limits = retry_share(settings_.retries_, least_gateways);
+    return retries_.emplace(service, requests::retry_budget{limits})
+        .first->second;
+}
+
+double runtime::random_point() {
+    return std::uniform_real_distribution<double>{0, 1}(random_);
+}
+
+std::string_view to_string(routing::call_kind kind) {
+    switch (kind) {
+    case routing::call_kind::idempotent:
+        return "idempotent";
+    case routing::call_kind::non_idempotent:
+        return "non_idempotent";
+    case routing::call_kind::stream:
+        return "stream";
+    }
+    return "unknown";
+}
+
+base::milliseconds time_left(const routed_call& call, base::time_point now) {
+    return std::max(
+        std::chrono::duration_cast<base::milliseconds>(call.due_ - now),
+        base::milliseconds{0});
+}
+
+void note_end(runtime& shared,
+              const routed_call& call,
+              std::string_view outcome,
+              int status) {
+    const auto took = std::chrono::duration_cast<base::milliseconds>(
+        base::clock::now() - call.arrived_);
+    const auto kind = to_string(call.route_.kind_);
+    shared.metrics_.count_request(kind, outcome);
+    shared.metrics_.observe_answer(kind, took);
+    log::log_info("done", {{"request", call.request_.id_},
+                           {"outcome", std::string{outcome}},
+                           {"status", std::to_string(status)},
+                           {"ms", std::to_string(took.count())}});
+}
+
+http::awaitable<void>
+refuse(runtime& shared, const routed_call& call, base::refusal refusal) {
+    shared.metrics_.count_refusal(to_string(refusal.code_));
+    log::log_info(
+        "refuse",
+        {{"request", call.request_.id_},
+         {"route", call.route_.name_},
+         {"code", std::string{to_string(refusal.code_)}},
+         {"ran", std::string{to_string(refusal.ran_)}},
+         {"retry_after_ms", refusal.retry_after_
+                                ? std::to_string(refusal.retry_after_->count())
+                                : "none"},
+         {"detail", refusal.detail_}});
+    const auto answer = shared.protocol_.write_refusal_(refusal);
+    co_await call.exchange_.respond(answer);
+    note_end(shared, call, "refused", answer.status_);
+}
+
+} // namespace pimentoferry::gateway
--- /dev/null
+++ b/pimentoferry/gateway/store_follower.cpp
@@ -0,0 +1,179 @@
+#include "pimentoferry/gateway/store_follower.hpp"
+
+#include "pimentoferry/base/hash.hpp"
+#include "pimentoferry/base/overloaded.hpp"
+#include "pimentoferry/http/error_token.hpp"
+#include "pimentoferry/http/mailbox.hpp"
+#include "pimentoferry/log/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+
+namespace pimentoferry::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Pauses after failures: doubling, so that an outage of any length costs few
+// calls, and short enough that a change is in force within 2 s of the return.
+constexpr base::milliseconds first_pause{100};
+constexpr base::milliseconds longest_pause{800};
+constexpr std::uint32_t most_doublings = 3;
+
+// A registration lapses only when its instance could not renew it for a while,
+// so a shorter outage, such as a watch that was cut, explains no removal.
+constexpr base::milliseconds shortest_lapse{1000};
+// Removals seen this soon after a longer outage may be lapses.
+constexpr base::milliseconds disturbed_after_return{2500};
+
+std::string_view outcome_name(const store::outcome& outcome) {
+    return std::visit(
+        base::overloaded{
+            [](const store::unavailable&) { return "unavailable"; },
+            [](const store::declined&) { return "declined"; },
+            [](const store::history_lost&) { return "history_lost"; },
+            [](const store::conflict&) { return "conflict"; },
+            [](const auto&) { return "ok"; }},
+        outcome);
+}
+
+} // namespace
+
+store_follower::store_follower(asio::io_context& io,
+                               store::http_store& store,
+                               metrics& counters,
+                               store_follower_options options,
+                               changes_handler on_changes)
+    : io_(io), store_(store), counters_(counters), options_(std::move(options)),
+      on_changes_(std::move(on_changes)) {}
+
+void store_follower::start() {
+    asio::co_spawn(
+        io_, [this] { return run(); }, asio::detached);
+}
+
+http::awaitable<void> store_follower::run() {
+    while (true) {
+        // Not one expression: GCC 12 miscompiles co_await in a conditional.
+        bool done = false;
+        if (listed_) {
+            done = co_await watch_once();
+        } else {
+            done = co_await list_all();
+        }
+        if (!done) {
+            asio::steady_timer pause{io_, next_pause()};
+            boost::system::error_code ignored;
+            co_await pause.async_wait(http::internal::into(ignored));
+        }
+    }
+}
+
+base::milliseconds store_follower::next_pause() {
+    const auto doublings = std::min(failures_, most_doublings);
+    const auto pause = std::min(first_pause * (1U << doublings), longest_pause);
+    constexpr std::uint64_t most_jitter_percent = 50;
+    ++pauses_;
+    const auto jitter =
+        base::hash_combine(options_.seed_, pauses_) % most_jitter_percent;
+    return pause + pause * static_cast<int>(jitter) / 100;
+}
+
+http::awaitable<store::outcome> store_follower::call(store::request request,
+                                                     std::string_view name) {
+    auto answer = std::make_shared<http::mailbox<store::outcome>>(io_);
+    store_.submit({store::token{1}, std::move(request)},
+                  [answer](const store::result& result) {
+                      answer->deliver(result.outcome_);
+                  });
+    auto outcome = co_await answer->next();
+    counters_.count_store_call(name, outcome_name(outcome));
+    note(!std::holds_alternative<store::unavailable>(outcome) &&
+             !std::holds_alternative<store::declined>(outcome),
+         name);
+    co_return outcome;
+}
+
+void store_follower::note(bool answered, std::string_view operation) {
+    const auto now = base::clock::now();
+    failures_ = answered ? 0 : failures_ + 1;
+    if (answered == reachable_) {
+        return;
+    }
+    reachable_ = answered;
+    if (!answered) {
+        lost_at_ = now;
+    } else if (now - lost_at_ >= shortest_lapse) {
+        recovered_at_ = now;
+    }
+    log::log_info(answered ? "store_regained" : "store_lost",
+                  {{"operation", std::string{operation}},
+                   {"revision", std::to_string(copy_.at())}});
+}
+
+bool store_follower::disturbed(base::time_point now) const {
+    const bool outage = !reachable_ && now - lost_at_ >= shortest_lapse;
+    return outage || now < recovered_at_ + disturbed_after_return;
+}
+
+http::awaitable<bool> store_follower::list_all() {
+    std::vector<store::item> items;
+    store::revision at = 0;
+    std::string after;
+    while (true) {
+        const auto outcome =
+            co_await call(store::scan{options_.prefix_, after}, "list");
+        const auto* page = std::get_if<store::scanned>(&outcome);
+        if (page == nullptr) {
+            co_return false;
+        }
+        at = at == 0 ? page->at_ : at;
+        items.insert(items.end(), page->items_.begin(), page->items_.end());
+        if (!page->truncated_ || page->items_.empty()) {
+            break;
+        }
+        after = page->items_.back().key_;
+    }
+    log::log_info("store_listed", {{"items", std::to_string(items.size())},
+                                   {"revision", std::to_string(at)}});
+    listed_ = true;
+    on_changes_(copy_.replace(items, at));
+    co_return true;
+}
+
+http::awaitable<bool> store_follower::watch_once() {
+    const auto outcome = co_await call(
+        store::watch{options_.prefix_, copy_.at(), options_.watch_wait_},
+        "watch");
+    if (std::holds_alternative<store::history_lost>(outcome)) {
+        log::log_info("store_history_lost",
+                      {{"revision", std::to_string(copy_.at())}});
+        listed_ = false;
+        co_return true;
+    }
+    const auto* seen = std::get_if<store::changed>(&outcome);
+    if (seen == nullptr) {
+        co_return false;
+    }
+    on_changes_(copy_.apply(*seen));
+    co_return true;
+}
+
+void store_follower::merge(const store::mirror_delta& delta) {
+    const auto before = copy_.at();
+    const auto changes = copy_.merge(delta);
+    if (changes.empty()) {
+        return;
+    }
+    log::log_info("peer_copy_taken",
+                  {{"before", std::to_string(before)},
+                   {"revision", std::to_string(copy_.at())},
+                   {"changes", std::to_string(changes.size())}});
+    on_changes_(changes);
+}
+
+} // namespace pimentoferry::gateway
--- /dev/null
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -0,0 +1,518 @@
+#include "pimentoferry/gateway/stream_relay.hpp"
+
+#include "pimentoferry/base/overloaded.hpp"
+#include "pimentoferry/gateway/event_splitter.hpp"
+#include "pimentoferry/http/proxy.hpp"
+#include "pimentoferry/log/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <variant>
+
+namespace pimentoferry::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// As for plain calls: an engine that does not accept in this time is down.
+constexpr base::milliseconds connect_timeout{250};
+// A prefill takes about 100 ms and waits for those before it; an engine that
+// is silent for longer is down, and the prompt is read elsewhere.
+constexpr base::milliseconds prefill_timeout{700};
+constexpr base::milliseconds release_timeout{500};
+// Placements of one request; each may read the prompt again.
+constexpr std::uint32_t most_placements = 3;
+// Decode engines asked with one prefill result, which lapses in about 500 ms.
+constexpr std::uint32_t most_decode_sends = 3;
+
+constexpr base::milliseconds no_engine_retry_after{1500};
+
+struct stream_ended_whole {};
+/// The request was rejected before it ran.
+struct stream_not_run {
+    std::string detail_;
+};
+/// An engine answered with a failure or could not be heard to the end.
+struct stream_broken {
+    std::string detail_;
+};
+struct caller_left {};
+/// The engine's own answer that is no stream of events.
+struct engine_answer {
+    http::response response_;
+};
+
+using stream_outcome = std::variant<stream_ended_whole,
+                                    stream_not_run,
+                                    stream_broken,
+                                    caller_left,
+                                    engine_answer>;
+
+/// Keeps the places of a stream until it ends.
+class place_guard {
+public:
+    place_guard(stream_placement& places, base::attempt_id attempt)
+        : places_(places), attempt_(attempt) {}
+    place_guard(const place_guard&) = delete;
+    place_guard& operator=(const place_guard&) = delete;
+    ~place_guard() { places_.ended(attempt_, events_); }
+
+    /// The answer was complete and had so many events.
+    void complete(std::uint32_t events) { events_ = events; }
+
+private:
+    stream_placement& places_;
+    base::attempt_id attempt_;
+    std::uint32_t events_{0};
+};
+
+class stream_call {
+public:
+    stream_call(runtime& shared, routed_call& call)
+        : shared_(shared), call_(call) {}
+
+    http::awaitable<void> run();
+
+private:
+    http::awaitable<placement::stream_decision> place(base::attempt_id attempt);
+    http::awaitable<stream_outcome> run_attempt(placement::stream_grant grant,
+                                                place_guard& places);
+    http::awaitable<std::variant<prefill_result, stream_outcome>>
+    prefill(const routing::instance& engine);
+    http::awaitable<stream_outcome> decode(placement::stream_grant grant,
+                                           std::optional<kv_source> source,
+                                           place_guard& places);
+    http::awaitable<stream_outcome> send_decode(const routing::instance& engine,
+                                                std::optional<kv_source> source,
+                                                base::attempt_id attempt,
+                                                place_guard& places);
+    http::awaitable<stream_outcome> pass_on(http::open_answer& answer,
+                                            base::attempt_id attempt,
+                                            place_guard& places);
+    void release(const kv_source& source, const base::upstream_name& engine);
+    http::awaitable<void> finish(stream_outcome outcome);
+    http::awaitable<void>
+    refuse_placement(const placement::stream_refusal& refused);
+    bool may_continue(const stream_outcome& outcome) const;
+    http::call_options options_until(base::time_point limit) const;
+    send_options send_to(const base::upstream_name& engine) const;
+    std::optional<routing::instance>
+    find_engine(const base::upstream_name& engine) const;
+    bool caller_is_gone() const;
+
+    runtime& shared_;
+    routed_call& call_;
+    std::uint32_t runs_{0};                  ///< Decodes that may have run.
+    std::optional<std::uint64_t> delivered_; ///< Last event passed on.
+    bool passed_on_{false};                  ///< An event reached the caller.
+};
+
+bool stream_call::caller_is_gone() const {
+    return call_.exchange_.caller_gone()->requested();
+}
+
+http::call_options stream_call::options_until(base::time_point limit) const {
+    http::call_options options;
+    options.deadline_ = std::min(limit, call_.due_);
+    options.connect_timeout_ = connect_timeout;
+    options.cancel_ = call_.exchange_.caller_gone();
+    return options;
+}
+
+send_options stream_call::send_to(const base::upstream_name& engine) const {
+    return {engine, time_left(call_, base::clock::now()), delivered_};
+}
+
+std::optional<routing::instance>
+stream_call::find_engine(const base::upstream_name& engine) const {
+    const auto* found =
+        shared_.registry_.instances().find_usable(engine, base::clock::now());
+    return found != nullptr ? std::optional{*found} : std::nullopt;
+}
+
+http::awaitable<placement::stream_decision>
+stream_call::place(base::attempt_id attempt) {
+    const auto now = base::clock::now();
+    const auto prompt = call_.request_.prompt_.value_or(model_prompt{});
+    const auto objective =
+        std::min(call_.arrived_ + call_.route_.latency_objective_, call_.due_);
+    placement::stream_request wanted;
+    wanted.attempt_ = attempt;
+    wanted.failure_domain_ = shared_.settings_.failure_domain_;
+    wanted.prompt_tokens_ = prompt.prompt_tokens_;
+    wanted.max_output_tokens_ = prompt.max_output_tokens_;
+    wanted.expected_output_tokens_ = prompt.expected_output_tokens_;
+    wanted.budget_ = std::max(
+        std::chrono::duration_cast<base::milliseconds>(objective - now),
+        base::milliseconds{0});
+    auto decision = co_await shared_.streams_->place(
+        call_.service_, wanted, call_.exchange_.caller_gone());
+    const auto* grant = std::get_if<placement::stream_grant>(&decision);
+    log::log_info(
+        "place",
+        {{"request", call_.request_.id_},
+         {"attempt", base::to_string(attempt)},
+         {"service", call_.service_.value_},
+         {"configuration", std::to_string(call_.routes_->version())},
+         {"prompt_tokens", std::to_string(wanted.prompt_tokens_)},
+         {"expected_output", std::to_string(wanted.expected_output_tokens_)},
+         {"budget_ms", std::to_string(wanted.budget_.count())},
+         {"prefill", grant != nullptr ? grant->prefill_.value_ : "none"},
+         {"decode", grant != nullptr ? grant->decode_.value_ : "none"},
+         {"ms", std::to_string(std::chrono::duration_cast<base::milliseconds>(
+                                   base::clock::now() - now)
+                                   .count())}});
+    co_return decision;
+}
+
+http::awaitable<std::variant<prefill_result, stream_outcome>>
+stream_call::prefill(const routing::instance& engine) {
+    const auto began = base::clock::now();
+    auto request = shared_.protocol_.prefill_call_(call_.exchange_.call(),
+                                                   send_to(engine.id_));
+    auto received =
+        co_await shared_.client_.call(engine.address_, std::move(request),
+                                      options_until(began + prefill_timeout));
+    std::variant<prefill_result, stream_outcome> outcome =
+        stream_outcome{stream_not_run{"the prefill failed"}};
+    std::string text = "failed";
+    if (const auto* failure = std::get_if<http::call_failure>(&received)) {
+        text = to_string(failure->kind_);
+        if (failure->kind_ == http::failure_kind::cancelled) {
+            outcome = stream_outcome{caller_left{}};
+        }
+    } else {
+        const auto& answer = std::get<http::response>(received);
+        const auto result = shared_.protocol_.read_prefill_(answer.body_);
+        if (answer.status_ == 200 && result) {
+            outcome = *result;
+            text = "success";
+        } else {
+            text = std::to_string(answer.status_);
+        }
+    }
+    shared_.metrics_.count_send("prefill", text);
+    log::log_info(
+        "prefill",
+        {{"request", call_.request_.id_},
+         {"instance", engine.id_.value_},
+         {"outcome", text},
+         {"ms", std::to_string(std::chrono::duration_cast<base::milliseconds>(
+                                   base::clock::now() - began)
+                                   .count())}});
+    co_return outcome;
+}
+
+// A prefill result that nobody fetches blocks memory until it lapses.
+void stream_call::release(const kv_source& source,
+                          const base::upstream_name& engine) {
+    log::log_info("release", {{"request", call_.request_.id_},
+                              {"instance", engine.value_}});
+    http::call_options options;
+    options.deadline_ = base::clock::now() + release_timeout;
+    options.connect_timeout_ = connect_timeout;
+    asio::co_spawn(
+        shared_.io_,
+        [&shared = shared_, source,
+         options]() mutable -> http::awaitable<void> {
+            const auto answer = co_await shared.client_.call(
+                source.address_, shared.protocol_.release_call_(source.handle_),
+                std::move(options));
+            const auto* failure = std::get_if<http::call_failure>(&answer);
+            shared.metrics_.count_send(
+                "release",
+                failure != nullptr ? to_string(failure->kind_) : "answered");
+        },
+        asio::detached);
+}
+
+http::awaitable<stream_outcome> stream_call::pass_on(http::open_answer& answer,
+                                                     base::attempt_id attempt,
+                                                     place_guard& places) {
+    event_splitter events;
+    bool first = true;
+    while (true) {
+        auto piece = co_await answer.read_until_deadline();
+        if (const auto* failure = std::get_if<http::call_failure>(&piece)) {
+            if (failure->kind_ == http::failure_kind::cancelled) {
+                co_return caller_left{};
+            }
+            co_return stream_broken{std::string{to_string(failure->kind_)}};
+        }
+        if (std::holds_alternative<http::body_end>(piece)) {
+            if (events.incomplete_bytes() != 0) {
+                co_return stream_broken{"the last event is incomplete"};
+            }
+            places.complete(static_cast<std::uint32_t>(events.events()));
+            co_return stream_ended_whole{};
+        }
+        events.append(std::get<std::string>(piece));
+        const auto whole = events.take_whole();
+        if (whole.empty()) {
+            continue;
+        }
+        if (std::exchange(first, false)) {
+            shared_.streams_->started(attempt);
+            if (!passed_on_) {
+                shared_.metrics_.observe_first_event(
+                    std::chrono::duration_cast<base::milliseconds>(
+                        base::clock::now() - call_.arrived_));
+            }
+        }
+        passed_on_ = true;
+        const auto written = co_await call_.exchange_.write(whole);
+        if (written == http::write_result::gone) {
+            co_return caller_left{};
+        }
+        delivered_ = events.last_id() ? events.last_id() : delivered_;
+    }
+}
+
+http::awaitable<stream_outcome>
+stream_call::send_decode(const routing::instance& engine,
+                         std::optional<kv_source> source,
+                         base::attempt_id attempt,
+                         place_guard& places) {
+    const auto began = base::clock::now();
+    const auto options = send_to(engine.id_);
+    auto request =
+        source ? shared_.protocol_.decode_call_(call_.exchange_.call(), *source,
+                                                options)
+               : shared_.protocol_.plain_call_(call_.exchange_.call(), options);
+    auto opened = co_await shared_.client_.open(
+        engine.address_, std::move(request), options_until(call_.due_));
+    const auto log_outcome = [&](const std::string& outcome) {
+        shared_.metrics_.count_send("decode", outcome);
+        log::log_info(
+            "decode",
+            {{"request", call_.request_.id_},
+             {"instance", engine.id_.value_},
+             {"after_event", delivered_ ? std::to_string(*delivered_) : "none"},
+             {"outcome", outcome},
+             {"ms",
+              std::to_string(std::chrono::duration_cast<base::milliseconds>(
+                                 base::clock::now() - began)
+                                 .count())}});
+    };
+    if (const auto* failure = std::get_if<http::call_failure>(&opened)) {
+        log_outcome(std::string{to_string(failure->kind_)});
+        if (failure->kind_ == http::failure_kind::cancelled) {
+            co_return caller_left{};
+        }
+        if (!failure->sent_) {
+            co_return stream_not_run{"the decode engine is not reachable"};
+        }
+        ++runs_;
+        co_return stream_broken{std::string{to_string(failure->kind_)}};
+    }
+    auto& answer = std::get<http::open_answer>(opened);
+    const auto meaning =
+        shared_.protocol_.meaning_of_(call_.request_, answer.head());
+    log_outcome(std::to_string(answer.head().status_));
+    if (meaning == answer_meaning::rejected ||
+        meaning == answer_meaning::misrouted) {
+        // Reading the rest lets the connection be used again.
+        (void)co_await answer.read_all();
+        co_return stream_not_run{"the decode engine is full"};
+    }
+    ++runs_;
+    if (meaning == answer_meaning::foreign) {
+        co_return stream_broken{"the answer belongs to another request"};
+    }
+    if (meaning == answer_meaning::failure) {
+        auto body = co_await answer.read_all();
+        if (auto* text = std::get_if<std::string>(&body)) {
+            co_return engine_answer{{answer.head().status_,
+                                     answer.head().fields_, std::move(*text)}};
+        }
+        co_return stream_broken{"the failure of the engine is incomplete"};
+    }
+    if (!call_.exchange_.begun()) {
+        const auto forwarded = http::forwarded_response(
+            {answer.head().status_, answer.head().fields_, {}});
+        const auto begun = co_await call_.exchange_.begin_stream(
+            {forwarded.status_, forwarded.fields_});
+        if (begun == http::write_result::gone) {
+            co_return caller_left{};
+        }
+    }
+    co_return co_await pass_on(answer, attempt, places);
+}
+
+http::awaitable<stream_outcome>
+stream_call::decode(placement::stream_grant grant,
+                    std::optional<kv_source> source,
+                    place_guard& places) {
+    stream_outcome outcome = stream_not_run{"the decode engine is gone"};
+    for (std::uint32_t i = 0; i < most_decode_sends; ++i) {
+        const auto engine = find_engine(grant.decode_);
+        if (engine) {
+            outcome =
+                co_await send_decode(*engine, source, grant.attempt_, places);
+        }
+        if (!std::holds_alternative<stream_not_run>(outcome) ||
+            caller_is_gone()) {
+            break;
+        }
+        auto& budget = shared_.retries(call_.service_);
+        if (i + 1 == most_decode_sends || !budget.take(base::clock::now())) {
+            break;
+        }
+        const auto next =
+            co_await shared_.streams_->replace_decode(grant.attempt_);
+        const auto* other = std::get_if<placement::stream_grant>(&next);
+        if (other == nullptr) {
+            break;
+        }
+        log::log_info("replace_decode", {{"request", call_.request_.id_},
+                                         {"rejected_by", grant.decode_.value_},
+                                         {"decode", other->decode_.value_}});
+        grant = *other;
+    }
+    co_return outcome;
+}
+
+http::awaitable<stream_outcome>
+stream_call::run_attempt(placement::stream_grant grant, place_guard& places) {
+    std::optional<kv_source> source;
+    const auto reader = find_engine(grant.prefill_);
+    if (!grant.prefill_.value_.empty()) {
+        if (!reader) {
+            co_return stream_not_run{"the prefill engine is gone"};
+        }
+        auto read = co_await prefill(*reader);
+        if (auto* failed = std::get_if<stream_outcome>(&read)) {
+            if (!std::holds_alternative<caller_left>(*failed)) {
+                shared_.streams_->engine_failed(call_.service_, grant.prefill_);
+            }
+            co_return std::move(*failed);
+        }
+        source =
+            kv_source{reader->address_, std::get<prefill_result>(read).handle_};
+        shared_.streams_->prefilled(grant.attempt_);
+    }
+    const auto runs_before = runs_;
+    auto outcome = co_await decode(grant, source, places);
+    if (source && runs_ == runs_before) {
+        release(*source, grant.prefill_);
+    }
+    co_return outcome;
+}
+
+bool stream_call::may_continue(const stream_outcome& outcome) const {
+    if (std::holds_alternative<stream_not_run>(outcome)) {
+        return !call_.exchange_.begun() || call_.route_.resumable_;
+    }
+    return std::holds_alternative<stream_broken>(outcome) &&
+           call_.route_.resumable_ && runs_ < call_.route_.max_attempts_;
+}
+
+http::awaitable<void> stream_call::run() {
+    auto& budget = shared_.retries(call_.service_);
+    budget.note_request(call_.arrived_);
+    delivered_ = call_.request_.last_event_;
+    stream_outcome outcome = stream_not_run{"no place"};
+    for (std::uint32_t i = 0; i < most_placements; ++i) {
+        const bool again = i > 0;
+        if (again && !budget.take(base::clock::now())) {
+            break;
+        }
+        const auto attempt = shared_.streams_->next_attempt();
+        const auto decision = co_await place(attempt);
+        if (caller_is_gone()) {
+            outcome = caller_left{};
+        } else if (const auto* refused =
+                       std::get_if<placement::stream_refusal>(&decision)) {
+            if (!call_.exchange_.begun() && runs_ == 0) {
+                co_await refuse_placement(*refused);
+                co_return;
+            }
+            break;
+        } else {
+            place_guard places{*shared_.streams_, attempt};
+            outcome = co_await run_attempt(
+                std::get<placement::stream_grant>(decision), places);
+        }
+        if (!may_continue(outcome) || base::clock::now() >= call_.due_) {
+            break;
+        }
+    }
+    co_await finish(std::move(outcome));
+}
+
+http::awaitable<void>
+stream_call::refuse_placement(const placement::stream_refusal& refused) {
+    using reason = placement::refusal_reason;
+    base::refusal refusal{base::refusal_code::overloaded,
+                          base::ran_state::not_run, refused.retry_after_,
+                          "no engine has room in time"};
+    if (refused.reason_ == reason::no_engine) {
+        refusal.code_ = base::refusal_code::no_upstream;
+        refusal.detail_ = "no engine serves";
+    } else if (refused.reason_ == reason::too_large) {
+        refusal.retry_after_ = std::nullopt;
+        refusal.detail_ = "the request exceeds the memory of every engine";
+    }
+    co_await refuse(shared_, call_, std::move(refusal));
+}
+
+http::awaitable<void> stream_call::finish(stream_outcome outcome) {
+    if (std::holds_alternative<caller_left>(outcome)) {
+        note_end(shared_, call_, "caller_gone", 0);
+        co_return;
+    }
+    if (std::holds_alternative<stream_ended_whole>(outcome)) {
+        const auto result = co_await call_.exchange_.end_stream();
+        note_end(shared_, call_,
+                 result == http::write_result::gone ? "caller_gone"
+                                                    : "answered",
+                 200);
+        co_return;
+    }
+    if (call_.exchange_.begun()) {
+        const auto* broken = std::get_if<stream_broken>(&outcome);
+        log::log_warn(
+            "stream_broken",
+            {{"request", call_.request_.id_},
+             {"after_event", delivered_ ? std::to_string(*delivered_) : "none"},
+             {"detail",
+              broken != nullptr ? broken->detail_ : "no place to go on"}});
+        // Returning without the end of the stream closes the connection.
+        note_end(shared_, call_, "broken", 200);
+        co_return;
+    }
+    if (auto* answer = std::get_if<engine_answer>(&outcome)) {
+        const int status = answer->response_.status_;
+        const auto forwarded =
+            http::forwarded_response(std::move(answer->response_));
+        co_await call_.exchange_.respond(forwarded);
+        note_end(shared_, call_, "failed", status);
+        co_return;
+    }
+    base::refusal refusal;
+    if (const auto* not_run = std::get_if<stream_not_run>(&outcome);
+        not_run != nullptr && runs_ == 0) {
+        refusal = {base::refusal_code::no_upstream, base::ran_state::not_run,
+                   no_engine_retry_after, not_run->detail_};
+    } else {
+        const bool late = base::clock::now() >= call_.due_;
+        refusal = {late ? base::refusal_code::upstream_timeout
+                        : base::refusal_code::upstream_failed,
+                   base::ran_state::unknown, std::nullopt,
+                   "the engine's answer was lost"};
+    }
+    co_await refuse(shared_, call_, std::move(refusal));
+}
+
+} // namespace
+
+http::awaitable<void> relay_stream(runtime& shared, routed_call call) {
+    stream_call relay{shared, call};
+    co_await relay.run();
+}
+
+} // namespace pimentoferry::gateway
--- /dev/null
+++ b/pimentoferry/gateway/upstream_protocol.hpp
@@ -0,0 +1,122 @@
+/// How a gateway speaks to callers and upstreams.
+///
+/// The gateway decides and relays; the form of the messages is filled in by
+/// an adapter as a set of functions without state. The functions translate
+/// single messages and must not block.
+#ifndef PIMENTOFERRY_GATEWAY_UPSTREAM_PROTOCOL_HPP
+#define PIMENTOFERRY_GATEWAY_UPSTREAM_PROTOCOL_HPP
+
+#include "pimentoferry/base/ids.hpp"
+#include "pimentoferry/base/refusal.hpp"
+#include "pimentoferry/base/time.hpp"
+#include "pimentoferry/http/message.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace pimentoferry::gateway {
+
+/// The size of a model request.
+struct model_prompt {
+    std::uint32_t prompt_tokens_{0};
+    std::uint32_t max_output_tokens_{0};
+    /// The caller's estimate, right at the median but often far off; 0: none.
+    std::uint32_t expected_output_tokens_{0};
+};
+
+/// What the gateway needs to know of a request.
+struct caller_request {
+    /// Chosen by the caller; a retry of the caller has another one.
+    std::string id_;
+    std::string host_;
+    std::string path_; ///< Without the query.
+    /// How long the caller waits, counted from the arrival.
+    base::milliseconds patience_{0};
+    /// The last event that the caller has of a stream it continues.
+    std::optional<std::uint64_t> last_event_;
+    std::optional<model_prompt> prompt_;
+};
+
+/// The request lacks something without which it cannot be served.
+struct malformed_request {
+    std::string detail_;
+};
+
+/// Where a request is sent and for how long.
+struct send_options {
+    base::upstream_name instance_; ///< Only this instance may run it.
+    base::milliseconds time_left_{0};
+    /// Overrides the caller's: continue after this event.
+    std::optional<std::uint64_t> last_event_;
+};
+
+/// A prefill result that an engine holds.
+struct prefill_result {
+    std::string handle_;
+    std::uint32_t tokens_{0};
+};
+
+/// A prefill result and the engine that holds it.
+struct kv_source {
+    base::endpoint address_;
+    std::string handle_;
+};
+
+/// What the head of an upstream's answer says.
+enum class answer_meaning : std::uint8_t {
+    success,
+    rejected,  ///< The request has not run and will not.
+    misrouted, ///< As `rejected`: another instance has the address.
+    failure,   ///< The upstream ran the request and failed.
+    foreign,   ///< Belongs to another request, or is no answer of an upstream.
+};
+
+struct upstream_protocol {
+    std::function<std::variant<caller_request, malformed_request>(
+        const http::request&)>
+        read_request_;
+
+    /// A request for a plain service, or for a decode engine that reads the
+    /// prompt itself.
+    std::function<http::request(const http::request&, const send_options&)>
+        plain_call_;
+    std::function<http::request(const http::request&, const send_options&)>
+        prefill_call_;
+    std::function<http::request(
+        const http::request&, const kv_source&, const send_options&)>
+        decode_call_;
+    /// Frees a prefill result that is not going to be used.
+    std::function<http::request(const std::string& handle)> release_call_;
+
+    std::function<answer_meaning(const caller_request&,
+                                 const http::response_head&)>
+        meaning_of_;
+    std::function<std::optional<prefill_result>(std::string_view body)>
+        read_prefill_;
+
+    std::function<http::response(const base::refusal&)> write_refusal_;
+};
+
+/// A caller asks which addresses to use.
+struct directory_query {
+    std::string host_;
+    base::failure_domain failure_domain_;
+};
+
+struct directory_protocol {
+    std::function<std::optional<directory_query>(const http::request&)>
+        read_query_;
+    std::function<http::response(const std::vector<base::endpoint>&,
+                                 base::milliseconds keep)>
+        write_answer_;
+    std::function<bool(const http::request&)> is_readiness_query_;
+};
+
+} // namespace pimentoferry::gateway
+
+#endif
--- a/pimentoferry/http/client.cpp
+++ b/pimentoferry/http/client.cpp
@@ -30,6 +30,11 @@
     return call_->read(false);
 }
 
+awaitable<std::variant<std::string, body_end, call_failure>>
+open_answer::read_until_deadline() {
+    return call_->read(true);
+}
+
 awaitable<std::variant<std::string, call_failure>> open_answer::read_all() {
     std::string body;
     while (true) {
--- a/pimentoferry/http/client.hpp
+++ b/pimentoferry/http/client.hpp
@@ -68,6 +68,8 @@
     /// Opens a connection for this call. An upstream may close a pooled one
     /// while the call is on its way, which leaves open whether it ran.
     bool fresh_connection_{false};
+    /// A pooled connection is used only if it was idle for less than this.
+    base::milliseconds longest_idle_{20000};
     std::shared_ptr<cancellation> cancel_;
 };
 
@@ -88,6 +90,11 @@
     /// Next piece of the body, as it arrives.
     awaitable<std::variant<std::string, body_end, call_failure>> read();
 
+    /// As `read`, but limited by the deadline of the call instead of the gap
+    /// between two pieces.
+    awaitable<std::variant<std::string, body_end, call_failure>>
+    read_until_deadline();
+
     /// Rest of the body, until the deadline of the call.
     awaitable<std::variant<std::string, call_failure>> read_all();
 
--- a/pimentoferry/http/completion.cpp
+++ b/pimentoferry/http/completion.cpp
@@ -84,7 +84,7 @@
 
 std::variant<completion_request, base::refusal>
 parse_completion(completion_kind kind, std::string_view body) {
-    const auto parsed = internal::parse_object(body);
+    const auto parsed = parse_object(body);
     if (!parsed) {
         return malformed("the body is not a JSON object");
     }
@@ -111,7 +111,7 @@
                              std::string_view text) {
     Json::Value answer = answer_head(context, true);
     answer["choices"].append(choice_of(context, text, true));
-    return internal::write_json(answer);
+    return write_json(answer);
 }
 
 std::string completion_answer(const completion_context& context,
@@ -123,7 +123,7 @@
     answer["usage"]["completion_tokens"] = usage.output_tokens_;
     answer["usage"]["total_tokens"] =
         usage.prompt_tokens_ + usage.output_tokens_;
-    return internal::write_json(answer);
+    return write_json(answer);
 }
 
 } // namespace pimentoferry::http
--- a/pimentoferry/http/connection.cpp
+++ b/pimentoferry/http/connection.cpp
@@ -124,9 +124,10 @@
     if (error) {
         co_return error;
     }
-    stream_.expires_after(limits_.receive_timeout_);
+    stream_.expires_after(limits_.header_timeout_);
     co_await beast::http::async_read_header(stream_, buffer_, in, into(error));
     if (!error) {
+        stream_.expires_after(limits_.receive_timeout_);
         co_await continue_if_expected(in);
         co_await beast::http::async_read(stream_, buffer_, in, into(error));
     }
--- a/pimentoferry/http/connection.hpp
+++ b/pimentoferry/http/connection.hpp
@@ -57,7 +57,8 @@
     void close();
 
     boost::beast::tcp_stream stream_;
-    const server_limits limits_;
+    /// Of the listener, which outlives its connections.
+    const server_limits& limits_;
     const handler& handle_;
     boost::beast::flat_buffer buffer_;
     boost::asio::steady_timer watch_ended_;
--- a/pimentoferry/http/connection_pool.cpp
+++ b/pimentoferry/http/connection_pool.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/error.hpp>
 
+#include <algorithm>
+
 namespace pimentoferry::http::internal {
 
 namespace asio = boost::asio;
@@ -30,17 +32,19 @@
 
 } // namespace
 
-stream_ptr connection_pool::take(const base::endpoint& address) {
+stream_ptr connection_pool::take(const base::endpoint& address,
+                                 base::milliseconds longest_idle) {
     const auto found = idle_.find(address);
     if (found == idle_.end()) {
         return nullptr;
     }
     auto& connections = found->second;
-    const auto oldest = base::clock::now() - idle_limit;
+    const auto now = base::clock::now();
     while (!connections.empty()) {
         idle_connection last = std::move(connections.back());
         connections.pop_back();
-        if (last.since_ > oldest && is_quiet(*last.stream_)) {
+        const bool fresh = last.since_ + longest_idle > now;
+        if (fresh && last.until_ > now && is_quiet(*last.stream_)) {
             return std::move(last.stream_);
         }
     }
@@ -49,10 +53,16 @@
 }
 
 void connection_pool::give_back(const base::endpoint& address,
-                                stream_ptr stream) {
+                                stream_ptr stream,
+                                base::milliseconds keep_alive) {
+    const auto now = base::clock::now();
     auto& connections = idle_[address];
+    std::erase_if(connections,
+                  [now](const auto& idle) { return idle.until_ <= now; });
     if (connections.size() < idle_connections_per_address) {
-        connections.push_back({std::move(stream), base::clock::now()});
+        const auto until =
+            now + std::min<base::milliseconds>(idle_limit, keep_alive);
+        connections.push_back({std::move(stream), now, until});
     }
 }
 
--- a/pimentoferry/http/connection_pool.hpp
+++ b/pimentoferry/http/connection_pool.hpp
@@ -23,10 +23,15 @@
         : context_(context) {}
 
     /// A connection that was alive a moment ago; null when there is none.
-    stream_ptr take(const base::endpoint& address);
+    /// One that was idle for longer than `longest_idle` is not used.
+    stream_ptr take(const base::endpoint& address,
+                    base::milliseconds longest_idle);
 
-    /// Keeps a connection on which no byte is outstanding.
-    void give_back(const base::endpoint& address, stream_ptr stream);
+    /// Keeps a connection on which no byte is outstanding for at most
+    /// `keep_alive`, the time that the upstream announced.
+    void give_back(const base::endpoint& address,
+                   stream_ptr stream,
+                   base::milliseconds keep_alive);
 
     stream_ptr make();
 
@@ -34,6 +39,7 @@
     struct idle_connection {
         stream_ptr stream_;
         base::time_point since_;
+        base::time_point until_;
     };
 
     boost::asio::io_context& context_;
--- a/pimentoferry/http/json.hpp
+++ b/pimentoferry/http/json.hpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <string_view>
 
-namespace pimentoferry::http::internal {
+namespace pimentoferry::http {
 
 /// Writes on one line, as server-sent events need it.
 inline std::string write_json(const Json::Value& value) {
@@ -61,6 +61,6 @@
     return member.isString() ? member.asString() : std::string{};
 }
 
-} // namespace pimentoferry::http::internal
+} // namespace pimentoferry::http
 
 #endif
--- a/pimentoferry/entry/mailbox.hpp
+++ b/pimentoferry/http/mailbox.hpp
@@ -1,9 +1,11 @@
 /// A queue on which one coroutine waits.
 ///
 /// Both sides run on the thread of the same io_context.
-#ifndef PIMENTOFERRY_ENTRY_MAILBOX_HPP
-#define PIMENTOFERRY_ENTRY_MAILBOX_HPP
+#ifndef PIMENTOFERRY_HTTP_MAILBOX_HPP
+#define PIMENTOFERRY_HTTP_MAILBOX_HPP
 
+#include "pimentoferry/base/time.hpp"
+#include "pimentoferry/http/awaitable.hpp"
 #include "pimentoferry/http/error_token.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -11,7 +13,7 @@
 #include <deque>
 #include <utility>
 
-namespace pimentoferry::entry {
+namespace pimentoferry::http {
 
 /// Wakes a waiting coroutine; a wake without a waiter is kept.
 class wake_signal {
@@ -24,12 +26,16 @@
         timer_.cancel();
     }
 
-    http::awaitable<void> wait() {
-        while (!set_) {
+    awaitable<void> wait() { co_await wait_until(base::time_point::max()); }
+
+    /// Whether the signal came before the time.
+    awaitable<bool> wait_until(base::time_point limit) {
+        while (!set_ && base::clock::now() < limit) {
             boost::system::error_code ignored;
-            co_await timer_.async_wait(http::internal::into(ignored));
+            timer_.expires_at(limit);
+            co_await timer_.async_wait(internal::into(ignored));
         }
-        set_ = false;
+        co_return std::exchange(set_, false);
     }
 
 private:
@@ -47,7 +53,7 @@
         signal_.wake();
     }
 
-    http::awaitable<T> next() {
+    awaitable<T> next() {
         while (items_.empty()) {
             co_await signal_.wait();
         }
@@ -61,6 +67,6 @@
     wake_signal signal_;
 };
 
-} // namespace pimentoferry::entry
+} // namespace pimentoferry::http
 
 #endif
--- a/pimentoferry/http/problem.cpp
+++ b/pimentoferry/http/problem.cpp
@@ -31,7 +31,7 @@
     for (const auto& address : context.entries_) {
         body["entries"].append(base::to_string(address));
     }
-    return internal::write_json(body);
+    return write_json(body);
 }
 
 response problem_response(const base::refusal& refusal,
--- a/pimentoferry/http/server.cpp
+++ b/pimentoferry/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "pimentoferry/http/connection.hpp"
 #include "pimentoferry/http/error_token.hpp"
+#include "pimentoferry/http/silence.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -92,10 +93,13 @@
 
     std::size_t connection_count() const { return connections_.size(); }
 
+    void set_limits(const server_limits& limits) { limits_ = limits; }
+
 private:
     void start(tcp::socket socket) {
         error_code ignored;
         socket.set_option(tcp::no_delay{true}, ignored);
+        detect_silence(socket);
         const auto made =
             std::make_shared<connection>(std::move(socket), limits_, handle_);
         connections_.insert(made);
@@ -150,6 +154,10 @@
     return listener_->connection_count();
 }
 
+void server::set_limits(const server_limits& limits) {
+    listener_->set_limits(limits);
+}
+
 void server::stop() {
     listener_->stop();
 }
--- a/pimentoferry/http/server.hpp
+++ b/pimentoferry/http/server.hpp
@@ -36,7 +36,9 @@
 struct server_limits {
     std::size_t body_bytes_{std::size_t{4} << 20};
     std::size_t header_bytes_{std::size_t{16} << 10};
-    /// For the rest of a request once its first byte arrived.
+    /// For the head of a request once its first byte arrived.
+    base::milliseconds header_timeout_{30000};
+    /// For the body of a request once its head arrived.
     base::milliseconds receive_timeout_{30000};
     base::milliseconds idle_timeout_{60000}; ///< Between two requests.
     base::milliseconds write_timeout_{30000};
@@ -65,6 +67,9 @@
     base::endpoint address() const;
     std::size_t connection_count() const;
 
+    /// Replaces the limits, also for what open connections send next.
+    void set_limits(const server_limits& limits);
+
     /// Accepts no more connections and closes the idle ones. Calls in progress
     /// are completed, and their connections close after the answer.
     void stop();
--- a/pimentoferry/http/upstream_call.cpp
+++ b/pimentoferry/http/upstream_call.cpp
@@ -1,11 +1,13 @@
 #include "pimentoferry/http/upstream_call.hpp"
 
 #include "pimentoferry/http/error_token.hpp"
+#include "pimentoferry/http/silence.hpp"
 
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace pimentoferry::http::internal {
 
@@ -22,7 +24,9 @@
 std::string write_request_head(const base::endpoint& address,
                                const request& call) {
     std::string head = call.method_ + " " + call.target_ + " HTTP/1.1\r\n";
-    head += "Host: " + base::to_string(address) + "\r\n";
+    if (find_field(call.fields_, "Host").empty()) {
+        head += "Host: " + base::to_string(address) + "\r\n";
+    }
     for (const auto& f : call.fields_) {
         head += f.name_ + ": " + f.value_ + "\r\n";
     }
@@ -32,6 +36,23 @@
     return head + "\r\n";
 }
 
+/// How long the upstream keeps an idle connection, less a margin for the way:
+/// from `Keep-Alive: timeout=SECONDS`. No limit without the field.
+base::milliseconds announced_keep_alive(const field_list& fields) {
+    constexpr std::string_view name = "timeout=";
+    constexpr base::milliseconds margin{500};
+    const auto value = find_field(fields, "Keep-Alive");
+    const auto at = value.find(name);
+    if (at == std::string_view::npos) {
+        return base::milliseconds::max();
+    }
+    const auto number = value.substr(at + name.size());
+    int seconds = 0;
+    std::from_chars(number.data(), number.data() + number.size(), seconds);
+    return std::max(std::chrono::seconds{seconds} - margin,
+                    base::milliseconds{0});
+}
+
 failure_kind kind_of(error_code error) {
     if (error == asio::error::connection_refused) {
         return failure_kind::refused;
@@ -110,7 +131,7 @@
 // byte was sent.
 awaitable<bool> upstream_call::send_on_pooled(const std::string& head,
                                               const std::string& body) {
-    auto pooled = pool_->take(address_);
+    auto pooled = pool_->take(address_, options_.longest_idle_);
     if (!pooled) {
         co_return false;
     }
@@ -147,6 +168,7 @@
     if (!error) {
         error_code ignored;
         stream_->socket().set_option(tcp::no_delay{true}, ignored);
+        detect_silence(stream_->socket());
     }
     co_return error;
 }
@@ -233,7 +255,8 @@
     cancel_ = {};
     if (parser_.get().keep_alive() && buffer_.size() == 0) {
         stream_->expires_never();
-        pool_->give_back(address_, std::move(stream_));
+        pool_->give_back(address_, std::move(stream_),
+                         announced_keep_alive(head_.fields_));
     }
     stop();
 }
--- a/pimentoferry/entry/log.cpp
+++ b/pimentoferry/log/log.cpp
@@ -1,11 +1,14 @@
-#include "pimentoferry/entry/log.hpp"
+#include "pimentoferry/log/log.hpp"
+
+#include "pimentoferry/log/stdout_sink.hpp"
 
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <memory>
+
 #include <algorithm>
 
-namespace pimentoferry::entry {
+namespace pimentoferry::log {
 
 namespace {
 
@@ -26,6 +29,12 @@
     return text + "\"";
 }
 
+/// One sink for the life of the process, because it owns standard output.
+const std::shared_ptr<internal::stdout_sink>& sink() {
+    static const auto only = std::make_shared<internal::stdout_sink>();
+    return only;
+}
+
 void write_line(spdlog::level::level_enum level,
                 std::string_view event,
                 log_values values) {
@@ -36,15 +45,18 @@
 
 } // namespace
 
-void configure_log(const std::string& level, const std::string& entry_name) {
-    const auto logger = spdlog::stderr_logger_mt("entry");
-    logger->set_pattern(
-        "%Y-%m-%dT%H:%M:%S.%e level=%l entry=" + quoted(entry_name) + " %v");
+void configure_log(const std::string& level, const std::string& process_name) {
+    const auto logger = std::make_shared<spdlog::logger>("main", sink());
+    logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e level=%l process=" +
+                        quoted(process_name) + " %v");
     logger->set_level(spdlog::level::from_str(level));
-    logger->flush_on(spdlog::level::info);
     spdlog::set_default_logger(logger);
 }
 
+std::uint64_t dropped_lines() {
+    return sink()->dropped();
+}
+
 std::string format_line(std::string_view event, log_values values) {
     std::string line{"event="};
     line += event;
@@ -71,4 +83,4 @@
     write_line(spdlog::level::err, event, values);
 }
 
-} // namespace pimentoferry::entry
+} // namespace pimentoferry::log
--- /dev/null
+++ b/pimentoferry/placement/stream_messages.hpp
@@ -0,0 +1,146 @@
+/// Messages between a gateway and the owner of the stream scheduler.
+#ifndef PIMENTOFERRY_PLACEMENT_STREAM_MESSAGES_HPP
+#define PIMENTOFERRY_PLACEMENT_STREAM_MESSAGES_HPP
+
+#include "pimentoferry/base/ids.hpp"
+#include "pimentoferry/base/time.hpp"
+
+#include <cstdint>
+#include <tuple>
+#include <variant>
+
+namespace pimentoferry::placement {
+
+/// Asks for a prefill engine and a place at a decode engine.
+struct stream_request {
+    base::attempt_id attempt_;
+    base::failure_domain failure_domain_; ///< Of the asking gateway.
+    std::uint32_t prompt_tokens_{0};
+    std::uint32_t max_output_tokens_{0};
+    std::uint32_t expected_output_tokens_{0}; ///< 0: unknown.
+    /// Time until the first event is due.
+    base::milliseconds budget_{0};
+
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.attempt_, self.failure_domain_,
+                        self.prompt_tokens_, self.max_output_tokens_,
+                        self.expected_output_tokens_, self.budget_);
+    }
+};
+
+struct stream_grant {
+    base::attempt_id attempt_;
+    base::upstream_name prefill_;
+    base::upstream_name decode_;
+
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.attempt_, self.prefill_, self.decode_);
+    }
+};
+
+enum class refusal_reason : std::uint8_t {
+    no_room,   ///< No place in time.
+    no_engine, ///< No engine serves.
+    too_large, ///< The request exceeds the memory of every engine.
+};
+
+struct stream_refusal {
+    base::attempt_id attempt_;
+    refusal_reason reason_{refusal_reason::no_room};
+    base::milliseconds retry_after_{0};
+
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.attempt_, self.reason_, self.retry_after_);
+    }
+};
+
+using stream_decision = std::variant<stream_grant, stream_refusal>;
+
+/// Announces a placed stream to a new owner.
+struct stream_hold {
+    base::attempt_id attempt_;
+    base::upstream_name prefill_;
+    base::upstream_name decode_;
+    std::uint32_t prompt_tokens_{0};
+    std::uint32_t max_output_tokens_{0};
+    std::uint32_t expected_output_tokens_{0};
+    bool prefilled_{false};
+    bool started_{false};
+    base::milliseconds running_for_{0}; ///< Since its first event.
+
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.attempt_, self.prefill_, self.decode_,
+                        self.prompt_tokens_, self.max_output_tokens_,
+                        self.expected_output_tokens_, self.prefilled_,
+                        self.started_, self.running_for_);
+    }
+};
+
+struct stream_prefilled {
+    base::attempt_id attempt_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.attempt_);
+    }
+};
+
+struct stream_started {
+    base::attempt_id attempt_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.attempt_);
+    }
+};
+
+struct stream_rejected {
+    base::attempt_id attempt_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.attempt_);
+    }
+};
+
+struct stream_engine_failed {
+    base::upstream_name engine_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.engine_);
+    }
+};
+
+struct stream_ended {
+    base::attempt_id attempt_;
+    std::uint32_t events_{0}; ///< Of a complete answer, else 0.
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.attempt_, self.events_);
+    }
+};
+
+/// What a gateway sends to the owner.
+using stream_message = std::variant<stream_request,
+                                    stream_hold,
+                                    stream_prefilled,
+                                    stream_started,
+                                    stream_rejected,
+                                    stream_engine_failed,
+                                    stream_ended>;
+
+/// What the owner sends back; `queued` says that a decision follows.
+struct stream_queued {
+    base::attempt_id attempt_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.attempt_);
+    }
+};
+
+using stream_reply = std::variant<stream_grant, stream_refusal, stream_queued>;
+
+} // namespace pimentoferry::placement
+
+#endif
--- /dev/null
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -0,0 +1,491 @@
+#include "pimentoferry/placement/stream_scheduler.hpp"
+
+#include "pimentoferry/base/hash.hpp"
+#include "pimentoferry/base/overloaded.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <set>
+
+namespace pimentoferry::placement {
+
+namespace {
+
+using fractional_ms = std::chrono::duration<double, std::milli>;
+
+// Points in the near future at which the memory of an engine is estimated.
+// Answers last some seconds; beyond that the estimate says little.
+constexpr std::array<base::milliseconds, 6> horizons{
+    base::milliseconds{0},    base::milliseconds{500},
+    base::milliseconds{1000}, base::milliseconds{1500},
+    base::milliseconds{2000}, base::milliseconds{3000}};
+
+// Shape of the length distribution: P(longer than k) = 1 / (1 + (k/m)^p) with
+// the estimate as median m. The exponent matches a log-normal error of 0.5.
+constexpr double survival_exponent = 3.6;
+// The median lies below the mean for such a distribution.
+constexpr double median_of_mean = 0.9;
+
+// From the end of a prefill to the first event: transfer and one step.
+constexpr base::milliseconds first_event_overhead{80};
+// Weight of the newest sample in the learned means.
+constexpr double newest_weight = 0.05;
+
+// An engine that rejected or did not answer is left out for this time; its
+// reports are up to a second old, so asking earlier tells nothing new.
+constexpr base::milliseconds failure_pause{1500};
+constexpr base::milliseconds rejection_pause{200};
+
+// A refused caller returns in this range, which spreads the return over the
+// length of a usual burst.
+constexpr base::milliseconds earliest_return{2500};
+constexpr base::milliseconds return_spread{2000};
+// While no engine serves, a caller returns when a crashed one may be back.
+constexpr base::milliseconds no_engine_return{1500};
+
+// A stream without an end for this long is forgotten: its gateway may have
+// lost the message.
+constexpr base::milliseconds longest_stream{60'000};
+
+double survival(double events, double median) {
+    return 1 / (1 + std::pow(events / median, survival_exponent));
+}
+
+double milliseconds_between(base::time_point from, base::time_point to) {
+    return fractional_ms{to - from}.count();
+}
+
+} // namespace
+
+stream_scheduler::running_stream
+stream_scheduler::describe(const stream_request& wanted,
+                           base::time_point now) const {
+    running_stream stream;
+    stream.prompt_tokens_ = wanted.prompt_tokens_;
+    const double per_event = std::max(settings_.tokens_per_event_, 1U);
+    stream.max_events_ = std::max(1.0, wanted.max_output_tokens_ / per_event);
+    stream.expected_events_ = wanted.expected_output_tokens_ > 0
+                                  ? wanted.expected_output_tokens_ / per_event
+                                  : mean_events_ * median_of_mean;
+    stream.expected_events_ =
+        std::clamp(stream.expected_events_, 1.0, stream.max_events_);
+    stream.granted_ = now;
+    return stream;
+}
+
+double stream_scheduler::events_at(const running_stream& stream,
+                                   base::time_point at) const {
+    const auto expected_start = stream.granted_ +
+                                prefill_time(stream.prompt_tokens_) +
+                                first_event_overhead;
+    const auto start = stream.started_.value_or(expected_start);
+    return std::max(0.0, milliseconds_between(start, at) / event_interval_ms_);
+}
+
+// Tokens in memory at a later time, weighted with the probability that the
+// stream still lasts.
+double stream_scheduler::expected_tokens(const running_stream& stream,
+                                         base::time_point now,
+                                         base::time_point at) const {
+    const double events_now =
+        std::min(events_at(stream, now), stream.max_events_);
+    const double events_then = events_at(stream, at);
+    if (events_then >= stream.max_events_ && at > now) {
+        return 0;
+    }
+    const double events = std::min(events_then, stream.max_events_);
+    const double lasting = survival(events, stream.expected_events_) /
+                           survival(events_now, stream.expected_events_);
+    return lasting *
+           (stream.prompt_tokens_ + settings_.tokens_per_event_ * events);
+}
+
+double stream_scheduler::free_tokens(const engine_state& engine,
+                                     const running_stream& wanted,
+                                     base::time_point now) const {
+    const double planned = static_cast<double>(engine.engine_.kv_tokens_) *
+                           settings_.memory_share_;
+    double least = planned;
+    for (const auto horizon : horizons) {
+        const auto at = now + horizon;
+        double used = expected_tokens(wanted, now, at);
+        for (const auto& [id, stream] : streams_) {
+            if (stream.decode_ == engine.engine_.id_) {
+                used += expected_tokens(stream, now, at);
+            }
+        }
+        least = std::min(least, planned - used);
+    }
+    return least;
+}
+
+base::milliseconds stream_scheduler::prefill_time(std::uint32_t tokens) const {
+    return base::milliseconds{
+        static_cast<std::int64_t>(tokens / prefill_rate_)};
+}
+
+stream_scheduler::engine_state*
+stream_scheduler::choose_prefill(const stream_request& wanted,
+                                 base::time_point now) {
+    engine_state* best = nullptr;
+    // Moving memory between failure domains takes twice as long and is
+    // priced, so a near engine may be a little later.
+    constexpr base::milliseconds other_domain{20};
+    base::time_point best_time;
+    for (auto& [id, state] : engines_) {
+        if (state.engine_.role_ != engine_role::prefill ||
+            state.failed_until_ > now) {
+            continue;
+        }
+        const bool near =
+            state.engine_.failure_domain_ == wanted.failure_domain_;
+        const auto time = std::max(state.prefill_free_, now) +
+                          (near ? base::milliseconds{0} : other_domain);
+        if (best == nullptr || time < best_time) {
+            best = &state;
+            best_time = time;
+        }
+    }
+    return best;
+}
+
+stream_scheduler::engine_state*
+stream_scheduler::choose_decode(const running_stream& wanted,
+                                const base::failure_domain& near,
+                                base::time_point now) {
+    engine_state* best = nullptr;
+    double best_free = 0;
+    for (auto& [id, state] : engines_) {
+        if (state.engine_.role_ != engine_role::decode ||
+            state.failed_until_ > now ||
+            state.streams_ >= state.engine_.slots_) {
+            continue;
+        }
+        const double free = free_tokens(state, wanted, now);
+        if (free < 0) {
+            continue;
+        }
+        // A move between failure domains costs about as much as half a prompt
+        // less of room.
+        const double bonus = state.engine_.failure_domain_ == near
+                                 ? wanted.prompt_tokens_ / 2.0
+                                 : 0;
+        if (best == nullptr || free + bonus > best_free) {
+            best = &state;
+            best_free = free + bonus;
+        }
+    }
+    return best;
+}
+
+std::optional<stream_grant>
+stream_scheduler::try_grant(const stream_request& wanted,
+                            base::time_point expires,
+                            base::time_point now) {
+    auto* prefill = choose_prefill(wanted, now);
+    if (prefill != nullptr && std::max(prefill->prefill_free_, now) > expires) {
+        return std::nullopt;
+    }
+    auto stream = describe(wanted, now);
+    const auto& near = prefill != nullptr ? prefill->engine_.failure_domain_
+                                          : wanted.failure_domain_;
+    auto* decode = choose_decode(stream, near, now);
+    if (decode == nullptr) {
+        return std::nullopt;
+    }
+    if (prefill != nullptr) {
+        stream.prefill_ = prefill->engine_.id_;
+        prefill->prefill_free_ = std::max(prefill->prefill_free_, now) +
+                                 prefill_time(wanted.prompt_tokens_);
+    }
+    stream.decode_ = decode->engine_.id_;
+    ++decode->streams_;
+    stream_grant grant{wanted.attempt_, stream.prefill_, stream.decode_};
+    streams_.insert_or_assign(wanted.attempt_, std::move(stream));
+    return grant;
+}
+
+bool stream_scheduler::can_ever_serve(const stream_request& wanted) const {
+    return std::ranges::any_of(engines_, [&](const auto& entry) {
+        const auto& engine = entry.second.engine_;
+        return engine.role_ == engine_role::decode &&
+               engine.kv_tokens_ > wanted.prompt_tokens_;
+    });
+}
+
+// Whether the memory that is expected to become free within the budget covers
+// the request and all that wait before it.
+bool stream_scheduler::room_expected(const stream_request& wanted,
+                                     base::time_point expires,
+                                     base::time_point now) const {
+    double demand = wanted.prompt_tokens_;
+    for (const auto& waiting : queue_) {
+        demand += waiting.request_.prompt_tokens_;
+    }
+    double room = 0;
+    for (const auto& [id, state] : engines_) {
+        if (state.engine_.role_ == engine_role::decode &&
+            state.failed_until_ <= expires) {
+            room += static_cast<double>(state.engine_.kv_tokens_) *
+                    settings_.memory_share_;
+        }
+    }
+    for (const auto& [id, stream] : streams_) {
+        room -= expected_tokens(stream, now, expires);
+    }
+    return room >= demand;
+}
+
+base::milliseconds stream_scheduler::retry_after(base::attempt_id attempt) {
+    const auto spread =
+        base::hash_combine(attempt.instance_.value_, attempt.sequence_) %
+        static_cast<std::uint64_t>(return_spread.count());
+    return earliest_return + base::milliseconds{static_cast<int>(spread)};
+}
+
+stream_refusal stream_scheduler::refuse(const stream_request& wanted) {
+    const bool any_decode =
+        std::ranges::any_of(engines_, [](const auto& entry) {
+            return entry.second.engine_.role_ == engine_role::decode;
+        });
+    if (!any_decode) {
+        return {wanted.attempt_, refusal_reason::no_engine, no_engine_return};
+    }
+    if (!can_ever_serve(wanted)) {
+        return {wanted.attempt_, refusal_reason::too_large, {}};
+    }
+    return {wanted.attempt_, refusal_reason::no_room,
+            retry_after(wanted.attempt_)};
+}
+
+stream_scheduler::decisions
+stream_scheduler::request(const stream_request& wanted, base::time_point now) {
+    const auto expires = now + wanted.budget_ -
+                         prefill_time(wanted.prompt_tokens_) -
+                         first_event_overhead;
+    if (queue_.empty()) {
+        if (auto grant = try_grant(wanted, std::max(expires, now), now)) {
+            return {*grant};
+        }
+    }
+    if (expires <= now || !can_ever_serve(wanted) ||
+        !room_expected(wanted, expires, now)) {
+        return {refuse(wanted)};
+    }
+    queue_.push_back({wanted, expires});
+    return {};
+}
+
+void stream_scheduler::hold(const stream_hold& running, base::time_point now) {
+    if (streams_.contains(running.attempt_)) {
+        return;
+    }
+    const stream_request as_request{running.attempt_,
+                                    {},
+                                    running.prompt_tokens_,
+                                    running.max_output_tokens_,
+                                    running.expected_output_tokens_,
+                                    {}};
+    auto stream = describe(as_request, now);
+    stream.prefill_ = running.prefill_;
+    stream.decode_ = running.decode_;
+    stream.prefilling_ = !running.prefilled_;
+    if (running.started_) {
+        stream.started_ = now - running.running_for_;
+    }
+    const auto engine = engines_.find(running.decode_);
+    if (engine != engines_.end()) {
+        ++engine->second.streams_;
+    }
+    streams_.emplace(running.attempt_, std::move(stream));
+}
+
+void stream_scheduler::prefill_finished(base::attempt_id attempt,
+                                        base::time_point now) {
+    const auto found = streams_.find(attempt);
+    if (found == streams_.end() || !found->second.prefilling_) {
+        return;
+    }
+    auto& stream = found->second;
+    stream.prefilling_ = false;
+    const auto engine = engines_.find(stream.prefill_);
+    if (engine == engines_.end()) {
+        return;
+    }
+    auto& state = engine->second;
+    // The engine reads one prompt after the other.
+    const double took = milliseconds_between(
+        std::max(stream.granted_, state.last_prefill_), now);
+    state.last_prefill_ = now;
+    if (took >= 1) {
+        const double rate = stream.prompt_tokens_ / took;
+        prefill_rate_ += newest_weight * (rate - prefill_rate_);
+    }
+}
+
+void stream_scheduler::decode_started(base::attempt_id attempt,
+                                      base::time_point now) {
+    const auto found = streams_.find(attempt);
+    if (found != streams_.end() && !found->second.started_) {
+        found->second.started_ = now;
+    }
+}
+
+stream_scheduler::decisions
+stream_scheduler::decode_rejected(base::attempt_id attempt,
+                                  base::time_point now) {
+    const auto found = streams_.find(attempt);
+    if (found == streams_.end()) {
+        return {stream_refusal{attempt, refusal_reason::no_room,
+                               retry_after(attempt)}};
+    }
+    auto stream = found->second;
+    forget(attempt);
+    const auto rejecting = engines_.find(stream.decode_);
+    if (rejecting != engines_.end()) {
+        auto& pause = rejecting->second.failed_until_;
+        pause = std::max(pause, now + rejection_pause);
+    }
+    const auto prefill = engines_.find(stream.prefill_);
+    const auto near = prefill != engines_.end()
+                          ? prefill->second.engine_.failure_domain_
+                          : base::failure_domain{};
+    // The prompt has been read, so the reserve may be used.
+    const double planned_share = settings_.memory_share_;
+    settings_.memory_share_ = 1;
+    auto* decode = choose_decode(stream, near, now);
+    settings_.memory_share_ = planned_share;
+    if (decode == nullptr) {
+        return {stream_refusal{attempt, refusal_reason::no_room,
+                               retry_after(attempt)}};
+    }
+    stream.decode_ = decode->engine_.id_;
+    ++decode->streams_;
+    stream_grant grant{attempt, stream.prefill_, stream.decode_};
+    streams_.emplace(attempt, std::move(stream));
+    return {grant};
+}
+
+void stream_scheduler::engine_failed(const base::upstream_name& engine,
+                                     base::time_point now) {
+    const auto found = engines_.find(engine);
+    if (found != engines_.end()) {
+        found->second.failed_until_ = now + failure_pause;
+    }
+}
+
+void stream_scheduler::forget(base::attempt_id attempt) {
+    const auto found = streams_.find(attempt);
+    if (found == streams_.end()) {
+        return;
+    }
+    const auto engine = engines_.find(found->second.decode_);
+    if (engine != engines_.end() && engine->second.streams_ > 0) {
+        --engine->second.streams_;
+    }
+    streams_.erase(found);
+}
+
+stream_scheduler::decisions stream_scheduler::ended(base::attempt_id attempt,
+                                                    std::uint32_t events,
+                                                    base::time_point now) {
+    const auto found = streams_.find(attempt);
+    if (found != streams_.end() && events > 1 && found->second.started_) {
+        const double interval =
+            milliseconds_between(*found->second.started_, now) / events;
+        event_interval_ms_ += newest_weight * (interval - event_interval_ms_);
+        mean_events_ += newest_weight * (events - mean_events_);
+    }
+    forget(attempt);
+    std::erase_if(queue_, [attempt](const queued_request& waiting) {
+        return waiting.request_.attempt_ == attempt;
+    });
+    return dispatch(now);
+}
+
+stream_scheduler::decisions
+stream_scheduler::gateway_lost(base::instance_id gateway,
+                               base::time_point now) {
+    std::vector<base::attempt_id> lost;
+    for (const auto& [attempt, stream] : streams_) {
+        if (attempt.instance_ == gateway) {
+            lost.push_back(attempt);
+        }
+    }
+    std::ranges::for_each(lost, [this](auto attempt) { forget(attempt); });
+    std::erase_if(queue_, [gateway](const queued_request& waiting) {
+        return waiting.request_.attempt_.instance_ == gateway;
+    });
+    return dispatch(now);
+}
+
+stream_scheduler::decisions
+stream_scheduler::set_engines(const std::vector<stream_engine>& engines,
+                              base::time_point now) {
+    std::set<base::upstream_name> present;
+    for (const auto& engine : engines) {
+        present.insert(engine.id_);
+        engines_[engine.id_].engine_ = engine;
+    }
+    std::erase_if(engines_, [&present](const auto& entry) {
+        return !present.contains(entry.first);
+    });
+    return dispatch(now);
+}
+
+stream_scheduler::decisions stream_scheduler::dispatch(base::time_point now) {
+    decisions made;
+    while (!queue_.empty()) {
+        const auto& first = queue_.front();
+        if (first.expires_ < now) {
+            made.emplace_back(refuse(first.request_));
+        } else if (auto grant =
+                       try_grant(first.request_, first.expires_, now)) {
+            made.emplace_back(*grant);
+        } else {
+            break;
+        }
+        queue_.pop_front();
+    }
+    return made;
+}
+
+stream_scheduler::decisions stream_scheduler::tick(base::time_point now) {
+    std::vector<base::attempt_id> overdue;
+    for (const auto& [attempt, stream] : streams_) {
+        if (stream.granted_ + longest_stream < now) {
+            overdue.push_back(attempt);
+        }
+    }
+    std::ranges::for_each(overdue, [this](auto attempt) { forget(attempt); });
+    return dispatch(now);
+}
+
+std::optional<base::time_point> stream_scheduler::next_wakeup() const {
+    if (queue_.empty()) {
+        return std::nullopt;
+    }
+    return queue_.front().expires_;
+}
+
+stream_usage stream_scheduler::usage(base::time_point now) const {
+    stream_usage total;
+    total.queued_ = static_cast<std::uint32_t>(queue_.size());
+    total.running_ = static_cast<std::uint32_t>(streams_.size());
+    for (const auto& [id, state] : engines_) {
+        if (state.engine_.role_ == engine_role::decode) {
+            ++total.decode_engines_;
+            total.decode_capacity_ += state.engine_.kv_tokens_;
+        } else {
+            ++total.prefill_engines_;
+        }
+    }
+    for (const auto& [attempt, stream] : streams_) {
+        total.decode_tokens_ +=
+            static_cast<std::uint64_t>(expected_tokens(stream, now, now));
+    }
+    return total;
+}
+
+} // namespace pimentoferry::placement
--- /dev/null
+++ b/pimentoferry/placement/stream_scheduler.hpp
@@ -0,0 +1,180 @@
+/// Places streams on engines whose KV memory is the scarce resource.
+///
+/// Pattern of load: prefill is quick and idle most of the time, decode memory
+/// is full, and the length of an answer is not known beforehand. A stream
+/// holds its prompt and grows by a constant rate until it ends. Too few
+/// streams on an engine waste memory; too many lead to preemption, which
+/// reads prompts again and delays the answers of others.
+///
+/// A request is granted a prefill engine and a decode engine at the same
+/// time, and the decode memory is accounted for from then on. The memory that
+/// an engine needs in the near future is estimated from the streams on it:
+/// each grows while it lasts and frees all it holds when it ends. A request
+/// for which no engine has room waits in order of arrival as long as its
+/// first event can still be on time, and is refused at once when it cannot.
+///
+///     stream_scheduler scheduler{settings};
+///     scheduler.set_engines(engines, now);
+///     perform(scheduler.request(request, now));
+///     perform(scheduler.ended(attempt, events, now));
+///     perform(scheduler.tick(now));   // at next_wakeup()
+///
+/// It has no sockets, no threads and no clock. Times never run back.
+#ifndef PIMENTOFERRY_PLACEMENT_STREAM_SCHEDULER_HPP
+#define PIMENTOFERRY_PLACEMENT_STREAM_SCHEDULER_HPP
+
+#include "pimentoferry/base/ids.hpp"
+#include "pimentoferry/base/time.hpp"
+#include "pimentoferry/placement/events.hpp"
+#include "pimentoferry/placement/stream_messages.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace pimentoferry::placement {
+
+/// One engine that serves.
+struct stream_engine {
+    base::upstream_name id_;
+    engine_role role_{engine_role::prefill};
+    base::failure_domain failure_domain_;
+    std::uint32_t slots_{0};
+    std::uint64_t kv_tokens_{0};
+
+    friend bool operator==(const stream_engine&,
+                           const stream_engine&) = default;
+};
+
+struct stream_settings {
+    /// Output tokens that one event of a stream stands for.
+    std::uint32_t tokens_per_event_{1};
+    /// Part of an engine's memory that is planned with. The rest absorbs what
+    /// the estimate cannot know.
+    double memory_share_{0.95};
+};
+
+/// Totals for metrics and logs.
+struct stream_usage {
+    std::uint32_t queued_{0};
+    std::uint32_t running_{0};
+    std::uint64_t decode_tokens_{0}; ///< Estimated to be in memory now.
+    std::uint64_t decode_capacity_{0};
+    std::uint32_t prefill_engines_{0};
+    std::uint32_t decode_engines_{0};
+};
+
+class stream_scheduler {
+public:
+    using decisions = std::vector<stream_decision>;
+
+    explicit stream_scheduler(const stream_settings& settings)
+        : settings_(settings) {}
+
+    void configure(const stream_settings& settings) { settings_ = settings; }
+
+    /// Replaces the engines. Streams on engines that are gone are forgotten.
+    decisions set_engines(const std::vector<stream_engine>& engines,
+                          base::time_point now);
+
+    decisions request(const stream_request& wanted, base::time_point now);
+
+    /// A stream that another scheduler placed.
+    void hold(const stream_hold& running, base::time_point now);
+
+    void prefill_finished(base::attempt_id attempt, base::time_point now);
+    void decode_started(base::attempt_id attempt, base::time_point now);
+
+    /// The decode engine rejected the stream; another one is chosen, without
+    /// a wait because the prefill result soon lapses. The decision is a grant
+    /// with the same prefill engine, or a refusal.
+    decisions decode_rejected(base::attempt_id attempt, base::time_point now);
+
+    /// An engine did not answer, or rejected a prefill: it is left out for a
+    /// short time.
+    void engine_failed(const base::upstream_name& engine, base::time_point now);
+
+    /// The stream ended, or its request was given up. `events` is 0 unless the
+    /// answer was complete.
+    decisions
+    ended(base::attempt_id attempt, std::uint32_t events, base::time_point now);
+
+    /// A gateway is gone; its streams ended with it.
+    decisions gateway_lost(base::instance_id gateway, base::time_point now);
+
+    decisions tick(base::time_point now);
+
+    std::optional<base::time_point> next_wakeup() const;
+
+    stream_usage usage(base::time_point now) const;
+
+private:
+    struct running_stream {
+        base::upstream_name prefill_;
+        base::upstream_name decode_;
+        std::uint32_t prompt_tokens_{0};
+        double expected_events_{0};
+        double max_events_{0};
+        bool prefilling_{true};
+        /// When the first event came; none before.
+        std::optional<base::time_point> started_;
+        base::time_point granted_;
+    };
+    struct engine_state {
+        stream_engine engine_;
+        base::time_point failed_until_;
+        /// When the prompts that were granted will have been read.
+        base::time_point prefill_free_;
+        base::time_point last_prefill_; ///< End of the last one.
+        std::uint32_t streams_{0};
+    };
+    struct queued_request {
+        stream_request request_;
+        base::time_point expires_;
+    };
+
+    double events_at(const running_stream& stream, base::time_point at) const;
+    double expected_tokens(const running_stream& stream,
+                           base::time_point now,
+                           base::time_point at) const;
+    double free_tokens(const engine_state& engine,
+                       const running_stream& wanted,
+                       base::time_point now) const;
+    running_stream describe(const stream_request& wanted,
+                            base::time_point now) const;
+    engine_state* choose_prefill(const stream_request& wanted,
+                                 base::time_point now);
+    engine_state* choose_decode(const running_stream& wanted,
+                                const base::failure_domain& near,
+                                base::time_point now);
+    std::optional<stream_grant> try_grant(const stream_request& wanted,
+                                          base::time_point expires,
+                                          base::time_point now);
+    bool can_ever_serve(const stream_request& wanted) const;
+    bool room_expected(const stream_request& wanted,
+                       base::time_point expires,
+                       base::time_point now) const;
+    static base::milliseconds retry_after(base::attempt_id attempt);
+    stream_refusal refuse(const stream_request& wanted);
+    base::milliseconds prefill_time(std::uint32_t tokens) const;
+    void forget(base::attempt_id attempt);
+    decisions dispatch(base::time_point now);
+
+    stream_settings settings_;
+    std::map<base::upstream_name, engine_state> engines_;
+    std::map<base::attempt_id, running_stream> streams_;
+    std::deque<queued_request> queue_;
+    /// Mean time between two events of a stream.
+    double event_interval_ms_{50};
+    /// Mean events of complete answers.
+    double mean_events_{70};
+    /// Prompt tokens that a prefill engine reads in a ms.
+    double prefill_rate_{50};
+};
+
+} // namespace pimentoferry::placement
+
+#endif
--- a/pimentoferry/store/http_codec.cpp
+++ b/pimentoferry/store/http_codec.cpp
@@ -1,8 +1,7 @@
 #include "pimentoferry/store/http_codec.hpp"
 
 #include "pimentoferry/base/overloaded.hpp"
-
-#include <json/json.h>
+#include "pimentoferry/http/json.hpp"
 
 #include <algorithm>
 #include <array>
@@ -10,7 +9,7 @@
 #include <memory>
 #include <optional>
 
-namespace pimentoferry::store::internal {
+namespace pimentoferry::store {
 
 namespace {
 
@@ -25,6 +24,8 @@
            std::string_view{"-._~/"}.find(c) != std::string_view::npos;
 }
 
+} // namespace
+
 std::string percent_encode(std::string_view text) {
     constexpr std::string_view digits = "0123456789ABCDEF";
     std::string encoded;
@@ -39,6 +40,8 @@
     return encoded;
 }
 
+namespace {
+
 std::optional<std::uint64_t> parse_number(std::string_view text) {
     std::uint64_t value = 0;
     const auto [end, error] =
@@ -49,18 +52,6 @@
     return value;
 }
 
-std::optional<Json::Value> parse_object(const std::string& text) {
-    Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader{builder.newCharReader()};
-    Json::Value value;
-    if (!reader->parse(text.data(), text.data() + text.size(), &value,
-                       nullptr) ||
-        !value.isObject()) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 std::string kv_target(const std::string& key) {
     return "/v1/kv/" + percent_encode(key);
 }
@@ -74,7 +65,7 @@
 }
 
 outcome parse_listing(const http_answer& answer) {
-    const auto object = parse_object(answer.body_);
+    const auto object = http::parse_object(answer.body_);
     if (!object || !(*object)["keys"].isArray()) {
         return unavailable{};
     }
@@ -91,7 +82,7 @@
 }
 
 outcome parse_lease(const http_answer& answer) {
-    const auto object = parse_object(answer.body_);
+    const auto object = http::parse_object(answer.body_);
     if (!object || !(*object)["lease"].isUInt64()) {
         return unavailable{};
     }
@@ -116,7 +107,10 @@
             [&](const renew_lease& op) {
                 return outcome{lease_granted{op.lease_}};
             },
-            [&](const revoke_lease&) { return outcome{erased{}}; }},
+            [&](const revoke_lease&) { return outcome{erased{}}; },
+            // Not part of this protocol.
+            [&](const scan&) { return outcome{unavailable{}}; },
+            [&](const watch&) { return outcome{unavailable{}}; }},
         operation);
 }
 
@@ -127,9 +121,13 @@
 
 } // namespace
 
+namespace internal {
+
 bool is_write(const request& operation) {
     return !std::holds_alternative<get>(operation) &&
-           !std::holds_alternative<list>(operation);
+           !std::holds_alternative<list>(operation) &&
+           !std::holds_alternative<scan>(operation) &&
+           !std::holds_alternative<watch>(operation);
 }
 
 http_call to_http(const request& operation) {
@@ -173,6 +171,18 @@
                                  "/v1/leases/" +
                                      std::to_string(op.lease_.value_),
                                  {}};
+            },
+            [](const scan& op) {
+                return http_call{
+                    "GET", "/v1/list?prefix=" + percent_encode(op.prefix_), {}};
+            },
+            [](const watch& op) {
+                return http_call{
+                    "GET",
+                    "/v1/watch?prefix=" + percent_encode(op.prefix_) +
+                        "&after=" + std::to_string(op.after_) +
+                        "&wait_ms=" + std::to_string(op.wait_.count()),
+                    {}};
             }},
         operation);
 }
@@ -192,4 +202,10 @@
     return unavailable{};
 }
 
-} // namespace pimentoferry::store::internal
+} // namespace internal
+
+store_codec product_codec() {
+    return {internal::to_http, internal::from_http};
+}
+
+} // namespace pimentoferry::store
--- a/pimentoferry/store/http_store.cpp
+++ b/pimentoferry/store/http_store.cpp
@@ -1,5 +1,6 @@
 #include "pimentoferry/store/http_store.hpp"
 
+#include "pimentoferry/http/silence.hpp"
 #include "pimentoferry/store/http_codec.hpp"
 
 // Asio 1.74 uses std::exchange in awaitable.hpp without including <utility>.
@@ -24,7 +25,7 @@
 namespace pimentoferry::store {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
+namespace beast_http = boost::beast::http;
 using tcp = asio::ip::tcp;
 using boost::system::error_code;
 
@@ -93,8 +94,9 @@
 
 void client_state::start(pending work) {
     ++running_;
-    auto& counter =
-        is_write(work.operation_.request_) ? stats_.writes_ : stats_.reads_;
+    auto& counter = internal::is_write(work.operation_.request_)
+                        ? stats_.writes_
+                        : stats_.reads_;
     ++counter;
     asio::co_spawn(
         io_,
@@ -143,24 +145,25 @@
         tcp::endpoint{address, options_.address_.port_}, with_error(error));
     if (!error) {
         link.stream_.socket().set_option(tcp::no_delay{true}, error);
+        http::detect_silence(link.stream_.socket());
     }
     co_return !error;
 }
 
 asio::awaitable<std::optional<http_answer>>
 client_state::exchange(connection& link, const http_call& call) {
-    http::request<http::string_body> request{http::string_to_verb(call.method_),
-                                             call.target_, http_1_1};
-    request.set(http::field::host, base::to_string(options_.address_));
+    beast_http::request<beast_http::string_body> request{
+        beast_http::string_to_verb(call.method_), call.target_, http_1_1};
+    request.set(beast_http::field::host, base::to_string(options_.address_));
     request.body() = call.body_;
     request.prepare_payload();
     error_code error;
-    co_await http::async_write(link.stream_, request, with_error(error));
-    http::response_parser<http::string_body> parser;
+    co_await beast_http::async_write(link.stream_, request, with_error(error));
+    beast_http::response_parser<beast_http::string_body> parser;
     parser.body_limit(max_answer_bytes);
     if (!error) {
-        co_await http::async_read(link.stream_, link.buffer_, parser,
-                                  with_error(error));
+        co_await beast_http::async_read(link.stream_, link.buffer_, parser,
+                                        with_error(error));
     }
     if (error) {
         co_return std::nullopt;
@@ -176,12 +179,12 @@
 }
 
 asio::awaitable<void> client_state::run(pending work) {
-    const auto call = to_http(work.operation_.request_);
+    const auto call = options_.codec_.encode_(work.operation_.request_);
     auto link = take_idle();
     // A kept connection may have been closed by the store since its last use.
     // Reads may be sent again on a new one; a write may have taken effect.
     const bool may_repeat =
-        link != nullptr && !is_write(work.operation_.request_);
+        link != nullptr && !internal::is_write(work.operation_.request_);
     std::optional<http_answer> answer;
     for (int attempt = 0; attempt < (may_repeat ? 2 : 1) && !answer;
          ++attempt) {
@@ -203,8 +206,9 @@
         link->stream_.expires_never();
         idle_.push_back(std::move(link));
     }
-    complete(work, answer ? from_http(work.operation_.request_, *answer)
-                          : outcome{unavailable{}});
+    complete(work,
+             answer ? options_.codec_.decode_(work.operation_.request_, *answer)
+                    : outcome{unavailable{}});
 }
 
 } // namespace internal
@@ -217,8 +221,11 @@
 }
 
 void http_store::submit(operation op, result_handler handler) {
-    state_->submit({std::move(op), std::move(handler),
-                    base::clock::now() + state_->options_.timeout_});
+    const auto* watching = std::get_if<watch>(&op.request_);
+    const auto wait =
+        watching != nullptr ? watching->wait_ : base::milliseconds{0};
+    const auto deadline = base::clock::now() + state_->options_.timeout_ + wait;
+    state_->submit({std::move(op), std::move(handler), deadline});
 }
 
 http_store_stats http_store::stats() const {
--- a/pimentoferry/store/http_store.hpp
+++ b/pimentoferry/store/http_store.hpp
@@ -13,6 +13,7 @@
 
 #include "pimentoferry/base/ids.hpp"
 #include "pimentoferry/base/time.hpp"
+#include "pimentoferry/store/http_codec.hpp"
 #include "pimentoferry/store/operations.hpp"
 
 #include <cstdint>
@@ -27,12 +28,14 @@
 
 struct http_store_options {
     base::endpoint address_;
-    /// After it the outcome is `unavailable`.
+    /// After it the outcome is `unavailable`; a watch gets its waiting time
+    /// in addition.
     base::milliseconds timeout_{2000};
     /// Operations at a time; more wait in a queue.
     std::size_t max_connections_{16};
     /// Beyond it an operation is `unavailable` at once, without being sent.
     std::size_t max_queued_{1024};
+    store_codec codec_{product_codec()};
 };
 
 /// Counters since the start.
--- a/pimentoferry/store/operations.hpp
+++ b/pimentoferry/store/operations.hpp
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -61,8 +62,29 @@
     lease_id lease_;
 };
 
-using request =
-    std::variant<get, put, erase, list, grant_lease, renew_lease, revoke_lease>;
+/// One page of the items below a prefix, with their values. Pages are no
+/// snapshot; a watch from the revision of the first page brings the rest.
+struct scan {
+    std::string prefix_;
+    std::string after_; ///< The last key of the page before; empty: the first.
+};
+
+/// Waits until something below the prefix changes after a revision.
+struct watch {
+    std::string prefix_;
+    revision after_{0};
+    base::milliseconds wait_{0};
+};
+
+using request = std::variant<get,
+                             put,
+                             erase,
+                             list,
+                             grant_lease,
+                             renew_lease,
+                             revoke_lease,
+                             scan,
+                             watch>;
 
 struct operation {
     token token_;
@@ -90,12 +112,46 @@
 struct key_revision {
     std::string key_;
     revision revision_{0};
+
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.key_, self.revision_);
+    }
+    friend bool operator==(const key_revision&, const key_revision&) = default;
 };
 
 struct listed {
     std::vector<key_revision> keys_;
 };
 
+struct item {
+    std::string key_;
+    std::string value_;
+    revision revision_{0}; ///< Of its last change.
+
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.key_, self.value_, self.revision_);
+    }
+    friend bool operator==(const item&, const item&) = default;
+};
+
+struct scanned {
+    std::vector<item> items_;
+    bool truncated_{false}; ///< More follow after the last key.
+    revision at_{0};        ///< Of the store.
+};
+
+/// What a watch saw; empty when its time ran out.
+struct changed {
+    std::vector<item> written_;
+    std::vector<key_revision> removed_; ///< With the revision of the removal.
+    revision at_{0};                    ///< Continue from here.
+};
+
+/// The store no longer knows what changed since the revision of the watch.
+struct history_lost {};
+
 struct lease_granted {
     lease_id lease_;
 };
@@ -107,6 +163,9 @@
 /// have taken effect.
 struct unavailable {};
 
+/// The store answered that it did nothing: a limit, or it is not available.
+struct declined {};
+
 using outcome = std::variant<found,
                              not_found,
                              written,
@@ -115,7 +174,11 @@
                              listed,
                              lease_granted,
                              lease_unknown,
-                             unavailable>;
+                             unavailable,
+                             scanned,
+                             changed,
+                             history_lost,
+                             declined>;
 
 struct result {
     token token_;
