--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -93,7 +93,7 @@
     http::awaitable<void> serve_readiness(http::exchange& exchange);
     http::awaitable<void> serve_metrics(http::exchange& exchange);
     http::awaitable<void> answer_early(http::exchange& exchange,
-                                       const std::string& request,
+                                       std::string request,
                                        base::refusal refusal);
 
     void await_signals();
@@ -274,7 +274,7 @@
 }
 
 http::awaitable<void> gateway_process::answer_early(http::exchange& exchange,
-                                                    const std::string& request,
+                                                    std::string request,
                                                     base::refusal refusal) {
     shared_.metrics_.count_refusal(to_string(refusal.code_));
     const auto routes = shared_.registry_.routes();
@@ -293,15 +293,16 @@
     const auto arrived = base::clock::now();
     auto read = adapter_.upstreams_.read_request_(exchange.call());
     if (const auto* malformed = std::get_if<malformed_request>(&read)) {
-        co_await answer_early(exchange, "none",
-                              {base::refusal_code::malformed_request,
-                               base::ran_state::not_run, std::nullopt,
-                               malformed->detail_});
+        base::refusal refusal{base::refusal_code::malformed_request,
+                              base::ran_state::not_run, std::nullopt,
+                              malformed->detail_};
+        std::string unknown = "none";
+        co_await answer_early(exchange, std::move(unknown), std::move(refusal));
         co_return;
     }
     ++shared_.in_flight_;
-    co_await route(exchange, std::get<caller_request>(std::move(read)),
-                   arrived);
+    auto request = std::get<caller_request>(std::move(read));
+    co_await route(exchange, std::move(request), arrived);
     --shared_.in_flight_;
 }
 
@@ -310,18 +311,18 @@
                                              base::time_point arrived) {
     const auto routes = shared_.registry_.routes();
     if (!routes) {
-        co_await answer_early(
-            exchange, request.id_,
-            {base::refusal_code::no_configuration, base::ran_state::not_run,
-             no_configuration_retry_after, "no configuration is known yet"});
+        base::refusal refusal{
+            base::refusal_code::no_configuration, base::ran_state::not_run,
+            no_configuration_retry_after, "no configuration is known yet"};
+        co_await answer_early(exchange, request.id_, std::move(refusal));
         co_return;
     }
     const auto* found = routes->find(request.host_, request.path_);
     if (found == nullptr) {
-        co_await answer_early(exchange, request.id_,
-                              {base::refusal_code::unknown_call,
-                               base::ran_state::not_run, std::nullopt,
-                               "no route has this host and path"});
+        base::refusal refusal{base::refusal_code::unknown_call,
+                              base::ran_state::not_run, std::nullopt,
+                              "no route has this host and path"};
+        co_await answer_early(exchange, request.id_, std::move(refusal));
         co_return;
     }
     const auto& name = routing::choose_service(*found, shared_.random_point());
--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -152,7 +152,8 @@
         call_.route_.kind_ == routing::call_kind::idempotent;
     const bool timed_out =
         last.failure_ && last.failure_->kind_ == http::failure_kind::timed_out;
-    const bool broken = last.meaning_ == answer_meaning::foreign;
+    const bool broken = last.meaning_ == answer_meaning::foreign ||
+                        last.meaning_ == answer_meaning::failure;
     return idempotent && broken && !timed_out &&
            runs_ < call_.route_.max_attempts_;
 }
@@ -178,7 +179,8 @@
             break;
         }
         tried_.insert(chosen->id_);
-        last = co_await send(*chosen);
+        const routing::instance replica = *chosen;
+        last = co_await send(replica);
         if (!may_send_again(last)) {
             break;
         }
--- a/pimentoferry/gateway/registration.cpp
+++ b/pimentoferry/gateway/registration.cpp
@@ -75,16 +75,16 @@
 
 http::awaitable<bool> registration::register_once() {
     if (lease_ == store::lease_id{}) {
-        const auto granted =
-            co_await call(store::grant_lease{lease_ttl}, "grant_lease");
+        store::request request = store::grant_lease{lease_ttl};
+        const auto granted = co_await call(std::move(request), "grant_lease");
         const auto* lease = std::get_if<store::lease_granted>(&granted);
         if (lease == nullptr) {
             co_return false;
         }
         lease_ = lease->lease_;
     }
-    const auto outcome =
-        co_await call(store::put{key_, value_, known_, lease_}, "register");
+    store::request request = store::put{key_, value_, known_, lease_};
+    const auto outcome = co_await call(std::move(request), "register");
     if (const auto* conflict = std::get_if<store::conflict>(&outcome)) {
         known_ = conflict->current_;
         co_return false;
@@ -104,7 +104,8 @@
 }
 
 http::awaitable<bool> registration::renew() {
-    const auto outcome = co_await call(store::renew_lease{lease_}, "renew");
+    store::request request = store::renew_lease{lease_};
+    const auto outcome = co_await call(std::move(request), "renew");
     if (std::holds_alternative<store::lease_unknown>(outcome)) {
         log::log_info("registration_lapsed", {{"key", key_}});
         lease_ = {};
--- a/pimentoferry/gateway/store_follower.cpp
+++ b/pimentoferry/gateway/store_follower.cpp
@@ -58,7 +58,8 @@
 
 http::awaitable<void> store_follower::run() {
     while (true) {
-        // Not one expression: GCC 12 miscompiles co_await in a conditional.
+        // Not one expression, and below no temporary aggregate as an
+        // argument: GCC 12 miscompiles both in a co_await expression.
         bool done = false;
         if (listed_) {
             done = co_await watch_once();
@@ -125,8 +126,8 @@
     store::revision at = 0;
     std::string after;
     while (true) {
-        const auto outcome =
-            co_await call(store::scan{options_.prefix_, after}, "list");
+        store::request page_request = store::scan{options_.prefix_, after};
+        const auto outcome = co_await call(std::move(page_request), "list");
         const auto* page = std::get_if<store::scanned>(&outcome);
         if (page == nullptr) {
             co_return false;
@@ -146,9 +147,9 @@
 }
 
 http::awaitable<bool> store_follower::watch_once() {
-    const auto outcome = co_await call(
-        store::watch{options_.prefix_, copy_.at(), options_.watch_wait_},
-        "watch");
+    store::request request =
+        store::watch{options_.prefix_, copy_.at(), options_.watch_wait_};
+    const auto outcome = co_await call(std::move(request), "watch");
     if (std::holds_alternative<store::history_lost>(outcome)) {
         log::log_info("store_history_lost",
                       {{"revision", std::to_string(copy_.at())}});
--- a/pimentoferry/gateway/stream_placement.cpp
+++ b/pimentoferry/gateway/stream_placement.cpp
@@ -202,8 +202,9 @@
         questions_.erase(wanted.attempt_);
     } else {
         tell_owner(service, wanted);
-        decision =
-            co_await wait_for(service, asked, wanted, wanted.attempt_, limit);
+        placement::stream_message again = wanted;
+        decision = co_await wait_for(service, asked, std::move(again),
+                                     wanted.attempt_, limit);
     }
     note_grant(decision, service, wanted);
     const bool granted =
@@ -236,9 +237,9 @@
         auto asked = std::make_shared<question>(io_);
         questions_.insert_or_assign(attempt, asked);
         tell_owner(service, placement::stream_rejected{attempt});
-        decision = co_await wait_for(service, asked,
-                                     placement::stream_rejected{attempt},
-                                     attempt, now + owner_silence);
+        placement::stream_message again = placement::stream_rejected{attempt};
+        decision = co_await wait_for(service, asked, std::move(again), attempt,
+                                     now + owner_silence);
     }
     const auto again = streams_.find(attempt);
     if (const auto* grant = std::get_if<placement::stream_grant>(&decision);
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -149,8 +149,9 @@
     wanted.budget_ = std::max(
         std::chrono::duration_cast<base::milliseconds>(objective - now),
         base::milliseconds{0});
-    auto decision = co_await shared_.streams_->place(
-        call_.service_, wanted, call_.exchange_.caller_gone());
+    auto gone = call_.exchange_.caller_gone();
+    auto decision = co_await shared_.streams_->place(call_.service_, wanted,
+                                                     std::move(gone));
     const auto* grant = std::get_if<placement::stream_grant>(&decision);
     log::log_info(
         "place",
@@ -174,9 +175,9 @@
     const auto began = base::clock::now();
     auto request = shared_.protocol_.prefill_call_(call_.exchange_.call(),
                                                    send_to(engine.id_));
-    auto received =
-        co_await shared_.client_.call(engine.address_, std::move(request),
-                                      options_until(began + prefill_timeout));
+    auto options = options_until(began + prefill_timeout);
+    auto received = co_await shared_.client_.call(
+        engine.address_, std::move(request), std::move(options));
     std::variant<prefill_result, stream_outcome> outcome =
         stream_outcome{stream_not_run{"the prefill failed"}};
     std::string text = "failed";
@@ -219,9 +220,9 @@
         shared_.io_,
         [&shared = shared_, source,
          options]() mutable -> http::awaitable<void> {
+            auto request = shared.protocol_.release_call_(source.handle_);
             const auto answer = co_await shared.client_.call(
-                source.address_, shared.protocol_.release_call_(source.handle_),
-                std::move(options));
+                source.address_, std::move(request), std::move(options));
             const auto* failure = std::get_if<http::call_failure>(&answer);
             shared.metrics_.count_send(
                 "release",
@@ -283,8 +284,9 @@
         source ? shared_.protocol_.decode_call_(call_.exchange_.call(), *source,
                                                 options)
                : shared_.protocol_.plain_call_(call_.exchange_.call(), options);
+    auto limits = options_until(call_.due_);
     auto opened = co_await shared_.client_.open(
-        engine.address_, std::move(request), options_until(call_.due_));
+        engine.address_, std::move(request), std::move(limits));
     const auto log_outcome = [&](const std::string& outcome) {
         shared_.metrics_.count_send("decode", outcome);
         log::log_info(
@@ -332,10 +334,12 @@
         co_return stream_broken{"the failure of the engine is incomplete"};
     }
     if (!call_.exchange_.begun()) {
-        const auto forwarded = http::forwarded_response(
-            {answer.head().status_, answer.head().fields_, {}});
-        const auto begun = co_await call_.exchange_.begin_stream(
-            {forwarded.status_, forwarded.fields_});
+        http::response received{
+            answer.head().status_, answer.head().fields_, {}};
+        auto forwarded = http::forwarded_response(std::move(received));
+        const http::response_head head{forwarded.status_,
+                                       std::move(forwarded.fields_)};
+        const auto begun = co_await call_.exchange_.begin_stream(head);
         if (begun == http::write_result::gone) {
             co_return caller_left{};
         }
@@ -434,8 +438,8 @@
             break;
         } else {
             place_guard places{*shared_.streams_, attempt};
-            outcome = co_await run_attempt(
-                std::get<placement::stream_grant>(decision), places);
+            auto grant = std::get<placement::stream_grant>(decision);
+            outcome = co_await run_attempt(std::move(grant), places);
         }
         if (!may_continue(outcome) || base::clock::now() >= call_.due_) {
             break;
