Keep a margin for the spread of lengths and move idle prefill engines

The scheduler filled engines to 95 % of the expected use, without regard to the spread of the lengths, and preempted streams read their prompts again. Two thirds of the prefill pool was idle meanwhile. On grown sites each gateway took the retry budget of a fleet of nine. Ruled out: rejections by decode engines (1 of 481), lost placements (none). Change: 1.5 standard deviations of the estimate stay free; a plan moves prefill engines to decode under a claim in the store; the retry share follows the largest fleet seen; refused callers return after about 4 s.

--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include "pimentoferry/gateway/plain_relay.hpp"
 #include "pimentoferry/gateway/registration.hpp"
 #include "pimentoferry/gateway/runtime.hpp"
+#include "pimentoferry/gateway/stage_orders.hpp"
 #include "pimentoferry/gateway/store_follower.hpp"
 #include "pimentoferry/gateway/stream_relay.hpp"
 #include "pimentoferry/http/error_token.hpp"
@@ -113,6 +114,7 @@
     registration registration_;
     peers peers_;
     stream_placement placement_;
+    stage_orders orders_;
     asio::signal_set signals_;
     asio::steady_timer timer_;
     std::optional<http::server> callers_;
@@ -153,6 +155,7 @@
                     settings.peer_address_),
       peers_(io_, settings, self, make_peer_handlers()),
       placement_(io_, peers_, shared_.metrics_, settings.region_),
+      orders_(shared_, store_, base::to_hex(self.value_)),
       signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_) {
     shared_.streams_ = &placement_;
 }
@@ -174,6 +177,7 @@
     };
     handlers.on_member_ = [this](const membership::member& member) {
         placement_.member_changed(member);
+        shared_.note_fleet(static_cast<std::uint32_t>(peers_.live().size()));
     };
     return handlers;
 }
@@ -218,6 +222,7 @@
     peers_.set_seeds(shared_.settings_.peers_, now);
     follower_.start();
     registration_.start();
+    orders_.start();
     await_signals();
     arm_timer();
     log::log_info(
--- a/pimentoferry/gateway/runtime.cpp
+++ b/pimentoferry/gateway/runtime.cpp
@@ -30,15 +30,28 @@
     : io_(io), settings_(settings), protocol_(std::move(protocol)),
       registry_(std::move(codec)), client_(io), picker_(seed), random_(seed) {}
 
-requests::retry_budget& runtime::retries(const base::service_name& service) {
-    // The usual size of a fleet; a larger one is known by its members.
-    constexpr std::uint32_t least_gateways = 9;
-    const auto found = retries_.find(service);
-    if (found != retries_.end()) {
-        return found->second;
+requests::retry_limits runtime::share() const {
+    auto limits = retry_share(settings_.retries_, gateways_);
+    // A gateway that does not know the fleet yet has no part of the constant.
+    constexpr std::uint32_t known_fleet = 2;
+    if (gateways_ < known_fleet) {
+        limits.constant_ = 0;
+    }
+    return limits;
+}
+
+void runtime::note_fleet(std::uint32_t gateways) {
+    if (gateways <= gateways_) {
+        return;
     }
-    const auto limits = retry_share(settings_.retries_, least_gateways);
-    return retries_.emplace(service, requests::retry_budget{limits})
+    gateways_ = gateways;
+    for (auto& [service, budget] : retries_) {
+        budget.set_limits(share());
+    }
+}
+
+requests::retry_budget& runtime::retries(const base::service_name& service) {
+    return retries_.try_emplace(service, requests::retry_budget{share()})
         .first->second;
 }
 
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -41,6 +41,9 @@
     /// The retry budget of a service.
     requests::retry_budget& retries(const base::service_name& service);
 
+    /// The fleet has so many live gateways.
+    void note_fleet(std::uint32_t gateways);
+
     /// A number from 0 up to but excluding 1.
     double random_point();
 
@@ -56,7 +59,10 @@
     std::uint32_t in_flight_{0};
 
 private:
+    requests::retry_limits share() const;
     std::map<base::service_name, requests::retry_budget> retries_;
+    /// The largest fleet seen: gateways that are cut off still retry.
+    std::uint32_t gateways_{0};
     std::mt19937_64 random_;
 };
 
--- /dev/null
+++ b/pimentoferry/gateway/stage_orders.cpp
@@ -0,0 +1,187 @@
+#include "pimentoferry/gateway/stage_orders.hpp"
+
+#include "pimentoferry/base/boot_time.hpp"
+#include "pimentoferry/http/error_token.hpp"
+#include "pimentoferry/log/log.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <vector>
+
+namespace pimentoferry::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr base::milliseconds review_interval{300};
+// Membership needs a second or two to find all gateways; before that several
+// of them take themselves for the owner.
+constexpr base::milliseconds settling_time{2000};
+// Engines that register one after the other are waited for.
+constexpr base::milliseconds stable_engines{1000};
+// A burst lasts about 5 s; the split follows what lasts longer than the noise
+// of single requests but does not wait for the end of a burst.
+constexpr base::milliseconds sustained{3000};
+// After the time that an engine needs, until its registration shows the role.
+constexpr base::milliseconds registration_margin{1500};
+constexpr base::milliseconds order_timeout{800};
+
+constexpr int status_ok = 200;
+constexpr int status_accepted = 202;
+
+} // namespace
+
+void stage_orders::start() {
+    started_ = base::clock::now();
+    asio::co_spawn(
+        shared_.io_, [this] { return run(); }, asio::detached);
+}
+
+http::awaitable<void> stage_orders::run() {
+    while (!shared_.draining_) {
+        asio::steady_timer pause{shared_.io_, review_interval};
+        boost::system::error_code ignored;
+        co_await pause.async_wait(http::internal::into(ignored));
+        const auto routes = shared_.registry_.routes();
+        if (!routes || base::clock::now() - started_ < settling_time) {
+            continue;
+        }
+        for (const auto& [name, service] : routes->source().services_) {
+            if (service.engine_ && shared_.streams_->owns(name)) {
+                co_await review(name, service.engine_->role_change_);
+            }
+        }
+    }
+}
+
+std::optional<placement::stage_change>
+stage_orders::due_change(const base::service_name& service,
+                         base::milliseconds role_change,
+                         base::time_point now) {
+    auto* scheduler = shared_.streams_->scheduler(service);
+    if (scheduler == nullptr || role_change == base::milliseconds{0}) {
+        return std::nullopt;
+    }
+    auto& state = services_[service];
+    const auto engines = scheduler->planned_engines(now);
+    if (engines.size() != state.engines_) {
+        state.engines_ = engines.size();
+        state.engines_since_ = now;
+    }
+    const auto wanted = placement::plan_prefill_engines(
+        scheduler->demand(), static_cast<std::uint32_t>(engines.size()));
+    const auto change = placement::next_stage_change(engines, wanted);
+    if (!change) {
+        state.differs_since_.reset();
+        return std::nullopt;
+    }
+    if (!state.differs_since_) {
+        state.differs_since_ = now;
+    }
+    if (now - state.engines_since_ < stable_engines) {
+        return std::nullopt;
+    }
+    const bool before_traffic = scheduler->idle_so_far();
+    const bool due =
+        now - *state.differs_since_ >= sustained && now >= state.next_order_;
+    return before_traffic || due ? change : std::nullopt;
+}
+
+std::optional<std::uint64_t>
+stage_orders::claim(const base::service_name& service) {
+    auto& state = services_[service];
+    if (!state.claim_) {
+        state.claim_.emplace("pimentoferry/orders/" + service.value_, holder_);
+    }
+    for (auto& operation : state.claim_->want(base::boot_now())) {
+        store_.submit(
+            std::move(operation), [this, service](const store::result& result) {
+                services_[service].claim_->handle(result, base::boot_now());
+            });
+    }
+    return state.claim_->fencing_number(base::boot_now());
+}
+
+http::awaitable<bool> stage_orders::order(placement::stage_change change,
+                                          std::uint64_t fencing_number) {
+    const auto* found = shared_.registry_.instances().find_usable(
+        change.engine_, base::clock::now());
+    if (found == nullptr) {
+        co_return false;
+    }
+    const auto address = found->address_;
+    http::call_options options;
+    options.deadline_ = base::clock::now() + order_timeout;
+    auto question = shared_.protocol_.report_call_(change.engine_);
+    auto question_options = options;
+    const auto report = co_await shared_.client_.call(
+        address, std::move(question), std::move(question_options));
+    const auto* answer = std::get_if<http::response>(&report);
+    const auto accepted =
+        answer != nullptr
+            ? shared_.protocol_.read_accepted_orders_(answer->body_)
+            : std::nullopt;
+    if (!accepted) {
+        log::log_warn("order_not_given", {{"engine", change.engine_.value_},
+                                          {"reason", "no report"}});
+        co_return false;
+    }
+    role_order wanted{change.engine_, change.role_, holder_, fencing_number,
+                      *accepted};
+    auto call = shared_.protocol_.order_call_(wanted);
+    const auto result = co_await shared_.client_.call(address, std::move(call),
+                                                      std::move(options));
+    const auto* told = std::get_if<http::response>(&result);
+    const int status = told != nullptr ? told->status_ : 0;
+    log::log_info(
+        "order",
+        {{"engine", change.engine_.value_},
+         {"role", change.role_ == placement::engine_role::prefill ? "prefill"
+                                                                  : "decode"},
+         {"fencing_number", std::to_string(fencing_number)},
+         {"accepted_orders", std::to_string(*accepted)},
+         {"status", std::to_string(status)}});
+    // Without an answer the order may have been accepted.
+    co_return status == status_ok || status == status_accepted || status == 0;
+}
+
+http::awaitable<void> stage_orders::review(base::service_name service,
+                                           base::milliseconds role_change) {
+    const auto now = base::clock::now();
+    const auto change = due_change(service, role_change, now);
+    if (!change) {
+        co_return;
+    }
+    if (!claim(service)) {
+        co_return;
+    }
+    // Several changes are due before the first stream.
+    auto next = change;
+    while (next) {
+        const auto number =
+            services_[service].claim_->fencing_number(base::boot_now());
+        if (!number) {
+            break;
+        }
+        const auto until =
+            base::clock::now() + role_change + registration_margin;
+        const auto wanted = *next;
+        const bool given = co_await order(wanted, *number);
+        if (!given) {
+            // Not the same engine again at once.
+            services_[service].next_order_ = base::clock::now() + sustained;
+            break;
+        }
+        if (auto* scheduler = shared_.streams_->scheduler(service)) {
+            scheduler->begin_role_change(wanted.engine_, wanted.role_, until);
+        }
+        services_[service].next_order_ = until;
+        next = due_change(service, role_change, base::clock::now());
+    }
+}
+
+} // namespace pimentoferry::gateway
--- /dev/null
+++ b/pimentoferry/gateway/stage_orders.hpp
@@ -0,0 +1,63 @@
+/// Keeps the split of the engines between prefill and decode as planned.
+///
+/// The owner of a service's scheduler compares the split with the plan of
+/// `placement::plan_prefill_engines`. Before the first stream it changes all
+/// engines at once; later one at a time, and only when the plan differs for a
+/// while. Orders are given under a claim in the store, see
+/// `orders::order_claim`.
+#ifndef PIMENTOFERRY_GATEWAY_STAGE_ORDERS_HPP
+#define PIMENTOFERRY_GATEWAY_STAGE_ORDERS_HPP
+
+#include "pimentoferry/base/ids.hpp"
+#include "pimentoferry/base/time.hpp"
+#include "pimentoferry/gateway/runtime.hpp"
+#include "pimentoferry/http/awaitable.hpp"
+#include "pimentoferry/orders/order_claim.hpp"
+#include "pimentoferry/placement/stage_plan.hpp"
+#include "pimentoferry/store/http_store.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace pimentoferry::gateway {
+
+class stage_orders {
+public:
+    stage_orders(runtime& shared, store::http_store& store, std::string holder)
+        : shared_(shared), store_(store), holder_(std::move(holder)) {}
+
+    void start();
+
+private:
+    struct service_state {
+        std::optional<orders::order_claim> claim_;
+        /// Since when the split differs from the plan, for the same engine
+        /// count and direction.
+        std::optional<base::time_point> differs_since_;
+        base::time_point next_order_;
+        std::size_t engines_{0};
+        base::time_point engines_since_;
+    };
+
+    http::awaitable<void> run();
+    http::awaitable<void> review(base::service_name service,
+                                 base::milliseconds role_change);
+    std::optional<placement::stage_change>
+    due_change(const base::service_name& service,
+               base::milliseconds role_change,
+               base::time_point now);
+    std::optional<std::uint64_t> claim(const base::service_name& service);
+    http::awaitable<bool> order(placement::stage_change change,
+                                std::uint64_t fencing_number);
+
+    runtime& shared_;
+    store::http_store& store_;
+    std::string holder_;
+    std::map<base::service_name, service_state> services_;
+    base::time_point started_;
+};
+
+} // namespace pimentoferry::gateway
+
+#endif
--- a/pimentoferry/gateway/stream_placement.cpp
+++ b/pimentoferry/gateway/stream_placement.cpp
@@ -37,6 +37,12 @@
     return {peers_.self(), ++last_sequence_};
 }
 
+placement::stream_scheduler*
+stream_placement::scheduler(const base::service_name& service) {
+    const auto found = services_.find(service);
+    return found != services_.end() ? &found->second.scheduler_ : nullptr;
+}
+
 bool stream_placement::owns(const base::service_name& service) const {
     const auto found = services_.find(service);
     return found != services_.end() && found->second.owner_ == peers_.self();
--- a/pimentoferry/gateway/stream_placement.hpp
+++ b/pimentoferry/gateway/stream_placement.hpp
@@ -73,6 +73,9 @@
     void receive(const placement::stream_reply& reply);
     void tick(base::time_point now);
 
+    /// The scheduler of a service; null before the service is known.
+    placement::stream_scheduler* scheduler(const base::service_name& service);
+
     /// Whether this gateway schedules the streams of the service.
     bool owns(const base::service_name& service) const;
 
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -70,6 +70,51 @@
     std::uint32_t events_{0};
 };
 
+/// Logs how a stream went when it ends.
+class stream_timing {
+public:
+    explicit stream_timing(const routed_call& call) : call_(call) {}
+    stream_timing(const stream_timing&) = delete;
+    stream_timing& operator=(const stream_timing&) = delete;
+    ~stream_timing() {
+        const auto text = [](base::time_point from, base::time_point to) {
+            return std::to_string(
+                std::chrono::duration_cast<base::milliseconds>(to - from)
+                    .count());
+        };
+        const bool any = events_ > 0;
+        log::log_info(
+            "stream",
+            {{"request", call_.request_.id_},
+             {"events", std::to_string(events_)},
+             {"complete", complete_ ? "yes" : "no"},
+             {"first_event_ms", any ? text(call_.arrived_, first_) : "none"},
+             {"span_ms", any ? text(first_, last_) : "none"},
+             {"longest_gap_ms", std::to_string(longest_gap_.count())}});
+    }
+
+    void note(std::uint64_t events, base::time_point now) {
+        if (events_ == 0) {
+            first_ = now;
+        } else {
+            longest_gap_ = std::max(
+                longest_gap_,
+                std::chrono::duration_cast<base::milliseconds>(now - last_));
+        }
+        events_ = events;
+        last_ = now;
+    }
+
+    bool complete_{false};
+
+private:
+    const routed_call& call_;
+    std::uint64_t events_{0};
+    base::time_point first_;
+    base::time_point last_;
+    base::milliseconds longest_gap_{0};
+};
+
 class stream_call {
 public:
     stream_call(runtime& shared, routed_call& call)
@@ -235,6 +280,7 @@
                                                      base::attempt_id attempt,
                                                      place_guard& places) {
     event_splitter events;
+    stream_timing timing{call_};
     bool first = true;
     while (true) {
         auto piece = co_await answer.read_until_deadline();
@@ -249,6 +295,7 @@
                 co_return stream_broken{"the last event is incomplete"};
             }
             places.complete(static_cast<std::uint32_t>(events.events()));
+            timing.complete_ = true;
             co_return stream_ended_whole{};
         }
         events.append(std::get<std::string>(piece));
@@ -265,6 +312,7 @@
             }
         }
         passed_on_ = true;
+        timing.note(events.events(), base::clock::now());
         const auto written = co_await call_.exchange_.write(whole);
         if (written == http::write_result::gone) {
             co_return caller_left{};
--- a/pimentoferry/gateway/upstream_protocol.hpp
+++ b/pimentoferry/gateway/upstream_protocol.hpp
@@ -10,6 +10,7 @@
 #include "pimentoferry/base/refusal.hpp"
 #include "pimentoferry/base/time.hpp"
 #include "pimentoferry/http/message.hpp"
+#include "pimentoferry/placement/events.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -67,6 +68,17 @@
     std::string handle_;
 };
 
+/// An engine is told to change its role.
+struct role_order {
+    base::upstream_name engine_; ///< Only this instance may obey.
+    placement::engine_role role_{placement::engine_role::decode};
+    std::string holder_; ///< Who gives the order.
+    std::uint64_t fencing_number_{0};
+    /// Orders that the engine has accepted so far; with another count it
+    /// declines, which makes a late or repeated order harmless.
+    std::uint64_t accepted_orders_{0};
+};
+
 /// What the head of an upstream's answer says.
 enum class answer_meaning : std::uint8_t {
     success,
@@ -99,6 +111,13 @@
     std::function<std::optional<prefill_result>(std::string_view body)>
         read_prefill_;
 
+    /// Asks an engine how many orders it has accepted.
+    std::function<http::request(const base::upstream_name& engine)>
+        report_call_;
+    std::function<std::optional<std::uint64_t>(std::string_view body)>
+        read_accepted_orders_;
+    std::function<http::request(const role_order&)> order_call_;
+
     std::function<http::response(const base::refusal&)> write_refusal_;
 };
 
--- /dev/null
+++ b/pimentoferry/orders/order_claim_test.cpp
@@ -0,0 +1,149 @@
+#include "pimentoferry/orders/order_claim.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <random>
+
+namespace pimentoferry::orders {
+
+namespace {
+
+using base::milliseconds;
+
+/// The key of a store that grants conditional writes.
+struct one_key {
+    store::revision revision_{0};
+    store::revision store_{10};
+
+    store::result apply(const store::operation& operation) {
+        const auto& put = std::get<store::put>(operation.request_);
+        if (put.expected_ != revision_) {
+            return {operation.token_, store::conflict{revision_}};
+        }
+        revision_ = ++store_;
+        return {operation.token_, store::written{revision_}};
+    }
+};
+
+class order_claim_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(order_claim_test);
+    CPPUNIT_TEST(the_first_claim_is_good_at_once);
+    CPPUNIT_TEST(a_claim_lapses_without_any_event);
+    CPPUNIT_TEST(a_takeover_waits_for_the_other_claim);
+    CPPUNIT_TEST(a_renewal_needs_no_wait);
+    CPPUNIT_TEST(a_lost_answer_is_no_claim);
+    CPPUNIT_TEST(two_holders_never_order_within_the_distance);
+    CPPUNIT_TEST_SUITE_END();
+
+    void claim_once(order_claim& claim, one_key& key, base::time_point now) {
+        for (const auto& operation : claim.want(now)) {
+            claim.handle(key.apply(operation), now);
+        }
+    }
+
+    void the_first_claim_is_good_at_once() {
+        one_key key;
+        order_claim claim{"orders/a", "one"};
+        claim_once(claim, key, {});
+        CPPUNIT_ASSERT(claim.fencing_number({}) == key.revision_);
+    }
+
+    // Guards against orders of a process that was paused after its claim.
+    void a_claim_lapses_without_any_event() {
+        one_key key;
+        order_claim claim{"orders/a", "one"};
+        claim_once(claim, key, {});
+        CPPUNIT_ASSERT(
+            !claim.fencing_number(base::time_point{} + claim_validity));
+    }
+
+    // Guards against two holders that take turns.
+    void a_takeover_waits_for_the_other_claim() {
+        one_key key;
+        order_claim first{"orders/a", "one"};
+        order_claim second{"orders/a", "two"};
+        claim_once(first, key, {});
+        base::time_point now{};
+        claim_once(second, key, now); // Learns the revision.
+        claim_once(second, key, now); // Takes the key over.
+        const auto begin = now;
+        while (!second.fencing_number(now)) {
+            now += milliseconds{100};
+            claim_once(second, key, now);
+        }
+        CPPUNIT_ASSERT(now - begin >= claim_validity + holder_distance);
+        CPPUNIT_ASSERT(*second.fencing_number(now) == key.revision_);
+    }
+
+    void a_renewal_needs_no_wait() {
+        one_key key;
+        order_claim claim{"orders/a", "one"};
+        claim_once(claim, key, {});
+        const auto later = base::time_point{} + milliseconds{60'000};
+        claim_once(claim, key, later);
+        CPPUNIT_ASSERT(claim.fencing_number(later).has_value());
+    }
+
+    // Guards against an order after a write whose outcome is not known.
+    void a_lost_answer_is_no_claim() {
+        one_key key;
+        order_claim claim{"orders/a", "one"};
+        const auto operations = claim.want({});
+        key.apply(operations.front());
+        claim.handle({operations.front().token_, store::unavailable{}}, {});
+        CPPUNIT_ASSERT(!claim.fencing_number({}));
+        claim_once(claim, key, {});
+        claim_once(claim, key, {});
+        CPPUNIT_ASSERT(!claim.fencing_number({}));
+    }
+
+    // Random claims, lost answers and pauses of three processes: orders of
+    // different holders are never closer than the distance, and the numbers
+    // only grow.
+    void two_holders_never_order_within_the_distance() {
+        constexpr int steps = 200'000;
+        std::mt19937 random{20261204};
+        one_key key;
+        std::vector<order_claim> claims{
+            {"orders/a", "one"}, {"orders/a", "two"}, {"orders/a", "three"}};
+        base::time_point now{};
+        std::optional<std::size_t> last;
+        base::time_point last_order;
+        std::uint64_t last_number = 0;
+        int orders = 0;
+        for (int i = 0; i < steps; ++i) {
+            now += milliseconds{random() % 400};
+            const std::size_t who = random() % claims.size();
+            auto& claim = claims[who];
+            for (const auto& operation : claim.want(now)) {
+                auto result = key.apply(operation);
+                const auto sent = now;
+                now += milliseconds{random() % 300};
+                if (random() % 10 == 0) {
+                    result.outcome_ = store::unavailable{};
+                }
+                claim.handle(result, random() % 20 == 0 ? sent : now);
+            }
+            const auto number = claim.fencing_number(now);
+            if (!number) {
+                continue;
+            }
+            ++orders;
+            CPPUNIT_ASSERT(*number >= last_number);
+            if (last && *last != who) {
+                CPPUNIT_ASSERT(*number > last_number);
+                CPPUNIT_ASSERT(now - last_order >= holder_distance);
+            }
+            last = who;
+            last_order = now;
+            last_number = *number;
+        }
+        CPPUNIT_ASSERT(orders > 100);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(order_claim_test);
+
+} // namespace
+
+} // namespace pimentoferry::orders
--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -16,14 +16,15 @@
 
 // Points in the near future at which the memory of an engine is estimated.
 // Answers last some seconds; beyond that the estimate says little.
+// How long the sum over the streams of an engine is used; streams grow by a
+// fraction of an event in this time.
+constexpr base::milliseconds outlook_validity{20};
+
 constexpr std::array<base::milliseconds, 6> horizons{
     base::milliseconds{0},    base::milliseconds{500},
     base::milliseconds{1000}, base::milliseconds{1500},
     base::milliseconds{2000}, base::milliseconds{3000}};
 
-// Shape of the length distribution: P(longer than k) = 1 / (1 + (k/m)^p) with
-// the estimate as median m. The exponent matches a log-normal error of 0.5.
-constexpr double survival_exponent = 3.6;
 // The median lies below the mean for such a distribution.
 constexpr double median_of_mean = 0.9;
 
@@ -37,10 +38,6 @@
 constexpr base::milliseconds failure_pause{1500};
 constexpr base::milliseconds rejection_pause{200};
 
-// A refused caller returns in this range, which spreads the return over the
-// length of a usual burst.
-constexpr base::milliseconds earliest_return{2500};
-constexpr base::milliseconds return_spread{2000};
 // While no engine serves, a caller returns when a crashed one may be back.
 constexpr base::milliseconds no_engine_return{1500};
 
@@ -48,8 +45,12 @@
 // lost the message.
 constexpr base::milliseconds longest_stream{60'000};
 
+/// Probability that an answer is longer than `events`. The log-logistic shape
+/// with exponent 4 matches a log-normal error of the estimate of 0.45.
 double survival(double events, double median) {
-    return 1 / (1 + std::pow(events / median, survival_exponent));
+    const double ratio = events / median;
+    const double squared = ratio * ratio;
+    return 1 / (1 + squared * squared);
 }
 
 double milliseconds_between(base::time_point from, base::time_point to) {
@@ -85,37 +86,66 @@
 
 // Tokens in memory at a later time, weighted with the probability that the
 // stream still lasts.
-double stream_scheduler::expected_tokens(const running_stream& stream,
-                                         base::time_point now,
-                                         base::time_point at) const {
+stream_scheduler::estimate
+stream_scheduler::expected_tokens(const running_stream& stream,
+                                  base::time_point now,
+                                  base::time_point at) const {
     const double events_now =
         std::min(events_at(stream, now), stream.max_events_);
     const double events_then = events_at(stream, at);
     if (events_then >= stream.max_events_ && at > now) {
-        return 0;
+        return {};
     }
     const double events = std::min(events_then, stream.max_events_);
     const double lasting = survival(events, stream.expected_events_) /
                            survival(events_now, stream.expected_events_);
-    return lasting *
-           (stream.prompt_tokens_ + settings_.tokens_per_event_ * events);
+    const double tokens =
+        stream.prompt_tokens_ + settings_.tokens_per_event_ * events;
+    return {lasting * tokens, lasting * (1 - lasting) * tokens * tokens};
+}
+
+stream_scheduler::outlook
+stream_scheduler::outlook_of(const running_stream& stream,
+                             base::time_point now) const {
+    outlook result;
+    std::ranges::transform(horizons, result.begin(), [&](auto horizon) {
+        return expected_tokens(stream, now, now + horizon);
+    });
+    return result;
+}
+
+const stream_scheduler::outlook&
+stream_scheduler::outlook_of(const engine_state& engine,
+                             base::time_point now) const {
+    const bool valid =
+        engine.outlook_at_ && now - *engine.outlook_at_ < outlook_validity;
+    if (!valid) {
+        engine.outlook_ = {};
+        for (const auto attempt : engine.streams_) {
+            const auto each = outlook_of(streams_.at(attempt), now);
+            for (std::size_t i = 0; i < horizon_count; ++i) {
+                engine.outlook_[i].mean_ += each[i].mean_;
+                engine.outlook_[i].variance_ += each[i].variance_;
+            }
+        }
+        engine.outlook_at_ = now;
+    }
+    return engine.outlook_;
 }
 
 double stream_scheduler::free_tokens(const engine_state& engine,
-                                     const running_stream& wanted,
+                                     const outlook& wanted,
                                      base::time_point now) const {
     const double planned = static_cast<double>(engine.engine_.kv_tokens_) *
                            settings_.memory_share_;
+    const auto& used = outlook_of(engine, now);
     double least = planned;
-    for (const auto horizon : horizons) {
-        const auto at = now + horizon;
-        double used = expected_tokens(wanted, now, at);
-        for (const auto& [id, stream] : streams_) {
-            if (stream.decode_ == engine.engine_.id_) {
-                used += expected_tokens(stream, now, at);
-            }
-        }
-        least = std::min(least, planned - used);
+    for (std::size_t i = 0; i < horizon_count; ++i) {
+        const double mean = used[i].mean_ + wanted[i].mean_;
+        const double reserve =
+            settings_.deviations_ *
+            std::sqrt(used[i].variance_ + wanted[i].variance_);
+        least = std::min(least, planned - mean - reserve);
     }
     return least;
 }
@@ -135,7 +165,7 @@
     base::time_point best_time;
     for (auto& [id, state] : engines_) {
         if (state.engine_.role_ != engine_role::prefill ||
-            state.failed_until_ > now) {
+            state.failed_until_ > now || state.changing_until_ > now) {
             continue;
         }
         const bool near =
@@ -156,13 +186,14 @@
                                 base::time_point now) {
     engine_state* best = nullptr;
     double best_free = 0;
+    const auto needed = outlook_of(wanted, now);
     for (auto& [id, state] : engines_) {
         if (state.engine_.role_ != engine_role::decode ||
-            state.failed_until_ > now ||
-            state.streams_ >= state.engine_.slots_) {
+            state.failed_until_ > now || state.changing_until_ > now ||
+            state.streams_.size() >= state.engine_.slots_) {
             continue;
         }
-        const double free = free_tokens(state, wanted, now);
+        const double free = free_tokens(state, needed, now);
         if (free < 0) {
             continue;
         }
@@ -200,9 +231,8 @@
                                  prefill_time(wanted.prompt_tokens_);
     }
     stream.decode_ = decode->engine_.id_;
-    ++decode->streams_;
     stream_grant grant{wanted.attempt_, stream.prefill_, stream.decode_};
-    streams_.insert_or_assign(wanted.attempt_, std::move(stream));
+    add(wanted.attempt_, std::move(stream));
     return grant;
 }
 
@@ -232,16 +262,18 @@
         }
     }
     for (const auto& [id, stream] : streams_) {
-        room -= expected_tokens(stream, now, expires);
+        room -= expected_tokens(stream, now, expires).mean_;
     }
     return room >= demand;
 }
 
-base::milliseconds stream_scheduler::retry_after(base::attempt_id attempt) {
+base::milliseconds
+stream_scheduler::retry_after(base::attempt_id attempt) const {
     const auto spread =
         base::hash_combine(attempt.instance_.value_, attempt.sequence_) %
-        static_cast<std::uint64_t>(return_spread.count());
-    return earliest_return + base::milliseconds{static_cast<int>(spread)};
+        static_cast<std::uint64_t>(settings_.return_spread_.count());
+    return settings_.earliest_return_ +
+           base::milliseconds{static_cast<int>(spread)};
 }
 
 stream_refusal stream_scheduler::refuse(const stream_request& wanted) {
@@ -261,6 +293,8 @@
 
 stream_scheduler::decisions
 stream_scheduler::request(const stream_request& wanted, base::time_point now) {
+    ++requests_;
+    mean_prompt_ += newest_weight * (wanted.prompt_tokens_ - mean_prompt_);
     const auto expires = now + wanted.budget_ -
                          prefill_time(wanted.prompt_tokens_) -
                          first_event_overhead;
@@ -273,7 +307,7 @@
         !room_expected(wanted, expires, now)) {
         return {refuse(wanted)};
     }
-    queue_.push_back({wanted, expires});
+    enqueue(wanted, expires);
     return {};
 }
 
@@ -294,11 +328,7 @@
     if (running.started_) {
         stream.started_ = now - running.running_for_;
     }
-    const auto engine = engines_.find(running.decode_);
-    if (engine != engines_.end()) {
-        ++engine->second.streams_;
-    }
-    streams_.emplace(running.attempt_, std::move(stream));
+    add(running.attempt_, std::move(stream));
 }
 
 void stream_scheduler::prefill_finished(base::attempt_id attempt,
@@ -329,6 +359,10 @@
     const auto found = streams_.find(attempt);
     if (found != streams_.end() && !found->second.started_) {
         found->second.started_ = now;
+        const auto engine = engines_.find(found->second.decode_);
+        if (engine != engines_.end()) {
+            engine->second.outlook_at_.reset();
+        }
     }
 }
 
@@ -361,9 +395,8 @@
                                retry_after(attempt)}};
     }
     stream.decode_ = decode->engine_.id_;
-    ++decode->streams_;
     stream_grant grant{attempt, stream.prefill_, stream.decode_};
-    streams_.emplace(attempt, std::move(stream));
+    add(attempt, std::move(stream));
     return {grant};
 }
 
@@ -375,18 +408,38 @@
     }
 }
 
+void stream_scheduler::add(base::attempt_id attempt, running_stream stream) {
+    const auto engine = engines_.find(stream.decode_);
+    if (engine != engines_.end()) {
+        engine->second.streams_.insert(attempt);
+        engine->second.outlook_at_.reset();
+    }
+    streams_.insert_or_assign(attempt, std::move(stream));
+}
+
 void stream_scheduler::forget(base::attempt_id attempt) {
     const auto found = streams_.find(attempt);
     if (found == streams_.end()) {
         return;
     }
     const auto engine = engines_.find(found->second.decode_);
-    if (engine != engines_.end() && engine->second.streams_ > 0) {
-        --engine->second.streams_;
+    if (engine != engines_.end()) {
+        engine->second.streams_.erase(attempt);
+        engine->second.outlook_at_.reset();
     }
     streams_.erase(found);
 }
 
+// The queue is in the order in which the requests expire. A large prompt takes
+// longer to read, so it expires earlier and stands further ahead; it also needs
+// more memory of one engine, which takes longer to come free.
+void stream_scheduler::enqueue(const stream_request& wanted,
+                               base::time_point expires) {
+    const auto place = std::ranges::upper_bound(queue_, expires, {},
+                                                &queued_request::expires_);
+    queue_.insert(place, {wanted, expires});
+}
+
 stream_scheduler::decisions stream_scheduler::ended(base::attempt_id attempt,
                                                     std::uint32_t events,
                                                     base::time_point now) {
@@ -431,21 +484,28 @@
     std::erase_if(engines_, [&present](const auto& entry) {
         return !present.contains(entry.first);
     });
+    for (auto& [id, state] : engines_) {
+        state.outlook_at_.reset();
+    }
     return dispatch(now);
 }
 
 stream_scheduler::decisions stream_scheduler::dispatch(base::time_point now) {
     decisions made;
+    std::erase_if(queue_, [&](const queued_request& waiting) {
+        const bool expired = waiting.expires_ < now;
+        if (expired) {
+            made.emplace_back(refuse(waiting.request_));
+        }
+        return expired;
+    });
     while (!queue_.empty()) {
         const auto& first = queue_.front();
-        if (first.expires_ < now) {
-            made.emplace_back(refuse(first.request_));
-        } else if (auto grant =
-                       try_grant(first.request_, first.expires_, now)) {
-            made.emplace_back(*grant);
-        } else {
+        const auto grant = try_grant(first.request_, first.expires_, now);
+        if (!grant) {
             break;
         }
+        made.emplace_back(*grant);
         queue_.pop_front();
     }
     return made;
@@ -469,6 +529,50 @@
     return queue_.front().expires_;
 }
 
+void stream_scheduler::begin_role_change(const base::upstream_name& engine,
+                                         engine_role role,
+                                         base::time_point until) {
+    const auto found = engines_.find(engine);
+    if (found != engines_.end()) {
+        found->second.next_role_ = role;
+        found->second.changing_until_ = until;
+    }
+}
+
+stream_demand stream_scheduler::demand() const {
+    stream_demand result;
+    result.prompt_tokens_ = mean_prompt_;
+    result.prefill_rate_ = prefill_rate_;
+    const double mean_tokens =
+        mean_prompt_ + settings_.tokens_per_event_ * mean_events_ / 2;
+    result.token_ms_ = mean_tokens * mean_events_ * event_interval_ms_;
+    for (const auto& [id, state] : engines_) {
+        result.kv_tokens_ = std::max(
+            result.kv_tokens_, static_cast<double>(state.engine_.kv_tokens_));
+    }
+    return result;
+}
+
+std::vector<planned_engine>
+stream_scheduler::planned_engines(base::time_point now) const {
+    std::vector<planned_engine> planned;
+    std::ranges::transform(
+        engines_, std::back_inserter(planned), [now](const auto& entry) {
+            const auto& state = entry.second;
+            const bool changing = state.changing_until_ > now;
+            const auto reading =
+                std::max(state.prefill_free_ - now, base::clock::duration{0});
+            const auto prompts =
+                std::chrono::duration_cast<base::milliseconds>(reading);
+            return planned_engine{
+                entry.first, changing ? state.next_role_ : state.engine_.role_,
+                state.engine_.failure_domain_,
+                static_cast<std::uint32_t>(state.streams_.size()) +
+                    static_cast<std::uint32_t>(prompts.count())};
+        });
+    return planned;
+}
+
 stream_usage stream_scheduler::usage(base::time_point now) const {
     stream_usage total;
     total.queued_ = static_cast<std::uint32_t>(queue_.size());
@@ -483,7 +587,7 @@
     }
     for (const auto& [attempt, stream] : streams_) {
         total.decode_tokens_ +=
-            static_cast<std::uint64_t>(expected_tokens(stream, now, now));
+            static_cast<std::uint64_t>(expected_tokens(stream, now, now).mean_);
     }
     return total;
 }
--- a/pimentoferry/placement/stream_scheduler.hpp
+++ b/pimentoferry/placement/stream_scheduler.hpp
@@ -26,12 +26,16 @@
 #include "pimentoferry/base/ids.hpp"
 #include "pimentoferry/base/time.hpp"
 #include "pimentoferry/placement/events.hpp"
+#include "pimentoferry/placement/stage_plan.hpp"
 #include "pimentoferry/placement/stream_messages.hpp"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -55,6 +59,12 @@
     /// Part of an engine's memory that is planned with. The rest absorbs what
     /// the estimate cannot know.
     double memory_share_{0.95};
+    /// How many standard deviations of the estimate are kept free besides.
+    double deviations_{1.5};
+    /// A refused caller is told to return after a time in this range, which
+    /// spreads the return over the length of a usual burst.
+    base::milliseconds earliest_return_{3800};
+    base::milliseconds return_spread_{800};
 };
 
 /// Totals for metrics and logs.
@@ -111,7 +121,27 @@
 
     stream_usage usage(base::time_point now) const;
 
+    /// An engine is changing its role and takes nothing until then.
+    void begin_role_change(const base::upstream_name& engine,
+                           engine_role role,
+                           base::time_point until);
+
+    /// What the streams seen so far ask of the engines.
+    stream_demand demand() const;
+
+    /// The engines with the roles that they have or are changing to.
+    std::vector<planned_engine> planned_engines(base::time_point now) const;
+
+    /// Whether any stream was asked for yet.
+    bool idle_so_far() const { return requests_ == 0; }
+
 private:
+    /// Tokens in memory at a later time.
+    struct estimate {
+        double mean_{0};
+        double variance_{0};
+    };
+
     struct running_stream {
         base::upstream_name prefill_;
         base::upstream_name decode_;
@@ -123,13 +153,23 @@
         std::optional<base::time_point> started_;
         base::time_point granted_;
     };
+    /// Points in the near future at which memory is estimated.
+    static constexpr std::size_t horizon_count = 6;
+    using outlook = std::array<estimate, horizon_count>;
+
     struct engine_state {
         stream_engine engine_;
         base::time_point failed_until_;
+        /// The role that it is changing to, and until when.
+        engine_role next_role_{engine_role::prefill};
+        base::time_point changing_until_;
         /// When the prompts that were granted will have been read.
         base::time_point prefill_free_;
         base::time_point last_prefill_; ///< End of the last one.
-        std::uint32_t streams_{0};
+        std::set<base::attempt_id> streams_;
+        /// Sum over its streams; computed anew when it is out of date.
+        mutable outlook outlook_{};
+        mutable std::optional<base::time_point> outlook_at_;
     };
     struct queued_request {
         stream_request request_;
@@ -137,11 +177,15 @@
     };
 
     double events_at(const running_stream& stream, base::time_point at) const;
-    double expected_tokens(const running_stream& stream,
-                           base::time_point now,
-                           base::time_point at) const;
+    estimate expected_tokens(const running_stream& stream,
+                             base::time_point now,
+                             base::time_point at) const;
+    outlook outlook_of(const running_stream& stream,
+                       base::time_point now) const;
+    const outlook& outlook_of(const engine_state& engine,
+                              base::time_point now) const;
     double free_tokens(const engine_state& engine,
-                       const running_stream& wanted,
+                       const outlook& wanted,
                        base::time_point now) const;
     running_stream describe(const stream_request& wanted,
                             base::time_point now) const;
@@ -157,20 +201,28 @@
     bool room_expected(const stream_request& wanted,
                        base::time_point expires,
                        base::time_point now) const;
-    static base::milliseconds retry_after(base::attempt_id attempt);
+    base::milliseconds retry_after(base::attempt_id attempt) const;
     stream_refusal refuse(const stream_request& wanted);
     base::milliseconds prefill_time(std::uint32_t tokens) const;
+    void add(base::attempt_id attempt, running_stream stream);
     void forget(base::attempt_id attempt);
+    void enqueue(const stream_request& wanted, base::time_point expires);
     decisions dispatch(base::time_point now);
 
     stream_settings settings_;
     std::map<base::upstream_name, engine_state> engines_;
     std::map<base::attempt_id, running_stream> streams_;
     std::deque<queued_request> queue_;
+    // The first values are those of the users' usual requests; they hold until
+    // enough streams were seen.
+
     /// Mean time between two events of a stream.
     double event_interval_ms_{50};
     /// Mean events of complete answers.
     double mean_events_{70};
+    /// Mean tokens of the prompts.
+    double mean_prompt_{5200};
+    std::uint64_t requests_{0};
     /// Prompt tokens that a prefill engine reads in a ms.
     double prefill_rate_{50};
 };
--- a/pimentoferry/requests/retry_budget.cpp
+++ b/pimentoferry/requests/retry_budget.cpp
@@ -19,6 +19,11 @@
     return found;
 }
 
+void retry_budget::set_limits(retry_limits limits) {
+    limits.window_ = limits_.window_;
+    limits_ = limits;
+}
+
 void retry_budget::note_request(base::time_point now) {
     ++current(now).requests_;
 }
--- a/pimentoferry/requests/retry_budget.hpp
+++ b/pimentoferry/requests/retry_budget.hpp
@@ -29,6 +29,9 @@
 public:
     explicit retry_budget(retry_limits limits);
 
+    /// Replaces the limits; what was counted stays. The window stays, too.
+    void set_limits(retry_limits limits);
+
     /// Counts a request that arrived.
     void note_request(base::time_point now);
 
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -13,3 +13,5 @@
 timeout 120 build/tests/process/relay_latency
 echo "== placement policy (virtual time)"
 timeout 900 build/bench/policy_bench --csv build/policy.csv
+echo "== stream scheduler, memory that binds (virtual time)"
+timeout 600 build/bench/stream_policy
