Let answers that are late anyway wait behind those that can be on time

Each of 87 registrations woke 87 watches: 7,500 of 8,200 store calls. Change: a late queue; returning prompts are recognised; three gateways register; a watch waits 5 s.

--- a/bench/stream_policy.cpp
+++ b/bench/stream_policy.cpp
@@ -18,6 +18,7 @@
 struct named_policy {
     const char* name_;
     std::function<bench::stream_policy(const bench::scenario&)> make_;
+    bool planned_split_{false};
 };
 
 struct row {
@@ -62,16 +63,22 @@
     const unsigned seeds =
         argc > 1 ? static_cast<unsigned>(std::strtoul(argv[1], nullptr, 10))
                  : usual_seeds;
+    const auto scheduler = [](const auto& load) {
+        return bench::scheduler_policy(load);
+    };
     const std::vector<named_policy> policies{
-        {"scheduler",
-         [](const auto& load) { return bench::scheduler_policy(load); }},
+        {"planned split", scheduler, true},
+        {"scheduler", scheduler},
         {"fewest streams", bench::fewest_streams_policy},
         {"whole answer", bench::whole_answer_policy}};
     std::printf("%-16s %-15s %6s %7s %6s %7s %8s %7s %6s %6s\n", "load",
                 "policy", "value", "on time", "late", "refused", "wasted k",
                 "preempt", "reject", "large");
-    for (const auto& load : bench::usual_scenarios()) {
+    for (const auto& usual : bench::usual_scenarios()) {
         for (const auto& policy : policies) {
+            const auto load = policy.planned_split_
+                                  ? bench::with_planned_split(usual)
+                                  : usual;
             const auto r = measure(load, policy, seeds);
             std::printf("%-16s %-15s %6.3f %7.3f %6.3f %7.3f %8.0f %7.1f "
                         "%6.1f %6.3f\n",
--- a/bench/stream_world.cpp
+++ b/bench/stream_world.cpp
@@ -26,6 +26,8 @@
 constexpr base::milliseconds transfer{15};
 constexpr base::milliseconds objective{900};
 constexpr base::milliseconds patience{14'000};
+// What gateways count on; callers leave after four times the objective.
+constexpr base::milliseconds first_event_patience{3200};
 constexpr base::milliseconds gap_limit{300};
 constexpr std::uint32_t shared_tokens = 200;
 constexpr double large_share = 0.2;
@@ -142,6 +144,8 @@
                 static_cast<std::uint32_t>(most_events) * tokens_per_event;
             wanted.expected_output_tokens_ = asked.hint_;
             wanted.budget_ = objective;
+            wanted.patience_ = first_event_patience;
+            wanted.prompt_id_ = index + 1;
             apply(policy_.request_(wanted, now_));
         }
     }
@@ -525,6 +529,18 @@
     return run.run();
 }
 
+scenario with_planned_split(scenario load) {
+    placement::stream_settings settings;
+    settings.tokens_per_event_ = tokens_per_event;
+    placement::stream_scheduler scheduler{settings};
+    scheduler.set_engines(engines_of(load), base::time_point{});
+    const auto engines = load.prefill_engines_ + load.decode_engines_;
+    load.prefill_engines_ =
+        placement::plan_prefill_engines(scheduler.demand(), engines);
+    load.decode_engines_ = engines - load.prefill_engines_;
+    return load;
+}
+
 std::vector<scenario> usual_scenarios() {
     using ms = base::milliseconds;
     // Three bursts of all callers, and one of the most frequent kind of
--- a/bench/stream_world.hpp
+++ b/bench/stream_world.hpp
@@ -86,6 +86,9 @@
 stream_outcome
 run_streams(const scenario& load, std::uint64_t seed, stream_policy policy);
 
+/// The same load with the split of the engines that the product plans.
+scenario with_planned_split(scenario load);
+
 /// The loads of the two sites and of their grown deployments.
 std::vector<scenario> usual_scenarios();
 
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -39,6 +39,10 @@
 constexpr base::milliseconds tick_interval{50};
 // A store that is slow answers in hundreds of ms; later answers are of no use.
 constexpr base::milliseconds store_timeout{1000};
+// Waiting time of a watch. Each watch is a priced call of every gateway; a
+// connection that went silent is found earlier, by keep-alive probes.
+constexpr base::milliseconds watch_wait{5000};
+constexpr base::milliseconds membership_settled{3000};
 // How long callers keep a list of addresses: short, so that few callers hold
 // the address of a gateway that is gone.
 constexpr base::milliseconds address_keep{2000};
@@ -146,7 +150,7 @@
       follower_(io_,
                 store_,
                 shared_.metrics_,
-                {"", base::milliseconds{1500}, self.value_},
+                {"", watch_wait, self.value_},
                 [this](const auto& changes) { on_changes(changes); }),
       registration_(io_,
                     store_,
@@ -221,7 +225,11 @@
     const auto now = base::clock::now();
     peers_.set_seeds(shared_.settings_.peers_, now);
     follower_.start();
-    registration_.start();
+    registration_.start([this, started = now] {
+        // Before membership has settled every gateway would be chosen.
+        return base::clock::now() - started > membership_settled &&
+               registers(peers_.self(), peers_.live());
+    });
     orders_.start();
     await_signals();
     arm_timer();
--- a/pimentoferry/gateway/registration.cpp
+++ b/pimentoferry/gateway/registration.cpp
@@ -1,5 +1,6 @@
 #include "pimentoferry/gateway/registration.hpp"
 
+#include "pimentoferry/base/hash.hpp"
 #include "pimentoferry/http/error_token.hpp"
 #include "pimentoferry/http/mailbox.hpp"
 #include "pimentoferry/log/log.hpp"
@@ -9,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <memory>
 #include <optional>
@@ -25,6 +27,8 @@
 // A third of the lease: two renewals may fail.
 constexpr base::milliseconds renewal_interval{10'000};
 constexpr base::milliseconds retry_interval{1'000};
+// Survives the loss of two and of the addresses in the settings.
+constexpr std::size_t registered_count = 3;
 
 std::optional<base::endpoint> parse_address(const std::string& text) {
     const auto colon = text.rfind(':');
@@ -54,7 +58,8 @@
       key_(gateways_prefix + std::move(name)),
       value_(base::to_string(peer_address)) {}
 
-void registration::start() {
+void registration::start(std::function<bool()> chosen) {
+    chosen_ = std::move(chosen);
     asio::co_spawn(
         io_, [this] { return run(); }, asio::detached);
 }
@@ -118,7 +123,9 @@
 http::awaitable<void> registration::run() {
     bool registered = false;
     while (!withdrawn_) {
-        if (registered) {
+        if (!registered && !chosen_()) {
+            // Membership may choose this gateway later.
+        } else if (registered) {
             registered = co_await renew();
         } else {
             registered = co_await register_once();
@@ -140,6 +147,18 @@
     }
 }
 
+bool registers(base::instance_id self,
+               const std::vector<membership::member>& live) {
+    const auto score = [](base::instance_id instance) {
+        return base::rendezvous_score(gateways_prefix, instance.value_);
+    };
+    const auto before =
+        std::ranges::count_if(live, [&](const membership::member& member) {
+            return !member.draining_ && score(member.instance_) > score(self);
+        });
+    return static_cast<std::size_t>(before) < registered_count;
+}
+
 std::vector<base::endpoint> registered_gateways(const store::mirror& copy) {
     std::vector<base::endpoint> found;
     const std::string prefix{gateways_prefix};
--- a/pimentoferry/gateway/registration.hpp
+++ b/pimentoferry/gateway/registration.hpp
@@ -1,7 +1,9 @@
-/// Registers this gateway in the store, so that others find it.
+/// Registers some gateways in the store, so that others find a first peer.
 ///
-/// The key is held by a lease: a gateway that is gone for good disappears. It
-/// is only a way to find a first peer; who is alive follows from membership.
+/// Who is alive follows from membership, so a few registered gateways are
+/// enough. Each key wakes every gateway that watches the store: with all of 87
+/// gateways registered that were 7,500 calls at the start. The key is held by
+/// a lease, so a gateway that is gone for good disappears.
 #ifndef PIMENTOFERRY_GATEWAY_REGISTRATION_HPP
 #define PIMENTOFERRY_GATEWAY_REGISTRATION_HPP
 
@@ -9,9 +11,11 @@
 #include "pimentoferry/base/time.hpp"
 #include "pimentoferry/gateway/metrics.hpp"
 #include "pimentoferry/http/awaitable.hpp"
+#include "pimentoferry/membership/messages.hpp"
 #include "pimentoferry/store/http_store.hpp"
 #include "pimentoferry/store/mirror.hpp"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -32,8 +36,9 @@
                  std::string name,
                  base::endpoint peer_address);
 
-    /// Begins to register and to renew; ends with `withdraw`.
-    void start();
+    /// Begins to register, when `chosen` says so, and to renew; ends with
+    /// `withdraw`.
+    void start(std::function<bool()> chosen);
 
     /// Ends the lease, so that the key disappears.
     void withdraw();
@@ -50,11 +55,17 @@
     metrics& counters_;
     std::string key_;
     std::string value_;
+    std::function<bool()> chosen_;
     store::lease_id lease_;
     store::revision known_{0}; ///< Of the key, as the store last told.
     bool withdrawn_{false};
 };
 
+/// Whether a gateway is among the few that register: those with the highest
+/// rendezvous scores among the live ones.
+bool registers(base::instance_id self,
+               const std::vector<membership::member>& live);
+
 /// The peer addresses of the gateways registered in a copy of the store.
 std::vector<base::endpoint> registered_gateways(const store::mirror& copy);
 
--- a/pimentoferry/gateway/stream_placement.cpp
+++ b/pimentoferry/gateway/stream_placement.cpp
@@ -170,8 +170,11 @@
     placement::stream_decision decision = placement::stream_refusal{attempt};
     if (auto* wanted = std::get_if<placement::stream_request>(&again)) {
         // What is left of the time has been used up waiting for the owner.
-        wanted->budget_ =
-            std::max(wanted->budget_ - owner_silence, base::milliseconds{0});
+        const auto waited = [](base::milliseconds time) {
+            return std::max(time - owner_silence, base::milliseconds{0});
+        };
+        wanted->budget_ = waited(wanted->budget_);
+        wanted->patience_ = waited(wanted->patience_);
         const auto made = state.scheduler_.request(*wanted, now);
         if (!made.empty()) {
             decision = made.front();
@@ -196,7 +199,8 @@
             asked->signal_.wake();
         }};
     questions_.insert_or_assign(wanted.attempt_, asked);
-    const auto limit = began + wanted.budget_ + decision_margin;
+    const auto limit =
+        began + std::max(wanted.budget_, wanted.patience_) + decision_margin;
     placement::stream_decision decision;
     if (is_local(state, began)) {
         deliver(state.scheduler_.request(wanted, began));
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -31,6 +31,9 @@
 
 constexpr base::milliseconds no_engine_retry_after{1500};
 
+// The way to the caller, and what the estimate of a prefill may be wrong by.
+constexpr base::milliseconds patience_margin{400};
+
 struct stream_ended_whole {};
 /// The request was rejected before it ran.
 struct stream_not_run {
@@ -194,6 +197,14 @@
     wanted.budget_ = std::max(
         std::chrono::duration_cast<base::milliseconds>(objective - now),
         base::milliseconds{0});
+    const auto patience = shared_.protocol_.first_event_patience_(
+        call_.route_.latency_objective_, call_.route_.gap_objective_);
+    wanted.patience_ = std::max(
+        std::chrono::duration_cast<base::milliseconds>(
+            std::min(call_.arrived_ + patience - patience_margin, call_.due_) -
+            now),
+        base::milliseconds{0});
+    wanted.prompt_id_ = prompt.id_;
     auto gone = call_.exchange_.caller_gone();
     auto decision = co_await shared_.streams_->place(call_.service_, wanted,
                                                      std::move(gone));
--- a/pimentoferry/gateway/upstream_protocol.hpp
+++ b/pimentoferry/gateway/upstream_protocol.hpp
@@ -28,6 +28,9 @@
     std::uint32_t max_output_tokens_{0};
     /// The caller's estimate, right at the median but often far off; 0: none.
     std::uint32_t expected_output_tokens_{0};
+    /// Tells the prompt from others, also when its caller sends it again; 0:
+    /// unknown.
+    std::uint64_t id_{0};
 };
 
 /// What the gateway needs to know of a request.
@@ -93,6 +96,12 @@
         const http::request&)>
         read_request_;
 
+    /// How long a caller waits for the first event of a stream whose events
+    /// are due within the objectives.
+    std::function<base::milliseconds(base::milliseconds latency_objective,
+                                     base::milliseconds gap_objective)>
+        first_event_patience_;
+
     /// A request for a plain service, or for a decode engine that reads the
     /// prompt itself.
     std::function<http::request(const http::request&, const send_options&)>
--- a/pimentoferry/placement/stage_plan.cpp
+++ b/pimentoferry/placement/stage_plan.cpp
@@ -14,7 +14,7 @@
 // The prefill pool is planned for this part of what a full decode pool can
 // take. Both are only full in bursts, and a prefill engine more is a decode
 // engine less; `stream_policy` in bench/ measures the split.
-constexpr double prefill_part = 0.85;
+constexpr double prefill_part = 0.8;
 constexpr std::uint32_t least_prefill = 2;
 constexpr std::uint32_t engines_for_two = 4;
 
--- a/pimentoferry/placement/stream_messages.hpp
+++ b/pimentoferry/placement/stream_messages.hpp
@@ -20,12 +20,17 @@
     std::uint32_t expected_output_tokens_{0}; ///< 0: unknown.
     /// Time until the first event is due.
     base::milliseconds budget_{0};
+    /// Time until the caller gives up without a first event.
+    base::milliseconds patience_{0};
+    /// Tells the prompt from others, also when its caller returns; 0: unknown.
+    std::uint64_t prompt_id_{0};
 
     template <class Self>
     static auto fields(Self& self) {
         return std::tie(self.attempt_, self.failure_domain_,
                         self.prompt_tokens_, self.max_output_tokens_,
-                        self.expected_output_tokens_, self.budget_);
+                        self.expected_output_tokens_, self.budget_,
+                        self.patience_, self.prompt_id_);
     }
 };
 
--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -41,6 +41,14 @@
 // While no engine serves, a caller returns when a crashed one may be back.
 constexpr base::milliseconds no_engine_return{1500};
 
+// A caller that was refused returns within a third of the time that it has
+// left, which is at most some seconds.
+constexpr base::milliseconds refusal_memory{15'000};
+constexpr std::size_t remembered_refusals = 8192;
+
+// The rate of arrivals is taken over about this time.
+constexpr double arrival_window_ms = 1000;
+
 // A stream without an end for this long is forgotten: its gateway may have
 // lost the message.
 constexpr base::milliseconds longest_stream{60'000};
@@ -183,6 +191,7 @@
 stream_scheduler::engine_state*
 stream_scheduler::choose_decode(const running_stream& wanted,
                                 const base::failure_domain& near,
+                                double reserve,
                                 base::time_point now) {
     engine_state* best = nullptr;
     double best_free = 0;
@@ -194,7 +203,7 @@
             continue;
         }
         const double free = free_tokens(state, needed, now);
-        if (free < 0) {
+        if (free < reserve) {
             continue;
         }
         // A move between failure domains costs about as much as half a prompt
@@ -213,6 +222,7 @@
 std::optional<stream_grant>
 stream_scheduler::try_grant(const stream_request& wanted,
                             base::time_point expires,
+                            double reserve,
                             base::time_point now) {
     auto* prefill = choose_prefill(wanted, now);
     if (prefill != nullptr && std::max(prefill->prefill_free_, now) > expires) {
@@ -221,7 +231,7 @@
     auto stream = describe(wanted, now);
     const auto& near = prefill != nullptr ? prefill->engine_.failure_domain_
                                           : wanted.failure_domain_;
-    auto* decode = choose_decode(stream, near, now);
+    auto* decode = choose_decode(stream, near, reserve, now);
     if (decode == nullptr) {
         return std::nullopt;
     }
@@ -244,27 +254,66 @@
     });
 }
 
-// Whether the memory that is expected to become free within the budget covers
-// the request and all that wait before it.
-bool stream_scheduler::room_expected(const stream_request& wanted,
-                                     base::time_point expires,
-                                     base::time_point now) const {
-    double demand = wanted.prompt_tokens_;
-    for (const auto& waiting : queue_) {
-        demand += waiting.request_.prompt_tokens_;
-    }
+/// Decode memory that is expected to be free at a time.
+double stream_scheduler::room_at(base::time_point at,
+                                 base::time_point now) const {
     double room = 0;
     for (const auto& [id, state] : engines_) {
         if (state.engine_.role_ == engine_role::decode &&
-            state.failed_until_ <= expires) {
+            state.failed_until_ <= at && state.changing_until_ <= at) {
             room += static_cast<double>(state.engine_.kv_tokens_) *
                     settings_.memory_share_;
         }
     }
     for (const auto& [id, stream] : streams_) {
-        room -= expected_tokens(stream, now, expires).mean_;
+        room -= expected_tokens(stream, now, at).mean_;
     }
-    return room >= demand;
+    return room;
+}
+
+// Whether the memory that becomes free in time covers the request and all that
+// wait before it.
+bool stream_scheduler::on_time_expected(const queued_request& wanted,
+                                        base::time_point now) const {
+    double demand = wanted.request_.prompt_tokens_;
+    for (const auto& waiting : queue_) {
+        demand += waiting.request_.prompt_tokens_;
+    }
+    return room_at(wanted.expires_, now) >= demand;
+}
+
+// As above for a late place: requests that arrive in the meantime go first.
+bool stream_scheduler::late_expected(const queued_request& wanted,
+                                     base::time_point now) const {
+    if (wanted.gives_up_ <= now) {
+        return false;
+    }
+    double demand = wanted.request_.prompt_tokens_ +
+                    arrival_rate_ * milliseconds_between(now, wanted.gives_up_);
+    for (const auto* queue : {&queue_, &late_queue_}) {
+        for (const auto& waiting : *queue) {
+            demand += waiting.request_.prompt_tokens_;
+        }
+    }
+    return room_at(wanted.gives_up_, now) >= demand;
+}
+
+bool stream_scheduler::is_returning(const stream_request& wanted,
+                                    base::time_point now) {
+    std::erase_if(refused_,
+                  [now](const auto& entry) { return entry.second <= now; });
+    return wanted.prompt_id_ != 0 && refused_.contains(wanted.prompt_id_);
+}
+
+void stream_scheduler::note_arrival(const stream_request& wanted,
+                                    base::time_point now) {
+    mean_prompt_ += newest_weight * (wanted.prompt_tokens_ - mean_prompt_);
+    // The rate decays over about a second, the length of a change of load.
+    const double decay =
+        std::exp(-milliseconds_between(last_arrival_, now) / arrival_window_ms);
+    arrival_rate_ =
+        arrival_rate_ * decay + wanted.prompt_tokens_ / arrival_window_ms;
+    last_arrival_ = now;
 }
 
 base::milliseconds
@@ -276,7 +325,11 @@
            base::milliseconds{static_cast<int>(spread)};
 }
 
-stream_refusal stream_scheduler::refuse(const stream_request& wanted) {
+stream_refusal stream_scheduler::refuse(const stream_request& wanted,
+                                        base::time_point now) {
+    if (wanted.prompt_id_ != 0 && refused_.size() < remembered_refusals) {
+        refused_[wanted.prompt_id_] = now + refusal_memory;
+    }
     const bool any_decode =
         std::ranges::any_of(engines_, [](const auto& entry) {
             return entry.second.engine_.role_ == engine_role::decode;
@@ -294,20 +347,49 @@
 stream_scheduler::decisions
 stream_scheduler::request(const stream_request& wanted, base::time_point now) {
     ++requests_;
-    mean_prompt_ += newest_weight * (wanted.prompt_tokens_ - mean_prompt_);
-    const auto expires = now + wanted.budget_ -
-                         prefill_time(wanted.prompt_tokens_) -
-                         first_event_overhead;
+    const auto latest_start =
+        now - prefill_time(wanted.prompt_tokens_) - first_event_overhead;
+    queued_request entry{wanted, latest_start + wanted.budget_,
+                         latest_start +
+                             std::max(wanted.budget_, wanted.patience_)};
+    if (!can_ever_serve(wanted)) {
+        return {refuse(wanted, now)};
+    }
+    if (is_returning(wanted, now) || entry.expires_ < now) {
+        return wait_late(entry, now);
+    }
+    note_arrival(wanted, now);
     if (queue_.empty()) {
-        if (auto grant = try_grant(wanted, std::max(expires, now), now)) {
+        if (auto grant = try_grant(wanted, entry.expires_, 0, now)) {
+            return {*grant};
+        }
+    }
+    if (!on_time_expected(entry, now)) {
+        return wait_late(entry, now);
+    }
+    enqueue(queue_, entry);
+    return {};
+}
+
+// A request that is late anyway: a place now if nobody else needs it, a place
+// later if one is expected, or a refusal.
+stream_scheduler::decisions
+stream_scheduler::wait_late(const queued_request& wanted,
+                            base::time_point now) {
+    if (queue_.empty() && late_queue_.empty()) {
+        const double reserve = settings_.late_reserve_ * mean_prompt_;
+        if (auto grant =
+                try_grant(wanted.request_, std::max(now, wanted.gives_up_),
+                          reserve, now)) {
             return {*grant};
         }
     }
-    if (expires <= now || !can_ever_serve(wanted) ||
-        !room_expected(wanted, expires, now)) {
-        return {refuse(wanted)};
+    if (!late_expected(wanted, now)) {
+        return {refuse(wanted.request_, now)};
     }
-    enqueue(wanted, expires);
+    auto entry = wanted;
+    entry.expires_ = wanted.gives_up_;
+    enqueue(late_queue_, entry);
     return {};
 }
 
@@ -388,7 +470,7 @@
     // The prompt has been read, so the reserve may be used.
     const double planned_share = settings_.memory_share_;
     settings_.memory_share_ = 1;
-    auto* decode = choose_decode(stream, near, now);
+    auto* decode = choose_decode(stream, near, 0, now);
     settings_.memory_share_ = planned_share;
     if (decode == nullptr) {
         return {stream_refusal{attempt, refusal_reason::no_room,
@@ -433,11 +515,11 @@
 // The queue is in the order in which the requests expire. A large prompt takes
 // longer to read, so it expires earlier and stands further ahead; it also needs
 // more memory of one engine, which takes longer to come free.
-void stream_scheduler::enqueue(const stream_request& wanted,
-                               base::time_point expires) {
-    const auto place = std::ranges::upper_bound(queue_, expires, {},
+void stream_scheduler::enqueue(std::deque<queued_request>& queue,
+                               const queued_request& wanted) {
+    const auto place = std::ranges::upper_bound(queue, wanted.expires_, {},
                                                 &queued_request::expires_);
-    queue_.insert(place, {wanted, expires});
+    queue.insert(place, wanted);
 }
 
 stream_scheduler::decisions stream_scheduler::ended(base::attempt_id attempt,
@@ -451,9 +533,11 @@
         mean_events_ += newest_weight * (events - mean_events_);
     }
     forget(attempt);
-    std::erase_if(queue_, [attempt](const queued_request& waiting) {
-        return waiting.request_.attempt_ == attempt;
-    });
+    for (auto* queue : {&queue_, &late_queue_}) {
+        std::erase_if(*queue, [attempt](const queued_request& waiting) {
+            return waiting.request_.attempt_ == attempt;
+        });
+    }
     return dispatch(now);
 }
 
@@ -467,9 +551,11 @@
         }
     }
     std::ranges::for_each(lost, [this](auto attempt) { forget(attempt); });
-    std::erase_if(queue_, [gateway](const queued_request& waiting) {
-        return waiting.request_.attempt_.instance_ == gateway;
-    });
+    for (auto* queue : {&queue_, &late_queue_}) {
+        std::erase_if(*queue, [gateway](const queued_request& waiting) {
+            return waiting.request_.attempt_.instance_ == gateway;
+        });
+    }
     return dispatch(now);
 }
 
@@ -492,25 +578,46 @@
 
 stream_scheduler::decisions stream_scheduler::dispatch(base::time_point now) {
     decisions made;
-    std::erase_if(queue_, [&](const queued_request& waiting) {
-        const bool expired = waiting.expires_ < now;
-        if (expired) {
-            made.emplace_back(refuse(waiting.request_));
-        }
-        return expired;
-    });
     while (!queue_.empty()) {
-        const auto& first = queue_.front();
-        const auto grant = try_grant(first.request_, first.expires_, now);
+        const auto first = queue_.front();
+        if (first.expires_ < now) {
+            queue_.pop_front();
+            const auto decided = wait_late(first, now);
+            made.insert(made.end(), decided.begin(), decided.end());
+            continue;
+        }
+        const auto grant = try_grant(first.request_, first.expires_, 0, now);
         if (!grant) {
             break;
         }
         made.emplace_back(*grant);
         queue_.pop_front();
     }
+    dispatch_late(made, now);
     return made;
 }
 
+void stream_scheduler::dispatch_late(decisions& made, base::time_point now) {
+    const double reserve = settings_.late_reserve_ * mean_prompt_;
+    while (!late_queue_.empty()) {
+        const auto& first = late_queue_.front();
+        if (first.expires_ < now) {
+            made.emplace_back(refuse(first.request_, now));
+            late_queue_.pop_front();
+            continue;
+        }
+        const auto grant =
+            queue_.empty()
+                ? try_grant(first.request_, first.expires_, reserve, now)
+                : std::nullopt;
+        if (!grant) {
+            break;
+        }
+        made.emplace_back(*grant);
+        late_queue_.pop_front();
+    }
+}
+
 stream_scheduler::decisions stream_scheduler::tick(base::time_point now) {
     std::vector<base::attempt_id> overdue;
     for (const auto& [attempt, stream] : streams_) {
@@ -523,10 +630,14 @@
 }
 
 std::optional<base::time_point> stream_scheduler::next_wakeup() const {
-    if (queue_.empty()) {
-        return std::nullopt;
+    std::optional<base::time_point> next;
+    for (const auto* queue : {&queue_, &late_queue_}) {
+        if (!queue->empty()) {
+            const auto at = queue->front().expires_;
+            next = next ? std::min(*next, at) : at;
+        }
     }
-    return queue_.front().expires_;
+    return next;
 }
 
 void stream_scheduler::begin_role_change(const base::upstream_name& engine,
@@ -575,7 +686,8 @@
 
 stream_usage stream_scheduler::usage(base::time_point now) const {
     stream_usage total;
-    total.queued_ = static_cast<std::uint32_t>(queue_.size());
+    total.queued_ =
+        static_cast<std::uint32_t>(queue_.size() + late_queue_.size());
     total.running_ = static_cast<std::uint32_t>(streams_.size());
     for (const auto& [id, state] : engines_) {
         if (state.engine_.role_ == engine_role::decode) {
--- a/pimentoferry/placement/stream_scheduler.hpp
+++ b/pimentoferry/placement/stream_scheduler.hpp
@@ -10,8 +10,11 @@
 /// time, and the decode memory is accounted for from then on. The memory that
 /// an engine needs in the near future is estimated from the streams on it:
 /// each grows while it lasts and frees all it holds when it ends. A request
-/// for which no engine has room waits in order of arrival as long as its
-/// first event can still be on time, and is refused at once when it cannot.
+/// for which no engine has room waits as long as its first event can still be
+/// on time. After that, and when its caller returns after a refusal, it waits
+/// behind all that can still be on time: in a burst a place given to an answer
+/// that is late anyway would make another one late. It is refused as soon as
+/// no place is expected before its caller gives up.
 ///
 ///     stream_scheduler scheduler{settings};
 ///     scheduler.set_engines(engines, now);
@@ -60,11 +63,14 @@
     /// the estimate cannot know.
     double memory_share_{0.95};
     /// How many standard deviations of the estimate are kept free besides.
-    double deviations_{1.5};
+    double deviations_{1.7};
     /// A refused caller is told to return after a time in this range, which
     /// spreads the return over the length of a usual burst.
     base::milliseconds earliest_return_{3800};
     base::milliseconds return_spread_{800};
+    /// An answer that is late anyway gets a place only if the engine keeps
+    /// room for so many average streams.
+    double late_reserve_{1};
 };
 
 /// Totals for metrics and logs.
@@ -173,7 +179,10 @@
     };
     struct queued_request {
         stream_request request_;
+        /// Afterwards its first event, if it began then, would be late; in the
+        /// late queue: would come after its caller gave up.
         base::time_point expires_;
+        base::time_point gives_up_;
     };
 
     double events_at(const running_stream& stream, base::time_point at) const;
@@ -193,26 +202,41 @@
                                  base::time_point now);
     engine_state* choose_decode(const running_stream& wanted,
                                 const base::failure_domain& near,
+                                double reserve,
                                 base::time_point now);
     std::optional<stream_grant> try_grant(const stream_request& wanted,
                                           base::time_point expires,
+                                          double reserve,
                                           base::time_point now);
     bool can_ever_serve(const stream_request& wanted) const;
-    bool room_expected(const stream_request& wanted,
-                       base::time_point expires,
+    double room_at(base::time_point at, base::time_point now) const;
+    bool on_time_expected(const queued_request& wanted,
+                          base::time_point now) const;
+    bool late_expected(const queued_request& wanted,
                        base::time_point now) const;
+    bool is_returning(const stream_request& wanted, base::time_point now);
+    void note_arrival(const stream_request& wanted, base::time_point now);
+    decisions wait_late(const queued_request& wanted, base::time_point now);
     base::milliseconds retry_after(base::attempt_id attempt) const;
-    stream_refusal refuse(const stream_request& wanted);
+    stream_refusal refuse(const stream_request& wanted, base::time_point now);
     base::milliseconds prefill_time(std::uint32_t tokens) const;
     void add(base::attempt_id attempt, running_stream stream);
     void forget(base::attempt_id attempt);
-    void enqueue(const stream_request& wanted, base::time_point expires);
+    static void enqueue(std::deque<queued_request>& queue,
+                        const queued_request& wanted);
     decisions dispatch(base::time_point now);
+    void dispatch_late(decisions& made, base::time_point now);
 
     stream_settings settings_;
     std::map<base::upstream_name, engine_state> engines_;
     std::map<base::attempt_id, running_stream> streams_;
-    std::deque<queued_request> queue_;
+    std::deque<queued_request> queue_;      ///< May still be on time.
+    std::deque<queued_request> late_queue_; ///< Late anyway.
+    /// Prompts that were refused, and when that is forgotten.
+    std::map<std::uint64_t, base::time_point> refused_;
+    /// Prompt tokens that arrive in a ms, of requests that can be on time.
+    double arrival_rate_{0};
+    base::time_point last_arrival_;
     // The first values are those of the users' usual requests; they hold until
     // enough streams were seen.
 
