Keep prompts in the queue instead of at the engines, and mend two crashes

Cause: with few prefill engines, prompts queued there for over 700 ms; the gateway took the engines for failed and let decode engines read prompts, which paused all their streams (120 of 496, no preemption). Ruled out: preemption (2), processor time (0.011 cores). The split moved back and forth (4 to 5 orders). The scheduler counted a stream at two engines (map::at), and requests cut off at the drain limit outlived what they refer to (double free). Change: at most 150 ms of prompts wait at an engine; decode engines read only when no prefill engine is registered; the split has a tolerance of a fifth; watches of 1.5 s; a stream is counted once; the process ends without destructors.

--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -22,6 +22,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <fstream>
 #include <optional>
 #include <set>
@@ -39,9 +40,9 @@
 constexpr base::milliseconds tick_interval{50};
 // A store that is slow answers in hundreds of ms; later answers are of no use.
 constexpr base::milliseconds store_timeout{1000};
-// Waiting time of a watch. Each watch is a priced call of every gateway; a
-// connection that went silent is found earlier, by keep-alive probes.
-constexpr base::milliseconds watch_wait{5000};
+// Waiting time of a watch. It bounds how long a connection that a partition
+// has silenced is trusted after the partition heals.
+constexpr base::milliseconds watch_wait{1500};
 constexpr base::milliseconds membership_settled{3000};
 // How long callers keep a list of addresses: short, so that few callers hold
 // the address of a gateway that is gone.
@@ -512,7 +513,10 @@
     std::signal(SIGPIPE, SIG_IGN);
     gateway_process process{settings_path, settings, adapter,
                             make_instance_id()};
-    return process.run();
+    const int exit_code = process.run();
+    // Requests that the drain limit cut off are suspended and refer to parts
+    // of the process that would be destroyed before them.
+    std::_Exit(exit_code);
 }
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/gateway/stage_orders.cpp
+++ b/pimentoferry/gateway/stage_orders.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <vector>
 
 namespace pimentoferry::gateway {
@@ -72,8 +73,15 @@
         state.engines_ = engines.size();
         state.engines_since_ = now;
     }
-    const auto wanted = placement::plan_prefill_engines(
-        scheduler->demand(), static_cast<std::uint32_t>(engines.size()));
+    const auto count = static_cast<std::uint32_t>(engines.size());
+    const auto current = static_cast<std::uint32_t>(
+        std::ranges::count(engines, placement::engine_role::prefill,
+                           &placement::planned_engine::role_));
+    const auto wanted =
+        scheduler->idle_so_far()
+            ? placement::plan_prefill_engines(scheduler->demand(), count)
+            : placement::plan_prefill_engines(scheduler->demand(), count,
+                                              current);
     const auto change = placement::next_stage_change(engines, wanted);
     if (!change) {
         state.differs_since_.reset();
@@ -85,10 +93,12 @@
     if (now - state.engines_since_ < stable_engines) {
         return std::nullopt;
     }
-    const bool before_traffic = scheduler->idle_so_far();
+    // Without a prefill engine every prompt is read at a decode engine, which
+    // delays all streams there, so that is not waited for.
+    const bool urgent = scheduler->idle_so_far() || current == 0;
     const bool due =
         now - *state.differs_since_ >= sustained && now >= state.next_order_;
-    return before_traffic || due ? change : std::nullopt;
+    return urgent || due ? change : std::nullopt;
 }
 
 std::optional<std::uint64_t>
@@ -100,7 +110,14 @@
     for (auto& operation : state.claim_->want(base::boot_now())) {
         store_.submit(
             std::move(operation), [this, service](const store::result& result) {
-                services_[service].claim_->handle(result, base::boot_now());
+                const auto now = base::boot_now();
+                auto& claim = *services_[service].claim_;
+                claim.handle(result, now);
+                const auto number = claim.fencing_number(now);
+                log::log_info("order_claim",
+                              {{"service", service.value_},
+                               {"fencing_number",
+                                number ? std::to_string(*number) : "none"}});
             });
     }
     return state.claim_->fencing_number(base::boot_now());
--- a/pimentoferry/gateway/store_follower.hpp
+++ b/pimentoferry/gateway/store_follower.hpp
@@ -35,7 +35,7 @@
     std::string prefix_;
     /// Waiting time of one watch. It bounds how long a connection that went
     /// silent is trusted.
-    base::milliseconds watch_wait_{5000};
+    base::milliseconds watch_wait_{1500};
     std::uint64_t seed_{0}; ///< Of the random pauses.
 };
 
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -22,7 +22,7 @@
 constexpr base::milliseconds connect_timeout{250};
 // A prefill takes about 100 ms and waits for those before it; an engine that
 // is silent for longer is down, and the prompt is read elsewhere.
-constexpr base::milliseconds prefill_timeout{700};
+constexpr base::milliseconds prefill_timeout{1000};
 constexpr base::milliseconds release_timeout{500};
 // Placements of one request; each may read the prompt again.
 constexpr std::uint32_t most_placements = 3;
--- a/pimentoferry/placement/stage_plan.cpp
+++ b/pimentoferry/placement/stage_plan.cpp
@@ -20,8 +20,10 @@
 
 } // namespace
 
-std::uint32_t plan_prefill_engines(const stream_demand& demand,
-                                   std::uint32_t engines) {
+namespace {
+
+std::uint32_t
+prefill_for(const stream_demand& demand, std::uint32_t engines, double part) {
     if (engines < 2) {
         return engines;
     }
@@ -35,12 +37,28 @@
     const double decoded = demand.kv_tokens_ * usable_memory / demand.token_ms_;
     std::uint32_t prefill = least;
     while (prefill + 1 < engines &&
-           prefill * prefilled < (engines - prefill) * decoded * prefill_part) {
+           prefill * prefilled < (engines - prefill) * decoded * part) {
         ++prefill;
     }
     return prefill;
 }
 
+} // namespace
+
+std::uint32_t plan_prefill_engines(const stream_demand& demand,
+                                   std::uint32_t engines) {
+    return prefill_for(demand, engines, prefill_part);
+}
+
+std::uint32_t plan_prefill_engines(const stream_demand& demand,
+                                   std::uint32_t engines,
+                                   std::uint32_t current) {
+    constexpr double tolerance = 1.2;
+    const auto fewest = prefill_for(demand, engines, prefill_part / tolerance);
+    const auto most = prefill_for(demand, engines, prefill_part * tolerance);
+    return std::clamp(current, fewest, most);
+}
+
 std::optional<stage_change>
 next_stage_change(const std::vector<planned_engine>& engines,
                   std::uint32_t wanted_prefill) {
--- a/pimentoferry/placement/stage_plan.hpp
+++ b/pimentoferry/placement/stage_plan.hpp
@@ -50,6 +50,13 @@
 std::uint32_t plan_prefill_engines(const stream_demand& demand,
                                    std::uint32_t engines);
 
+/// As above, but `current` prefill engines are kept unless the demand differs
+/// by a fifth from what they suit: each change takes an engine out of service
+/// for seconds.
+std::uint32_t plan_prefill_engines(const stream_demand& demand,
+                                   std::uint32_t engines,
+                                   std::uint32_t current);
+
 /// The engine to change next; none if the split is as planned. Among the
 /// engines of the larger pool, one in the failure domain that has most of
 /// them, so that each failure domain keeps both roles; among those the one
--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -33,6 +33,10 @@
 // Weight of the newest sample in the learned means.
 constexpr double newest_weight = 0.05;
 
+// Prompts wait here rather than at a prefill engine: here they keep their
+// order, and hold no decode memory meanwhile.
+constexpr base::milliseconds prefill_queue{150};
+
 // An engine that rejected or did not answer is left out for this time; its
 // reports are up to a second old, so asking earlier tells nothing new.
 constexpr base::milliseconds failure_pause{1500};
@@ -225,7 +229,14 @@
                             double reserve,
                             base::time_point now) {
     auto* prefill = choose_prefill(wanted, now);
-    if (prefill != nullptr && std::max(prefill->prefill_free_, now) > expires) {
+    if (prefill == nullptr) {
+        // Reading at a decode engine delays all its streams, so a pause of the
+        // prefill engines is waited for; without any there is no other way.
+        if (has_prefill_engine()) {
+            return std::nullopt;
+        }
+    } else if (prefill->prefill_free_ >
+               std::min(expires, now + prefill_queue)) {
         return std::nullopt;
     }
     auto stream = describe(wanted, now);
@@ -246,6 +257,12 @@
     return grant;
 }
 
+bool stream_scheduler::has_prefill_engine() const {
+    return std::ranges::any_of(engines_, [](const auto& entry) {
+        return entry.second.engine_.role_ == engine_role::prefill;
+    });
+}
+
 bool stream_scheduler::can_ever_serve(const stream_request& wanted) const {
     return std::ranges::any_of(engines_, [&](const auto& entry) {
         const auto& engine = entry.second.engine_;
@@ -491,12 +508,13 @@
 }
 
 void stream_scheduler::add(base::attempt_id attempt, running_stream stream) {
+    forget(attempt);
     const auto engine = engines_.find(stream.decode_);
     if (engine != engines_.end()) {
         engine->second.streams_.insert(attempt);
         engine->second.outlook_at_.reset();
     }
-    streams_.insert_or_assign(attempt, std::move(stream));
+    streams_.emplace(attempt, std::move(stream));
 }
 
 void stream_scheduler::forget(base::attempt_id attempt) {
@@ -565,7 +583,17 @@
     std::set<base::upstream_name> present;
     for (const auto& engine : engines) {
         present.insert(engine.id_);
-        engines_[engine.id_].engine_ = engine;
+        const auto [entry, added] = engines_.try_emplace(engine.id_);
+        entry->second.engine_ = engine;
+        if (!added) {
+            continue;
+        }
+        // Streams that were placed before the engine was known here.
+        for (const auto& [attempt, stream] : streams_) {
+            if (stream.decode_ == engine.id_) {
+                entry->second.streams_.insert(attempt);
+            }
+        }
     }
     std::erase_if(engines_, [&present](const auto& entry) {
         return !present.contains(entry.first);
--- a/pimentoferry/placement/stream_scheduler.hpp
+++ b/pimentoferry/placement/stream_scheduler.hpp
@@ -208,6 +208,7 @@
                                           base::time_point expires,
                                           double reserve,
                                           base::time_point now);
+    bool has_prefill_engine() const;
     bool can_ever_serve(const stream_request& wanted) const;
     double room_at(base::time_point at, base::time_point now) const;
     bool on_time_expected(const queued_request& wanted,
