--- /dev/null
+++ b/pimentoferry/gateway/event_splitter_test.cpp
@@ -0,0 +1,54 @@
+#include "pimentoferry/gateway/event_splitter.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pimentoferry::gateway {
+
+namespace {
+
+class event_splitter_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(event_splitter_test);
+    CPPUNIT_TEST(whole_events_pass_byte_for_byte);
+    CPPUNIT_TEST(any_cut_gives_the_same_events);
+    CPPUNIT_TEST(a_cut_event_is_held_back);
+    CPPUNIT_TEST_SUITE_END();
+
+    void whole_events_pass_byte_for_byte() {
+        const std::string text = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n";
+        event_splitter splitter;
+        splitter.append(text);
+        CPPUNIT_ASSERT_EQUAL(text, splitter.take_whole());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, splitter.events());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, *splitter.last_id());
+    }
+
+    void any_cut_gives_the_same_events() {
+        const std::string text =
+            "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\n\n";
+        for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+            event_splitter splitter;
+            splitter.append(text.substr(0, cut));
+            std::string taken = splitter.take_whole();
+            splitter.append(text.substr(cut));
+            taken += splitter.take_whole();
+            CPPUNIT_ASSERT_EQUAL(text, taken);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, splitter.events());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, *splitter.last_id());
+        }
+    }
+
+    // Guards against a stream that is joined to another run in mid-event.
+    void a_cut_event_is_held_back() {
+        event_splitter splitter;
+        splitter.append("id: 1\n\nid: 2\ndata: ha");
+        CPPUNIT_ASSERT_EQUAL(std::string{"id: 1\n\n"}, splitter.take_whole());
+        CPPUNIT_ASSERT(splitter.incomplete_bytes() > 0);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, *splitter.last_id());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(event_splitter_test);
+
+} // namespace
+
+} // namespace pimentoferry::gateway
--- /dev/null
+++ b/pimentoferry/routing/instance_table_test.cpp
@@ -0,0 +1,77 @@
+#include "pimentoferry/routing/instance_table.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pimentoferry::routing {
+
+namespace {
+
+const base::service_name desk{"desk"};
+
+instance make_instance(const std::string& id, bool draining = false) {
+    instance made;
+    made.id_ = base::upstream_name{id};
+    made.service_ = desk;
+    made.draining_ = draining;
+    return made;
+}
+
+class instance_table_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(instance_table_test);
+    CPPUNIT_TEST(a_draining_instance_gets_nothing_new);
+    CPPUNIT_TEST(a_removed_instance_gets_nothing_new);
+    CPPUNIT_TEST(a_lapsed_registration_is_kept_for_a_while);
+    CPPUNIT_TEST(a_draining_instance_does_not_lapse);
+    CPPUNIT_TEST(a_listing_removes_what_it_lacks);
+    CPPUNIT_TEST_SUITE_END();
+
+    instance_table table_;
+    base::time_point now_{};
+
+    std::size_t usable() const { return table_.usable(desk, now_).size(); }
+
+    void a_draining_instance_gets_nothing_new() {
+        table_.put(make_instance("a"));
+        table_.put(make_instance("a", true));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+    }
+
+    // Guards against requests to a replica that leaves without notice.
+    void a_removed_instance_gets_nothing_new() {
+        table_.put(make_instance("a"));
+        table_.remove(base::upstream_name{"a"}, false, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+    }
+
+    // Guards against the loss of every replica after an outage of the store.
+    void a_lapsed_registration_is_kept_for_a_while() {
+        table_.put(make_instance("a"));
+        table_.remove(base::upstream_name{"a"}, true, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+        now_ += reregistration_time;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+        table_.expire(now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, table_.size());
+    }
+
+    void a_draining_instance_does_not_lapse() {
+        table_.put(make_instance("a", true));
+        table_.remove(base::upstream_name{"a"}, true, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, table_.size());
+    }
+
+    void a_listing_removes_what_it_lacks() {
+        table_.put(make_instance("a"));
+        table_.put(make_instance("b"));
+        table_.retain({base::upstream_name{"b"}}, false, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+        CPPUNIT_ASSERT(table_.find_usable(base::upstream_name{"b"}, now_) !=
+                       nullptr);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(instance_table_test);
+
+} // namespace
+
+} // namespace pimentoferry::routing
--- /dev/null
+++ b/pimentoferry/routing/replica_picker_test.cpp
@@ -0,0 +1,128 @@
+#include "pimentoferry/routing/replica_picker.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+namespace pimentoferry::routing {
+
+namespace {
+
+using base::milliseconds;
+
+class replica_picker_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(replica_picker_test);
+    CPPUNIT_TEST(the_own_failure_domain_comes_first);
+    CPPUNIT_TEST(a_busy_replica_is_left_for_another_domain);
+    CPPUNIT_TEST(a_replica_that_fails_most_calls_is_avoided);
+    CPPUNIT_TEST(occasional_errors_do_not_eject);
+    CPPUNIT_TEST(a_slow_replica_is_avoided);
+    CPPUNIT_TEST(a_call_that_runs_once_is_no_trial);
+    CPPUNIT_TEST(the_last_replica_is_used_although_it_fails);
+    CPPUNIT_TEST_SUITE_END();
+
+    replica_picker picker_{7};
+    std::vector<instance> replicas_{make("a", "north"), make("b", "south"),
+                                    make("c", "south")};
+    base::time_point now_{};
+
+    static instance make(const std::string& id, const std::string& domain) {
+        instance made;
+        made.id_ = base::upstream_name{id};
+        made.failure_domain_ = base::failure_domain{domain};
+        made.slots_ = 6;
+        return made;
+    }
+
+    std::string choose(bool may_repeat = true) {
+        std::vector<const instance*> candidates;
+        for (const auto& each : replicas_) {
+            candidates.push_back(&each);
+        }
+        const auto* chosen = picker_.choose(
+            candidates, {}, base::failure_domain{"north"}, may_repeat, now_);
+        return chosen->id_.value_;
+    }
+
+    void end(const std::string& id, call_result result, milliseconds took) {
+        now_ += milliseconds{10};
+        picker_.ended(base::upstream_name{id}, result, took, now_);
+    }
+
+    void the_own_failure_domain_comes_first() {
+        CPPUNIT_ASSERT_EQUAL(std::string{"a"}, choose());
+    }
+
+    void a_busy_replica_is_left_for_another_domain() {
+        for (int i = 0; i < 5; ++i) {
+            picker_.started(base::upstream_name{"a"});
+        }
+        CPPUNIT_ASSERT(choose() != "a");
+    }
+
+    // Guards against a replica whose health answers hide that it fails.
+    void a_replica_that_fails_most_calls_is_avoided() {
+        for (int i = 0; i < 10; ++i) {
+            end("a", i % 3 == 0 ? call_result::answered : call_result::failed,
+                milliseconds{30});
+        }
+        std::map<std::string, int> chosen;
+        for (int i = 0; i < 100; ++i) {
+            now_ += milliseconds{10};
+            const auto id = choose();
+            ++chosen[id];
+            end(id, id == "a" ? call_result::failed : call_result::answered,
+                milliseconds{30});
+        }
+        CPPUNIT_ASSERT(chosen["a"] <= 5);
+    }
+
+    // One lookup in seven fails in the application, at every replica.
+    void occasional_errors_do_not_eject() {
+        int own = 0;
+        for (int i = 0; i < 200; ++i) {
+            now_ += milliseconds{50};
+            const auto id = choose();
+            own += id == "a" ? 1 : 0;
+            end(id, i % 7 == 0 ? call_result::failed : call_result::answered,
+                milliseconds{30});
+        }
+        CPPUNIT_ASSERT(own >= 190);
+    }
+
+    void a_slow_replica_is_avoided() {
+        for (int i = 0; i < 10; ++i) {
+            end("a", call_result::answered, milliseconds{400});
+            end("b", call_result::answered, milliseconds{30});
+            end("c", call_result::answered, milliseconds{30});
+        }
+        (void)choose(); // May be the trial.
+        CPPUNIT_ASSERT(choose() != "a");
+    }
+
+    // Guards against a booking that is lost to find out whether a replica
+    // works again.
+    void a_call_that_runs_once_is_no_trial() {
+        for (int i = 0; i < 5; ++i) {
+            end("a", call_result::failed, milliseconds{30});
+        }
+        for (int i = 0; i < 300; ++i) {
+            now_ += milliseconds{5};
+            CPPUNIT_ASSERT(choose(false) != "a");
+        }
+    }
+
+    void the_last_replica_is_used_although_it_fails() {
+        replicas_.resize(1);
+        for (int i = 0; i < 5; ++i) {
+            end("a", call_result::failed, milliseconds{30});
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{"a"}, choose(false));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(replica_picker_test);
+
+} // namespace
+
+} // namespace pimentoferry::routing
