Refuse answers that cannot end before the limit of their route

Ruled out: silence of the engines (the stream went on to the limit). Change: a request tells how long its answer may take, and is refused at once when the expected answer does not fit; a caller that has some events waits anew for the next one.

--- a/bench/stream_world.cpp
+++ b/bench/stream_world.cpp
@@ -235,6 +235,7 @@
 
     void advance() {
         std::vector<base::attempt_id> ids;
+        ids.reserve(streams_.size());
         for (const auto& [attempt, stream] : streams_) {
             ids.push_back(attempt);
         }
--- a/pimentoferry/gateway/stream_placement.cpp
+++ b/pimentoferry/gateway/stream_placement.cpp
@@ -175,6 +175,7 @@
         };
         wanted->budget_ = waited(wanted->budget_);
         wanted->patience_ = waited(wanted->patience_);
+        wanted->time_left_ = waited(wanted->time_left_);
         const auto made = state.scheduler_.request(*wanted, now);
         if (!made.empty()) {
             decision = made.front();
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -197,14 +197,17 @@
     wanted.budget_ = std::max(
         std::chrono::duration_cast<base::milliseconds>(objective - now),
         base::milliseconds{0});
+    // A caller that has some events waits anew for the next one.
+    const auto waits_since = passed_on_ ? now : call_.arrived_;
     const auto patience = shared_.protocol_.first_event_patience_(
         call_.route_.latency_objective_, call_.route_.gap_objective_);
     wanted.patience_ = std::max(
         std::chrono::duration_cast<base::milliseconds>(
-            std::min(call_.arrived_ + patience - patience_margin, call_.due_) -
+            std::min(waits_since + patience - patience_margin, call_.due_) -
             now),
         base::milliseconds{0});
     wanted.prompt_id_ = prompt.id_;
+    wanted.time_left_ = time_left(call_, now);
     auto gone = call_.exchange_.caller_gone();
     auto decision = co_await shared_.streams_->place(call_.service_, wanted,
                                                      std::move(gone));
--- a/pimentoferry/placement/stream_messages.hpp
+++ b/pimentoferry/placement/stream_messages.hpp
@@ -24,13 +24,15 @@
     base::milliseconds patience_{0};
     /// Tells the prompt from others, also when its caller returns; 0: unknown.
     std::uint64_t prompt_id_{0};
+    /// Time until the whole answer has to be there; 0: no limit.
+    base::milliseconds time_left_{0};
 
     template <class Self>
     static auto fields(Self& self) {
         return std::tie(self.attempt_, self.failure_domain_,
                         self.prompt_tokens_, self.max_output_tokens_,
                         self.expected_output_tokens_, self.budget_,
-                        self.patience_, self.prompt_id_);
+                        self.patience_, self.prompt_id_, self.time_left_);
     }
 };
 
--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -167,6 +167,12 @@
         static_cast<std::int64_t>(tokens / prefill_rate_)};
 }
 
+base::milliseconds
+stream_scheduler::answer_time(const running_stream& stream) const {
+    return base::milliseconds{static_cast<std::int64_t>(
+        stream.expected_events_ * event_interval_ms_)};
+}
+
 stream_scheduler::engine_state*
 stream_scheduler::choose_prefill(const stream_request& wanted,
                                  base::time_point now) {
@@ -369,7 +375,14 @@
     queued_request entry{wanted, latest_start + wanted.budget_,
                          latest_start +
                              std::max(wanted.budget_, wanted.patience_)};
-    if (!can_ever_serve(wanted)) {
+    if (wanted.time_left_ > base::milliseconds{0}) {
+        // An answer that would be cut off at its end is not begun.
+        const auto complete = latest_start + wanted.time_left_ -
+                              answer_time(describe(wanted, now));
+        entry.expires_ = std::min(entry.expires_, complete);
+        entry.gives_up_ = std::min(entry.gives_up_, complete);
+    }
+    if (!can_ever_serve(wanted) || entry.gives_up_ < now) {
         return {refuse(wanted, now)};
     }
     if (is_returning(wanted, now) || entry.expires_ < now) {
--- a/pimentoferry/placement/stream_scheduler.hpp
+++ b/pimentoferry/placement/stream_scheduler.hpp
@@ -221,6 +221,7 @@
     base::milliseconds retry_after(base::attempt_id attempt) const;
     stream_refusal refuse(const stream_request& wanted, base::time_point now);
     base::milliseconds prefill_time(std::uint32_t tokens) const;
+    base::milliseconds answer_time(const running_stream& stream) const;
     void add(base::attempt_id attempt, running_stream stream);
     void forget(base::attempt_id attempt);
     static void enqueue(std::deque<queued_request>& queue,
--- a/pimentoferry/placement/stream_scheduler_test.cpp
+++ b/pimentoferry/placement/stream_scheduler_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(a_stream_announced_twice_is_counted_once);
     CPPUNIT_TEST(an_engine_that_changes_its_role_gets_nothing);
     CPPUNIT_TEST(a_request_larger_than_any_engine_is_refused_for_good);
+    CPPUNIT_TEST(an_answer_that_cannot_end_in_time_is_not_begun);
     CPPUNIT_TEST_SUITE_END();
 
     stream_scheduler scheduler_{[] {
@@ -247,6 +248,19 @@
         CPPUNIT_ASSERT(granted(make_request(5000)).has_value());
     }
 
+    // Guards against answers that are cut off by the limit of their route after
+    // their prompt was read.
+    void an_answer_that_cannot_end_in_time_is_not_begun() {
+        use_two_engines();
+        auto wanted = make_request(5000);
+        wanted.time_left_ = milliseconds{1000};
+        const auto made = scheduler_.request(wanted, now_);
+        CPPUNIT_ASSERT(std::holds_alternative<stream_refusal>(made.at(0)));
+        wanted = make_request(5000);
+        wanted.time_left_ = milliseconds{8000};
+        CPPUNIT_ASSERT(granted(wanted).has_value());
+    }
+
     void a_request_larger_than_any_engine_is_refused_for_good() {
         use_two_engines();
         const auto made =
