--- a/tools/deploy_build.sh
+++ b/tools/deploy_build.sh
@@ -4,8 +4,8 @@
 # its settings. Usage: tools/deploy_build.sh
 set -euo pipefail
 cd "$(dirname "$0")/.."
-clone=$PWD/build-deploy
-rm -rf "$clone"
+clone=$PWD/build/deploy-clone
+rm -rf "$clone" && mkdir -p build
 git clone --quiet . "$clone"
 cd "$clone"
 read_field() {
@@ -23,4 +23,5 @@
 program=$(read_field run)
 "$program" --version
 "$program" check-gateway tests/gateway_settings.json
+cd ../.. && rm -rf "$clone"
 echo "deploy: built from a clean clone"
