--- a/pimentoferry/gateway/registration.cpp
+++ b/pimentoferry/gateway/registration.cpp
@@ -52,10 +52,9 @@
 registration::registration(asio::io_context& io,
                            store::http_store& store,
                            metrics& counters,
-                           std::string name,
-                           base::endpoint peer_address)
-    : io_(io), store_(store), counters_(counters),
-      key_(gateways_prefix + std::move(name)),
+                           const std::string& name,
+                           const base::endpoint& peer_address)
+    : io_(io), store_(store), counters_(counters), key_(gateways_prefix + name),
       value_(base::to_string(peer_address)) {}
 
 void registration::start(std::function<bool()> chosen) {
--- a/pimentoferry/gateway/registration.hpp
+++ b/pimentoferry/gateway/registration.hpp
@@ -33,8 +33,8 @@
     registration(boost::asio::io_context& io,
                  store::http_store& store,
                  metrics& counters,
-                 std::string name,
-                 base::endpoint peer_address);
+                 const std::string& name,
+                 const base::endpoint& peer_address);
 
     /// Begins to register, when `chosen` says so, and to renew; ends with
     /// `withdraw`.
--- a/pimentoferry/routing/replica_picker_test.cpp
+++ b/pimentoferry/routing/replica_picker_test.cpp
@@ -36,6 +36,7 @@
 
     std::string choose(bool may_repeat = true) {
         std::vector<const instance*> candidates;
+        candidates.reserve(replicas_.size());
         for (const auto& each : replicas_) {
             candidates.push_back(&each);
         }
