Move a stream to its new engine without losing other grants

Cause: after a decode engine rejected a stream, stream_placement ended the stream in the scheduler and announced it again. Ending a stream gives its place to the next request, and the decisions made there were dropped: the request was counted as placed, its caller was told nothing until its time was over. A scheduler that already knew the stream also ignored the announcement and went on counting it at the engine that had rejected it.

Ruled out: delivering the dropped decisions only. The place of the stream would still be free for a moment and could be granted twice.

Change: stream_scheduler::hold moves a known stream whose decode engine changed; replace_decode only announces. The limit up to which an engine may be filled is a parameter instead of a setting that is changed and put back.

Before: stream_placement_test and stream_scheduler_test fail (the waiting request has no decision after the stream ended; the left engine stays full).

--- a/pimentoferry/gateway/stream_placement.cpp
+++ b/pimentoferry/gateway/stream_placement.cpp
@@ -256,7 +256,6 @@
     if (const auto* grant = std::get_if<placement::stream_grant>(&decision);
         grant != nullptr && again != streams_.end()) {
         again->second.hold_.decode_ = grant->decode_;
-        state.scheduler_.ended(attempt, 0, now);
         state.scheduler_.hold(again->second.hold_, now);
     }
     co_return decision;
--- /dev/null
+++ b/pimentoferry/gateway/stream_placement_test.cpp
@@ -0,0 +1,133 @@
+#include "pimentoferry/gateway/stream_placement.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <optional>
+
+namespace pimentoferry::gateway {
+
+namespace {
+
+namespace asio = boost::asio;
+using base::milliseconds;
+using placement::engine_role;
+
+peer_handlers no_handlers() {
+    peer_handlers handlers;
+    handlers.on_member_ = [](const membership::member&) {};
+    return handlers;
+}
+
+/// A gateway without peers, which schedules all streams itself. Each decode
+/// engine has memory for one stream.
+class stream_placement_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(stream_placement_test);
+    CPPUNIT_TEST(a_moved_stream_does_not_hide_the_grant_of_another);
+    CPPUNIT_TEST_SUITE_END();
+
+    static constexpr std::uint64_t engine_tokens = 10'000;
+    static constexpr std::uint32_t prompt_tokens = 5'000;
+
+    asio::io_context io_{1};
+    config::gateway_settings settings_;
+    metrics metrics_;
+    peers peers_{io_, settings_, base::instance_id{1}, no_handlers()};
+    stream_placement placement_{io_, peers_, metrics_, "region"};
+    const base::service_name service_{"model"};
+    const base::upstream_name left_{"left"};
+    const base::upstream_name right_{"right"};
+
+    placement::stream_request make_request() {
+        placement::stream_request made;
+        made.attempt_ = placement_.next_attempt();
+        made.prompt_tokens_ = prompt_tokens;
+        made.max_output_tokens_ = 4;
+        made.expected_output_tokens_ = 4;
+        made.budget_ = milliseconds{900};
+        made.patience_ = milliseconds{900};
+        return made;
+    }
+
+    /// Asks for a place; the decision appears in the result when it is made.
+    std::shared_ptr<std::optional<placement::stream_decision>>
+    ask(const placement::stream_request& wanted) {
+        auto answer =
+            std::make_shared<std::optional<placement::stream_decision>>();
+        asio::co_spawn(
+            io_,
+            [this, wanted, answer]() -> http::awaitable<void> {
+                auto cancel = std::make_shared<http::cancellation>();
+                *answer = co_await placement_.place(service_, wanted,
+                                                    std::move(cancel));
+            },
+            asio::detached);
+        run();
+        return answer;
+    }
+
+    placement::stream_decision replace(base::attempt_id attempt) {
+        std::optional<placement::stream_decision> answer;
+        asio::co_spawn(
+            io_,
+            [&]() -> http::awaitable<void> {
+                answer = co_await placement_.replace_decode(attempt);
+            },
+            asio::detached);
+        run();
+        CPPUNIT_ASSERT(answer.has_value());
+        return *answer;
+    }
+
+    void run() {
+        io_.restart();
+        io_.poll();
+    }
+
+    placement::stream_scheduler& scheduler() {
+        // The first message about a service creates its scheduler.
+        placement_.receive(base::instance_id{2},
+                           {service_, placement::stream_ended{}});
+        return *placement_.scheduler(service_);
+    }
+
+    // Guards against a grant that is recorded and never told: the request
+    // waits for its whole time and is refused while its place stands empty.
+    void a_moved_stream_does_not_hide_the_grant_of_another() {
+        const auto now = base::clock::now();
+        scheduler().set_engines(
+            {{{"reader"}, engine_role::prefill, {}, 8, engine_tokens},
+             {left_, engine_role::decode, {}, 8, engine_tokens},
+             {right_, engine_role::decode, {}, 8, engine_tokens}},
+            now);
+        scheduler().engine_failed(right_, now);
+        const auto first = make_request();
+        const auto placed = ask(first);
+        CPPUNIT_ASSERT(
+            std::get<placement::stream_grant>(placed->value()).decode_ ==
+            left_);
+        const auto waiting = ask(make_request());
+        CPPUNIT_ASSERT(!waiting->has_value());
+
+        // The pause of the other engine has passed when the first is rejected.
+        scheduler().engine_failed(right_, now - milliseconds{10'000});
+        const auto moved = replace(first.attempt_);
+        CPPUNIT_ASSERT(std::get<placement::stream_grant>(moved).decode_ ==
+                       right_);
+        run();
+        placement_.ended(first.attempt_, 0);
+        run();
+        CPPUNIT_ASSERT(waiting->has_value());
+        CPPUNIT_ASSERT(
+            std::holds_alternative<placement::stream_grant>(**waiting));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(stream_placement_test);
+
+} // namespace
+
+} // namespace pimentoferry::gateway
--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -147,9 +147,10 @@
 
 double stream_scheduler::free_tokens(const engine_state& engine,
                                      const outlook& wanted,
+                                     double memory_share,
                                      base::time_point now) const {
-    const double planned = static_cast<double>(engine.engine_.kv_tokens_) *
-                           settings_.memory_share_;
+    const double planned =
+        static_cast<double>(engine.engine_.kv_tokens_) * memory_share;
     const auto& used = outlook_of(engine, now);
     double least = planned;
     for (std::size_t i = 0; i < horizon_count; ++i) {
@@ -201,7 +202,7 @@
 stream_scheduler::engine_state*
 stream_scheduler::choose_decode(const running_stream& wanted,
                                 const base::failure_domain& near,
-                                double reserve,
+                                memory_limit limit,
                                 base::time_point now) {
     engine_state* best = nullptr;
     double best_free = 0;
@@ -212,8 +213,8 @@
             state.streams_.size() >= state.engine_.slots_) {
             continue;
         }
-        const double free = free_tokens(state, needed, now);
-        if (free < reserve) {
+        const double free = free_tokens(state, needed, limit.share_, now);
+        if (free < limit.reserve_) {
             continue;
         }
         // A move between failure domains costs about as much as half a prompt
@@ -248,7 +249,8 @@
     auto stream = describe(wanted, now);
     const auto& near = prefill != nullptr ? prefill->engine_.failure_domain_
                                           : wanted.failure_domain_;
-    auto* decode = choose_decode(stream, near, reserve, now);
+    auto* decode =
+        choose_decode(stream, near, {settings_.memory_share_, reserve}, now);
     if (decode == nullptr) {
         return std::nullopt;
     }
@@ -424,7 +426,13 @@
 }
 
 void stream_scheduler::hold(const stream_hold& running, base::time_point now) {
-    if (streams_.contains(running.attempt_)) {
+    const auto known = streams_.find(running.attempt_);
+    if (known != streams_.end()) {
+        auto stream = known->second;
+        if (stream.decode_ != running.decode_) {
+            stream.decode_ = running.decode_;
+            add(running.attempt_, std::move(stream));
+        }
         return;
     }
     const stream_request as_request{running.attempt_,
@@ -498,10 +506,8 @@
                           ? prefill->second.engine_.failure_domain_
                           : base::failure_domain{};
     // The prompt has been read, so the reserve may be used.
-    const double planned_share = settings_.memory_share_;
-    settings_.memory_share_ = 1;
-    auto* decode = choose_decode(stream, near, 0, now);
-    settings_.memory_share_ = planned_share;
+    constexpr double whole_memory = 1;
+    auto* decode = choose_decode(stream, near, {whole_memory, 0}, now);
     if (decode == nullptr) {
         return {stream_refusal{attempt, refusal_reason::no_room,
                                retry_after(attempt)}};
--- a/pimentoferry/placement/stream_scheduler.hpp
+++ b/pimentoferry/placement/stream_scheduler.hpp
@@ -98,7 +98,7 @@
 
     decisions request(const stream_request& wanted, base::time_point now);
 
-    /// A stream that another scheduler placed.
+    /// A stream that another scheduler placed, or whose decode engine changed.
     void hold(const stream_hold& running, base::time_point now);
 
     void prefill_finished(base::attempt_id attempt, base::time_point now);
@@ -185,6 +185,12 @@
         base::time_point gives_up_;
     };
 
+    /// How far an engine may be filled.
+    struct memory_limit {
+        double share_{1};   ///< Of its memory.
+        double reserve_{0}; ///< Tokens that stay free besides.
+    };
+
     double events_at(const running_stream& stream, base::time_point at) const;
     estimate expected_tokens(const running_stream& stream,
                              base::time_point now,
@@ -195,6 +201,7 @@
                               base::time_point now) const;
     double free_tokens(const engine_state& engine,
                        const outlook& wanted,
+                       double memory_share,
                        base::time_point now) const;
     running_stream describe(const stream_request& wanted,
                             base::time_point now) const;
@@ -202,7 +209,7 @@
                                  base::time_point now);
     engine_state* choose_decode(const running_stream& wanted,
                                 const base::failure_domain& near,
-                                double reserve,
+                                memory_limit limit,
                                 base::time_point now);
     std::optional<stream_grant> try_grant(const stream_request& wanted,
                                           base::time_point expires,
--- a/pimentoferry/placement/stream_scheduler_test.cpp
+++ b/pimentoferry/placement/stream_scheduler_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(a_rejected_stream_gets_another_engine);
     CPPUNIT_TEST(streams_of_a_lost_gateway_are_forgotten);
     CPPUNIT_TEST(a_stream_announced_twice_is_counted_once);
+    CPPUNIT_TEST(a_stream_announced_at_another_engine_has_moved);
     CPPUNIT_TEST(an_engine_that_changes_its_role_gets_nothing);
     CPPUNIT_TEST(a_request_larger_than_any_engine_is_refused_for_good);
     CPPUNIT_TEST(an_answer_that_cannot_end_in_time_is_not_begun);
@@ -235,6 +236,27 @@
         CPPUNIT_ASSERT(granted(make_request(5000)).has_value());
     }
 
+    // Guards against an owner that goes on counting a stream at the engine
+    // that rejected it.
+    void a_stream_announced_at_another_engine_has_moved() {
+        use({engine("p", engine_role::prefill),
+             engine("d1", engine_role::decode)});
+        const auto running = fill();
+        use({engine("p", engine_role::prefill),
+             engine("d1", engine_role::decode),
+             engine("d2", engine_role::decode)});
+        stream_hold hold;
+        hold.attempt_ = running.front();
+        hold.decode_ = base::upstream_name{"d2"};
+        hold.prompt_tokens_ = 5000;
+        hold.max_output_tokens_ = 130 * per_event;
+        scheduler_.hold(hold, now_);
+        scheduler_.engine_failed(base::upstream_name{"d2"}, now_);
+        const auto grant = granted(make_request(5000));
+        CPPUNIT_ASSERT(grant.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string{"d1"}, grant->decode_.value_);
+    }
+
     void an_engine_that_changes_its_role_gets_nothing() {
         use_two_engines();
         const auto until = now_ + milliseconds{6000};
