Give late grants back to the owner that made them

Cause: while a cell changes its owner, entries ask the next owner under rank 1. When their membership view changes, they withdraw the attempt and ask again, but the withdrawal is addressed by rank, and rank 1 is another entry by then. The next owner went on: it granted the withdrawn attempts, the entries returned those grants by rank, too, and the places stayed taken until the limit of 30 s. A request that waited for a decode engine at the moment of the change was announced without one and then ignored.

Ruled out: places that ended under the old owner and count as taken (the earlier reading): the new owner knows ended attempts as ended. Loss of datagrams: every message of the failed run arrived, at the wrong entry.

Change: a late grant goes back to the instance that sent it; an owner forgets the earlier attempt of a request when the entry asks for it again; a result that waits for a decode engine is bound by the new owner. The fuzz world knows its owners by instance, so that returned grants reach the right one.

--- a/pimentoferry/entry/control_cells.cpp
+++ b/pimentoferry/entry/control_cells.cpp
@@ -174,7 +174,7 @@
 void control::perform_cell(const base::cell_name&,
                            const placement::send_to_entry& action) {
     if (action.to_ == instance_) {
-        raise(requests::event{requests::placed{action.message_}});
+        raise(requests::event{requests::placed{action.message_, instance_}});
     } else {
         send_to(action.to_, action.message_);
     }
--- a/pimentoferry/entry/control_members.cpp
+++ b/pimentoferry/entry/control_members.cpp
@@ -118,31 +118,32 @@
     }
     reply_addresses_[from] = received.reply_to_;
     raise(tickets::event{tickets::peer_heard{from}});
-    std::visit(base::overloaded{
-                   [this, from](membership::message& m) {
-                       raise(membership::event{
-                           membership::peer_message{from, std::move(m)}});
-                   },
-                   [this, from](tickets::message& m) {
-                       raise(tickets::event{
-                           tickets::peer_message{from, std::move(m)}});
-                   },
-                   [this, from](cell_message& m) {
-                       raise(cell_request{from, std::move(m)});
-                   },
-                   [this](placement::to_entry& m) {
-                       make_code_known(m);
-                       raise(requests::event{requests::placed{std::move(m)}});
-                   },
-                   [this, from](once::to_owner& m) {
-                       raise(once::event{
-                           once::owner_message_received{from, std::move(m)}});
-                   },
-                   [this, from](once::to_entry& m) {
-                       raise(once::event{
-                           once::entry_message_received{from, std::move(m)}});
-                   }},
-               received.message_);
+    std::visit(
+        base::overloaded{
+            [this, from](membership::message& m) {
+                raise(membership::event{
+                    membership::peer_message{from, std::move(m)}});
+            },
+            [this, from](tickets::message& m) {
+                raise(
+                    tickets::event{tickets::peer_message{from, std::move(m)}});
+            },
+            [this, from](cell_message& m) {
+                raise(cell_request{from, std::move(m)});
+            },
+            [this, from](placement::to_entry& m) {
+                make_code_known(m);
+                raise(requests::event{requests::placed{std::move(m), from}});
+            },
+            [this, from](once::to_owner& m) {
+                raise(once::event{
+                    once::owner_message_received{from, std::move(m)}});
+            },
+            [this, from](once::to_entry& m) {
+                raise(once::event{
+                    once::entry_message_received{from, std::move(m)}});
+            }},
+        received.message_);
 }
 
 void control::send_to(base::instance_id to, peer_message message) {
--- a/pimentoferry/entry/control_requests.cpp
+++ b/pimentoferry/entry/control_requests.cpp
@@ -30,10 +30,10 @@
 
 void control::perform(const requests::send_to_owner& action) {
     const auto candidates = cell_candidates(action.cell_);
-    if (action.rank_ >= candidates.size()) {
+    if (!action.to_ && action.rank_ >= candidates.size()) {
         return;
     }
-    const auto owner = candidates[action.rank_];
+    const auto owner = action.to_ ? *action.to_ : candidates[action.rank_];
     cell_message message{action.cell_, action.message_};
     if (owner == instance_) {
         raise(cell_request{instance_, std::move(message)});
--- a/pimentoferry/placement/cell_core.cpp
+++ b/pimentoferry/placement/cell_core.cpp
@@ -121,6 +121,7 @@
 attempt_state cell_core::make_attempt(const place_request& m) const {
     attempt_state a;
     a.id_ = m.attempt_;
+    a.request_ = m.request_;
     a.caller_ = m.caller_;
     a.failure_domain_ = m.failure_domain_;
     a.prefixes_ = m.prefix_hashes_;
@@ -146,6 +147,7 @@
         return;
     }
     dead_.erase(m.attempt_.instance_);
+    forget_earlier(m.request_);
     admission_.arrived(m.prompt_tokens_, now_);
     if (!ever_fits(fresh)) {
         refuse(fresh, base::refusal_code::no_upstream,
@@ -154,6 +156,9 @@
     }
     attempt_state& a =
         attempts_.emplace(m.attempt_, std::move(fresh)).first->second;
+    if (m.request_ != base::request_id{}) {
+        latest_[m.request_] = m.attempt_;
+    }
     if (is_baseline()) {
         place_baseline(a);
     } else {
@@ -161,6 +166,17 @@
     }
 }
 
+// An entry has one attempt of a request at a time. An earlier one was
+// withdrawn, and the message about that went to another entry or was lost: it
+// must not wait in the queue or keep a place.
+void cell_core::forget_earlier(base::request_id request) {
+    const auto found = latest_.find(request);
+    if (found != latest_.end()) {
+        const auto earlier = found->second;
+        forget(earlier);
+    }
+}
+
 void cell_core::receive(const prefill_finished& m) {
     attempt_state* a = find(m.attempt_);
     if (a == nullptr || a->stage_ != attempt_stage::prefilling || a->inline_) {
@@ -332,6 +348,14 @@
             a.stage_ = attempt_stage::decoding;
             a.prefill_ = no_engine;
         }
+    } else if (m.stage_ == hold_stage::transferring &&
+               a.prefill_ != no_engine) {
+        // The result waits for a decode engine.
+        a.prefilled_ = true;
+        a.stage_ = attempt_stage::unbound;
+        ++promised_.slots_;
+        promised_.pieces_ += pieces_of(a);
+        waiting_.push_back(a.id_);
     } else {
         a.stage_ = attempt_stage::detached;
         a.prefilled_ = m.stage_ == hold_stage::transferring;
@@ -403,6 +427,10 @@
         return;
     }
     drop_holds(found->second);
+    const auto latest = latest_.find(found->second.request_);
+    if (latest != latest_.end() && latest->second == id) {
+        latest_.erase(latest);
+    }
     attempts_.erase(found);
     remember_ended(id);
 }
--- a/pimentoferry/placement/cell_core.hpp
+++ b/pimentoferry/placement/cell_core.hpp
@@ -35,6 +35,7 @@
 
 struct attempt_state {
     base::attempt_id id_;
+    base::request_id request_; ///< None if the attempt was only announced.
     base::caller_name caller_;
     base::failure_domain failure_domain_;
     std::vector<std::uint64_t> prefixes_; ///< Only while it is queued.
@@ -103,6 +104,7 @@
     void detach(attempt_state& a);
     void forget(base::attempt_id id);
     void remember_ended(base::attempt_id id);
+    void forget_earlier(base::request_id request);
     void forget_overdue();
     void send(const attempt_state& a, to_entry message);
     void refuse(const attempt_state& a,
@@ -190,6 +192,8 @@
     base::time_point owner_since_;
     std::vector<engine_view> engines_;
     std::unordered_map<base::attempt_id, attempt_state> attempts_;
+    /// The attempt that was asked for last, for each request that has one.
+    std::unordered_map<base::request_id, base::attempt_id> latest_;
     fair_queue queue_;
     std::set<std::pair<base::time_point, base::attempt_id>> expiry_;
     std::vector<base::attempt_id> parked_;
--- a/pimentoferry/placement/cell_scheduler_test.cpp
+++ b/pimentoferry/placement/cell_scheduler_test.cpp
@@ -21,6 +21,9 @@
     CPPUNIT_TEST(lost_decode_place_is_replaced_before_the_queue);
     CPPUNIT_TEST(suspects_share_no_engine);
     CPPUNIT_TEST(new_owner_grants_half);
+    CPPUNIT_TEST(withdrawn_attempts_keep_no_places);
+    CPPUNIT_TEST(withdrawn_attempts_do_not_wait_beside_their_successors);
+    CPPUNIT_TEST(new_owner_binds_a_result_that_waits);
     CPPUNIT_TEST(dead_entry_is_cancelled_everywhere);
     CPPUNIT_TEST(batch_is_capped_by_learnt_step_time);
     CPPUNIT_TEST(short_prompt_avoids_busy_prefill_pool);
@@ -205,6 +208,73 @@
     }
 
     // Grants of the old owner that are not announced yet hold places too.
+    /// A request of its own; `attempt` counts the times it was asked for.
+    static place_request make_numbered(const cell_rig& rig,
+                                       std::uint64_t request,
+                                       std::uint64_t attempt) {
+        auto m = rig.make_request(100 * attempt + request);
+        m.request_ = base::request_id{request};
+        m.rerun_ = true; // Waits where a new request is refused.
+        return m;
+    }
+
+    // Guards against a handover in which entries withdraw what the next owner
+    // has granted, and the withdrawal reaches another entry: the places were
+    // taken for 30 s, and callers heard nothing.
+    void withdrawn_attempts_keep_no_places() {
+        constexpr std::uint64_t places = 4;
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(4, 1, places));
+        for (std::uint64_t i = 1; i <= places; ++i) {
+            rig.tell(make_numbered(rig, i, 1));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                                 rig.sent<place_grant>().size());
+        }
+        std::size_t granted = 0;
+        for (std::uint64_t i = 1; i <= places; ++i) {
+            rig.tell(make_numbered(rig, i, 2));
+            granted += rig.sent<place_grant>().size();
+        }
+        // All places within 1 s.
+        for (int i = 0; i < 5; ++i) {
+            rig.pass(200ms);
+            granted += rig.sent<place_grant>().size();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{places}, granted);
+    }
+
+    // Guards against a queue that predicts twice the wait after a handover and
+    // refuses requests that have a place.
+    void withdrawn_attempts_do_not_wait_beside_their_successors() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(3, 1, 1));
+        rig.tell(make_numbered(rig, 1, 1));
+        rig.tell(make_numbered(rig, 2, 1));
+        CPPUNIT_ASSERT_EQUAL(1U, rig.cell_.usage().queued_);
+        rig.tell(make_numbered(rig, 2, 2));
+        CPPUNIT_ASSERT_EQUAL(1U, rig.cell_.usage().queued_);
+        rig.release(101);
+        const auto grants = rig.sent<place_grant>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, grants.size());
+        CPPUNIT_ASSERT(grants.front().attempt_ == rig.id(202));
+    }
+
+    // Guards against a result that is evicted because its new owner does not
+    // know that it waits.
+    void new_owner_binds_a_result_that_waits() {
+        cell_rig rig{cell_rig::strict()};
+        rig.own(engines(1, 1, 4));
+        place_hold held;
+        held.attempt_ = rig.id(1);
+        held.prefill_ = base::upstream_name{"p0"};
+        held.stage_ = hold_stage::transferring;
+        held.prompt_tokens_ = 2'000;
+        held.max_output_tokens_ = 100;
+        rig.tell(held);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, rig.sent<decode_bound>().size());
+        CPPUNIT_ASSERT_EQUAL(0U, rig.cell_.usage().promised_slots_);
+    }
+
     void new_owner_grants_half() {
         cell_rig rig{cell_rig::strict()};
         rig.feed(engines_changed{engines(3, 1, 4)});
--- a/pimentoferry/requests/events.hpp
+++ b/pimentoferry/requests/events.hpp
@@ -37,6 +37,7 @@
 /// An answer of the cell owner.
 struct placed {
     placement::to_entry answer_;
+    base::instance_id from_{}; ///< The owner that answers.
 };
 
 /// The cell has a new owner: running attempts are announced to it, and
@@ -161,6 +162,8 @@
     placement::to_owner message_;
     /// 0 is the owner, 1 the next owner by this entry's membership view.
     std::uint8_t rank_{0};
+    /// Goes to this instance, whatever its rank is by now.
+    std::optional<base::instance_id> to_{};
 };
 
 struct start_prefill {
--- a/pimentoferry/requests/fuzz/world.hpp
+++ b/pimentoferry/requests/fuzz/world.hpp
@@ -93,6 +93,7 @@
         base::time_point accepted_; ///< When the reader last took a byte.
     };
     struct owner {
+        base::instance_id instance_;
         fake_owner state_;
         bool silent_{false};
         std::deque<std::pair<base::instance_id, placement::to_owner>> waiting_;
@@ -127,7 +128,9 @@
     void to_owner(std::size_t rank,
                   base::instance_id from,
                   const placement::to_owner& message);
-    void answer(const owner_answers& answers);
+    void answer(const owner& from, const owner_answers& answers);
+    std::size_t rank_of(const send_to_owner& sent) const;
+    static owner make_owner(std::uint64_t number);
     void serve_queues();
     std::vector<engine_view> views();
 
@@ -171,7 +174,8 @@
     std::multimap<base::time_point, std::function<void()>> agenda_;
     oracle oracle_;
     std::array<entry, entry_count> entries_;
-    std::array<owner, 2> owners_;
+    std::array<owner, 2> owners_{make_owner(1), make_owner(2)};
+    std::uint64_t owners_made_{2};
     std::vector<fake_engine> engines_;
     std::map<std::uint64_t, call> calls_;
     std::vector<body> bodies_;
--- a/pimentoferry/requests/fuzz/world_entries.cpp
+++ b/pimentoferry/requests/fuzz/world_entries.cpp
@@ -299,15 +299,32 @@
             o.waiting_.emplace_back(from, message);
             return;
         }
-        answer(o.state_.handle(message, views(), now_, random_));
+        answer(o, o.state_.handle(message, views(), now_, random_));
         serve_queues();
     });
 }
 
-void world::answer(const owner_answers& answers) {
+world::owner world::make_owner(std::uint64_t number) {
+    owner made;
+    made.instance_ = base::instance_id{number};
+    return made;
+}
+
+std::size_t world::rank_of(const send_to_owner& sent) const {
+    if (!sent.to_) {
+        return sent.rank_;
+    }
+    const auto found = std::ranges::find(owners_, *sent.to_, &owner::instance_);
+    // An owner that is gone loses nothing; the first one ignores the message.
+    return found == owners_.end()
+               ? 0
+               : static_cast<std::size_t>(found - owners_.begin());
+}
+
+void world::answer(const owner& from, const owner_answers& answers) {
     for (const auto& [instance, message] : answers) {
         if (const entry* e = entry_of(instance)) {
-            post(index_of(*e), placed{message});
+            post(index_of(*e), placed{message, from.instance_});
         }
     }
 }
@@ -323,7 +340,7 @@
         queue_timer_ = false;
         for (owner& o : owners_) {
             if (!o.silent_) {
-                answer(o.state_.serve_queue(views(), now_, random_));
+                answer(o, o.state_.serve_queue(views(), now_, random_));
             }
         }
         serve_queues();
@@ -336,14 +353,14 @@
     while (!o.silent_ && !o.waiting_.empty()) {
         const auto message = o.waiting_.front().second;
         o.waiting_.pop_front();
-        answer(o.state_.handle(message, views(), now_, random_));
+        answer(o, o.state_.handle(message, views(), now_, random_));
     }
     serve_queues();
 }
 
 void world::change_owner() {
     std::swap(owners_[0], owners_[1]);
-    owners_[0] = owner{};
+    owners_[0] = make_owner(++owners_made_);
     owners_[0].state_.suspects_from(now_ + milliseconds{1'000});
     for (std::size_t index = 0; index < entry_count; ++index) {
         post(index, owner_changed{cell});
@@ -354,7 +371,7 @@
     std::visit(
         base::overloaded{
             [&](const send_to_owner& each) {
-                to_owner(each.rank_, entries_.at(index).instance_,
+                to_owner(rank_of(each), entries_.at(index).instance_,
                          each.message_);
             },
             [&](const start_prefill& each) { do_prefill(index, each); },
--- a/pimentoferry/requests/request_table_test.cpp
+++ b/pimentoferry/requests/request_table_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(unsent_call_takes_no_blame);
     CPPUNIT_TEST(idle_prefill_result_takes_no_blame);
     CPPUNIT_TEST(suspect_waits_for_its_earlier_attempt);
+    CPPUNIT_TEST(late_grant_goes_back_to_the_owner_that_made_it);
     CPPUNIT_TEST(crash_during_a_pause_is_judged_after_waiting_events);
     CPPUNIT_TEST(crash_after_a_long_pause_still_finds_its_culprit);
     CPPUNIT_TEST_SUITE_END();
@@ -267,6 +268,20 @@
         CPPUNIT_ASSERT(last_message<placement::place_request>() != nullptr);
     }
 
+    // Guards against a place that nobody uses: when the owner changed, the
+    // rank of the one that granted it is that of another entry.
+    void late_grant_goes_back_to_the_owner_that_made_it() {
+        const auto attempt = arrive();
+        pass(owner_changed{cell});
+        const base::instance_id granting{99};
+        pass(placed{placement::place_grant{attempt, prefill, decode, false},
+                    granting});
+        const auto& returned = the<send_to_owner>();
+        CPPUNIT_ASSERT(std::holds_alternative<placement::place_release>(
+            returned.message_));
+        CPPUNIT_ASSERT(returned.to_ == std::optional{granting});
+    }
+
     // The deadline of a judgement passed while the entry was paused, and the
     // crash was judged before the failure that waited behind it.
     void crash_during_a_pause_is_judged_after_waiting_events() {
--- a/pimentoferry/requests/table_core.cpp
+++ b/pimentoferry/requests/table_core.cpp
@@ -369,8 +369,8 @@
 
 void table_core::tell_owner(const request_state& r,
                             placement::to_owner message) {
-    out_.emplace_back(
-        send_to_owner{r.request_.cell_, std::move(message), r.attempt_.rank_});
+    out_.emplace_back(send_to_owner{
+        r.request_.cell_, std::move(message), r.attempt_.rank_, {}});
 }
 
 void table_core::log(const request_state& r,
--- a/pimentoferry/requests/table_core.hpp
+++ b/pimentoferry/requests/table_core.hpp
@@ -91,7 +91,7 @@
     void on(const placed& e);
     void on(const owner_changed& e);
     void on(const engines_known& e);
-    void on_owner(const placement::place_grant& m);
+    void on_owner(const placement::place_grant& m, base::instance_id from);
     void on_owner(const placement::place_refusal& m);
     void on_owner(const placement::decode_bound& m);
     void on_owner(const placement::place_queued& m);
@@ -111,7 +111,7 @@
     void place_next(request_state& r);
     void place_autonomously(request_state& r);
     void withdraw_place(request_state& r);
-    void give_back_late_grant(base::attempt_id attempt);
+    void give_back_late_grant(base::attempt_id attempt, base::instance_id from);
     bool copy_is_running(const request_state& r) const;
     void announce(request_state& r);
     base::milliseconds budget_left(const request_state& r) const;
@@ -192,11 +192,8 @@
 
     /// Attempts withdrawn before their owner answered, for the return of a
     /// late grant.
-    struct withdrawn {
-        base::cell_name cell_;
-        std::uint8_t rank_{0};
-    };
-    std::map<base::attempt_id, withdrawn> withdrawn_;
+
+    std::map<base::attempt_id, base::cell_name> withdrawn_;
 
     /// Crashes that are not judged yet.
     struct open_crash {
--- a/pimentoferry/requests/table_placing.cpp
+++ b/pimentoferry/requests/table_placing.cpp
@@ -1,6 +1,7 @@
 // Placing a request: the dialogue with the cell owner, and placement without
 // it.
 
+#include "pimentoferry/base/overloaded.hpp"
 #include "pimentoferry/requests/table_core.hpp"
 
 #include <algorithm>
@@ -111,23 +112,26 @@
     const base::attempt_id attempt = r.attempt_.id_;
     tell_owner(r, placement::place_release{
                       attempt, placement::release_reason::cancelled, 0});
-    withdrawn_[attempt] = {r.request_.cell_, r.attempt_.rank_};
+    withdrawn_[attempt] = r.request_.cell_;
     if (withdrawn_.size() > withdrawn_limit) {
         withdrawn_.erase(withdrawn_.begin());
     }
     forget_attempt(r);
 }
 
-void table_core::give_back_late_grant(base::attempt_id attempt) {
+// The grant goes back to the owner that made it: after a change of owners the
+// rank under which that one was asked belongs to another entry.
+void table_core::give_back_late_grant(base::attempt_id attempt,
+                                      base::instance_id from) {
     const auto found = withdrawn_.find(attempt);
     if (found == withdrawn_.end()) {
         return;
     }
     out_.emplace_back(
-        send_to_owner{found->second.cell_,
+        send_to_owner{found->second,
                       placement::place_release{
                           attempt, placement::release_reason::cancelled, 0},
-                      found->second.rank_});
+                      0, from});
     withdrawn_.erase(found);
 }
 
@@ -218,13 +222,18 @@
 }
 
 void table_core::on(const placed& e) {
-    std::visit([this](const auto& message) { on_owner(message); }, e.answer_);
+    std::visit(base::overloaded{[&](const placement::place_grant& m) {
+                                    on_owner(m, e.from_);
+                                },
+                                [&](const auto& m) { on_owner(m); }},
+               e.answer_);
 }
 
-void table_core::on_owner(const placement::place_grant& m) {
+void table_core::on_owner(const placement::place_grant& m,
+                          base::instance_id from) {
     request_state* r = find(m.attempt_, {stage::placing, stage::queued});
     if (r == nullptr) {
-        give_back_late_grant(m.attempt_);
+        give_back_late_grant(m.attempt_, from);
         return;
     }
     const standing mark = standing_of(*r);
