Place prompts by what each prefill engine still has to read

Cause: the scheduler reckoned with one reading speed for all prefill engines and took a prompt for read when its time was over.

Ruled out: full decode engines (two to eight decodes in 2 s were rejected, in three of thirty intervals), preemption (four gaps over 300 ms in 2 s at most), and the herd kill at 36 s, which comes after the bad seconds from 12 s on.

Change: placement::prefill_load keeps for each engine what it was given and has not read and measures its speed over 300 ms or a busy time. A prompt goes where it will have been read first and begins within 150 ms; a silent engine gets nothing further. The split counts the engines of usual speed that slow ones fall short of. The scheduler is split: stream_model (learned means and memory), stream_queue (order and refused prompts, without a scan of all refusals for each request), and the engine choice. next_wakeup had no caller.

New tests in stream_scheduler_test: a slow engine gets few prompts, a silent one no more than two, slow engines ask for more of them.

--- a/bench/stream_world.cpp
+++ b/bench/stream_world.cpp
@@ -537,7 +537,7 @@
     scheduler.set_engines(engines_of(load), base::time_point{});
     const auto engines = load.prefill_engines_ + load.decode_engines_;
     load.prefill_engines_ =
-        placement::plan_prefill_engines(scheduler.demand(), engines);
+        placement::plan_prefill_engines(scheduler.demand({}), engines);
     load.decode_engines_ = engines - load.prefill_engines_;
     return load;
 }
--- a/pimentoferry/gateway/stage_orders.cpp
+++ b/pimentoferry/gateway/stage_orders.cpp
@@ -79,8 +79,8 @@
                            &placement::planned_engine::role_));
     const auto wanted =
         scheduler->idle_so_far()
-            ? placement::plan_prefill_engines(scheduler->demand(), count)
-            : placement::plan_prefill_engines(scheduler->demand(), count,
+            ? placement::plan_prefill_engines(scheduler->demand(now), count)
+            : placement::plan_prefill_engines(scheduler->demand(now), count,
                                               current);
     const auto change = placement::next_stage_change(engines, wanted);
     if (!change) {
--- a/pimentoferry/placement/stage_plan.cpp
+++ b/pimentoferry/placement/stage_plan.cpp
@@ -37,7 +37,8 @@
     const double decoded = demand.kv_tokens_ * usable_memory / demand.token_ms_;
     std::uint32_t prefill = least;
     while (prefill + 1 < engines &&
-           prefill * prefilled < (engines - prefill) * decoded * part) {
+           (prefill - demand.missing_prefill_) * prefilled <
+               (engines - prefill) * decoded * part) {
         ++prefill;
     }
     return prefill;
--- a/pimentoferry/placement/stage_plan.hpp
+++ b/pimentoferry/placement/stage_plan.hpp
@@ -22,12 +22,14 @@
 /// What a stream asks of the engines, on average.
 struct stream_demand {
     double prompt_tokens_{0};
-    /// Prompt tokens that a prefill engine reads in a ms.
+    /// Prompt tokens that a prefill engine of usual speed reads in a ms.
     double prefill_rate_{0};
     /// Memory of a stream over its life, in tokens times ms.
     double token_ms_{0};
     /// KV memory of a decode engine in tokens.
     double kv_tokens_{0};
+    /// Engines of usual speed by which slow prefill engines fall short.
+    double missing_prefill_{0};
 };
 
 /// An engine as the plan sees it.
--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -4,35 +4,18 @@
 #include "pimentoferry/base/overloaded.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
+#include <numeric>
 #include <set>
 
 namespace pimentoferry::placement {
 
 namespace {
 
-using fractional_ms = std::chrono::duration<double, std::milli>;
-
-// Points in the near future at which the memory of an engine is estimated.
-// Answers last some seconds; beyond that the estimate says little.
 // How long the sum over the streams of an engine is used; streams grow by a
 // fraction of an event in this time.
 constexpr base::milliseconds outlook_validity{20};
 
-constexpr std::array<base::milliseconds, 6> horizons{
-    base::milliseconds{0},    base::milliseconds{500},
-    base::milliseconds{1000}, base::milliseconds{1500},
-    base::milliseconds{2000}, base::milliseconds{3000}};
-
-// The median lies below the mean for such a distribution.
-constexpr double median_of_mean = 0.9;
-
-// From the end of a prefill to the first event: transfer and one step.
-constexpr base::milliseconds first_event_overhead{80};
-// Weight of the newest sample in the learned means.
-constexpr double newest_weight = 0.05;
-
 // Prompts wait here rather than at a prefill engine: here they keep their
 // order, and hold no decode memory meanwhile.
 constexpr base::milliseconds prefill_queue{150};
@@ -45,96 +28,29 @@
 // While no engine serves, a caller returns when a crashed one may be back.
 constexpr base::milliseconds no_engine_return{1500};
 
-// A caller that was refused returns within a third of the time that it has
-// left, which is at most some seconds.
-constexpr base::milliseconds refusal_memory{15'000};
-constexpr std::size_t remembered_refusals = 8192;
-
-// The rate of arrivals is taken over about this time.
-constexpr double arrival_window_ms = 1000;
-
 // A stream without an end for this long is forgotten: its gateway may have
 // lost the message.
 constexpr base::milliseconds longest_stream{60'000};
 
-/// Probability that an answer is longer than `events`. The log-logistic shape
-/// with exponent 4 matches a log-normal error of the estimate of 0.45.
-double survival(double events, double median) {
-    const double ratio = events / median;
-    const double squared = ratio * ratio;
-    return 1 / (1 + squared * squared);
-}
-
 double milliseconds_between(base::time_point from, base::time_point to) {
-    return fractional_ms{to - from}.count();
+    return std::chrono::duration<double, std::milli>(to - from).count();
 }
 
 } // namespace
 
-stream_scheduler::running_stream
-stream_scheduler::describe(const stream_request& wanted,
-                           base::time_point now) const {
-    running_stream stream;
-    stream.prompt_tokens_ = wanted.prompt_tokens_;
-    const double per_event = std::max(settings_.tokens_per_event_, 1U);
-    stream.max_events_ = std::max(1.0, wanted.max_output_tokens_ / per_event);
-    stream.expected_events_ = wanted.expected_output_tokens_ > 0
-                                  ? wanted.expected_output_tokens_ / per_event
-                                  : mean_events_ * median_of_mean;
-    stream.expected_events_ =
-        std::clamp(stream.expected_events_, 1.0, stream.max_events_);
-    stream.granted_ = now;
-    return stream;
-}
-
-double stream_scheduler::events_at(const running_stream& stream,
-                                   base::time_point at) const {
-    const auto expected_start = stream.granted_ +
-                                prefill_time(stream.prompt_tokens_) +
-                                first_event_overhead;
-    const auto start = stream.started_.value_or(expected_start);
-    return std::max(0.0, milliseconds_between(start, at) / event_interval_ms_);
-}
-
-// Tokens in memory at a later time, weighted with the probability that the
-// stream still lasts.
-stream_scheduler::estimate
-stream_scheduler::expected_tokens(const running_stream& stream,
-                                  base::time_point now,
-                                  base::time_point at) const {
-    const double events_now =
-        std::min(events_at(stream, now), stream.max_events_);
-    const double events_then = events_at(stream, at);
-    if (events_then >= stream.max_events_ && at > now) {
-        return {};
-    }
-    const double events = std::min(events_then, stream.max_events_);
-    const double lasting = survival(events, stream.expected_events_) /
-                           survival(events_now, stream.expected_events_);
-    const double tokens =
-        stream.prompt_tokens_ + settings_.tokens_per_event_ * events;
-    return {lasting * tokens, lasting * (1 - lasting) * tokens * tokens};
-}
-
-stream_scheduler::outlook
-stream_scheduler::outlook_of(const running_stream& stream,
-                             base::time_point now) const {
-    outlook result;
-    std::ranges::transform(horizons, result.begin(), [&](auto horizon) {
-        return expected_tokens(stream, now, now + horizon);
-    });
-    return result;
+void stream_scheduler::configure(const stream_settings& settings) {
+    settings_ = settings;
+    model_.set_tokens_per_event(settings.tokens_per_event_);
 }
 
-const stream_scheduler::outlook&
-stream_scheduler::outlook_of(const engine_state& engine,
-                             base::time_point now) const {
+const memory_outlook& stream_scheduler::outlook_of(const engine_state& engine,
+                                                   base::time_point now) const {
     const bool valid =
         engine.outlook_at_ && now - *engine.outlook_at_ < outlook_validity;
     if (!valid) {
         engine.outlook_ = {};
         for (const auto attempt : engine.streams_) {
-            const auto each = outlook_of(streams_.at(attempt), now);
+            const auto each = model_.outlook_of(streams_.at(attempt), now);
             for (std::size_t i = 0; i < horizon_count; ++i) {
                 engine.outlook_[i].mean_ += each[i].mean_;
                 engine.outlook_[i].variance_ += each[i].variance_;
@@ -146,7 +62,7 @@
 }
 
 double stream_scheduler::free_tokens(const engine_state& engine,
-                                     const outlook& wanted,
+                                     const memory_outlook& wanted,
                                      double memory_share,
                                      base::time_point now) const {
     const double planned =
@@ -163,53 +79,50 @@
     return least;
 }
 
-base::milliseconds stream_scheduler::prefill_time(std::uint32_t tokens) const {
-    return base::milliseconds{
-        static_cast<std::int64_t>(tokens / prefill_rate_)};
-}
-
-base::milliseconds
-stream_scheduler::answer_time(const running_stream& stream) const {
-    return base::milliseconds{static_cast<std::int64_t>(
-        stream.expected_events_ * event_interval_ms_)};
-}
-
+// The engine that has read the prompt first, if it begins soon and ends in
+// time; a slow engine is used only when it is still the earliest.
 stream_scheduler::engine_state*
 stream_scheduler::choose_prefill(const stream_request& wanted,
+                                 base::time_point expires,
                                  base::time_point now) {
     engine_state* best = nullptr;
     // Moving memory between failure domains takes twice as long and is
     // priced, so a near engine may be a little later.
     constexpr base::milliseconds other_domain{20};
-    base::time_point best_time;
+    const auto latest_end =
+        std::max(expires, now) + model_.prefill_time(wanted.prompt_tokens_);
+    base::time_point best_end;
     for (auto& [id, state] : engines_) {
-        if (state.engine_.role_ != engine_role::prefill ||
-            state.failed_until_ > now || state.changing_until_ > now) {
+        if (!state.serves(engine_role::prefill, now)) {
+            continue;
+        }
+        const auto wait = state.prefill_.wait(now);
+        const auto end =
+            now + wait + state.prefill_.read_time(wanted.prompt_tokens_, now);
+        if (wait > prefill_queue || (end > latest_end && wait.count() > 0)) {
             continue;
         }
         const bool near =
             state.engine_.failure_domain_ == wanted.failure_domain_;
-        const auto time = std::max(state.prefill_free_, now) +
-                          (near ? base::milliseconds{0} : other_domain);
-        if (best == nullptr || time < best_time) {
+        const auto rank = end + (near ? base::milliseconds{0} : other_domain);
+        if (best == nullptr || rank < best_end) {
             best = &state;
-            best_time = time;
+            best_end = rank;
         }
     }
     return best;
 }
 
 stream_scheduler::engine_state*
-stream_scheduler::choose_decode(const running_stream& wanted,
+stream_scheduler::choose_decode(const placed_stream& wanted,
                                 const base::failure_domain& near,
                                 memory_limit limit,
                                 base::time_point now) {
     engine_state* best = nullptr;
     double best_free = 0;
-    const auto needed = outlook_of(wanted, now);
+    const auto needed = model_.outlook_of(wanted, now);
     for (auto& [id, state] : engines_) {
-        if (state.engine_.role_ != engine_role::decode ||
-            state.failed_until_ > now || state.changing_until_ > now ||
+        if (!state.serves(engine_role::decode, now) ||
             state.streams_.size() >= state.engine_.slots_) {
             continue;
         }
@@ -235,18 +148,13 @@
                             base::time_point expires,
                             double reserve,
                             base::time_point now) {
-    auto* prefill = choose_prefill(wanted, now);
-    if (prefill == nullptr) {
-        // Reading at a decode engine delays all its streams, so a pause of the
-        // prefill engines is waited for; without any there is no other way.
-        if (has_prefill_engine()) {
-            return std::nullopt;
-        }
-    } else if (prefill->prefill_free_ >
-               std::min(expires, now + prefill_queue)) {
+    auto* prefill = choose_prefill(wanted, expires, now);
+    // Reading at a decode engine delays all its streams, so prefill engines
+    // that are busy are waited for; without any there is no other way.
+    if (prefill == nullptr && has_engine(engine_role::prefill)) {
         return std::nullopt;
     }
-    auto stream = describe(wanted, now);
+    auto stream = model_.describe(wanted, now);
     const auto& near = prefill != nullptr ? prefill->engine_.failure_domain_
                                           : wanted.failure_domain_;
     auto* decode =
@@ -256,18 +164,17 @@
     }
     if (prefill != nullptr) {
         stream.prefill_ = prefill->engine_.id_;
-        prefill->prefill_free_ = std::max(prefill->prefill_free_, now) +
-                                 prefill_time(wanted.prompt_tokens_);
+        prefill->prefill_.begin(wanted.prompt_tokens_, now);
     }
     stream.decode_ = decode->engine_.id_;
     stream_grant grant{wanted.attempt_, stream.prefill_, stream.decode_};
-    add(wanted.attempt_, std::move(stream));
+    add(wanted.attempt_, std::move(stream), now);
     return grant;
 }
 
-bool stream_scheduler::has_prefill_engine() const {
-    return std::ranges::any_of(engines_, [](const auto& entry) {
-        return entry.second.engine_.role_ == engine_role::prefill;
+bool stream_scheduler::has_engine(engine_role role) const {
+    return std::ranges::any_of(engines_, [role](const auto& entry) {
+        return entry.second.engine_.role_ == role;
     });
 }
 
@@ -284,14 +191,13 @@
                                  base::time_point now) const {
     double room = 0;
     for (const auto& [id, state] : engines_) {
-        if (state.engine_.role_ == engine_role::decode &&
-            state.failed_until_ <= at && state.changing_until_ <= at) {
+        if (state.serves(engine_role::decode, at)) {
             room += static_cast<double>(state.engine_.kv_tokens_) *
                     settings_.memory_share_;
         }
     }
     for (const auto& [id, stream] : streams_) {
-        room -= expected_tokens(stream, now, at).mean_;
+        room -= model_.expected_tokens(stream, now, at).mean_;
     }
     return room;
 }
@@ -300,10 +206,8 @@
 // wait before it.
 bool stream_scheduler::on_time_expected(const queued_request& wanted,
                                         base::time_point now) const {
-    double demand = wanted.request_.prompt_tokens_;
-    for (const auto& waiting : queue_) {
-        demand += waiting.request_.prompt_tokens_;
-    }
+    const auto demand = static_cast<double>(wanted.request_.prompt_tokens_ +
+                                            queue_.prompt_tokens());
     return room_at(wanted.expires_, now) >= demand;
 }
 
@@ -313,34 +217,14 @@
     if (wanted.gives_up_ <= now) {
         return false;
     }
-    double demand = wanted.request_.prompt_tokens_ +
-                    arrival_rate_ * milliseconds_between(now, wanted.gives_up_);
-    for (const auto* queue : {&queue_, &late_queue_}) {
-        for (const auto& waiting : *queue) {
-            demand += waiting.request_.prompt_tokens_;
-        }
-    }
+    const double arriving =
+        model_.arrival_rate() * milliseconds_between(now, wanted.gives_up_);
+    const auto waiting = static_cast<double>(queue_.prompt_tokens() +
+                                             late_queue_.prompt_tokens());
+    const double demand = wanted.request_.prompt_tokens_ + arriving + waiting;
     return room_at(wanted.gives_up_, now) >= demand;
 }
 
-bool stream_scheduler::is_returning(const stream_request& wanted,
-                                    base::time_point now) {
-    std::erase_if(refused_,
-                  [now](const auto& entry) { return entry.second <= now; });
-    return wanted.prompt_id_ != 0 && refused_.contains(wanted.prompt_id_);
-}
-
-void stream_scheduler::note_arrival(const stream_request& wanted,
-                                    base::time_point now) {
-    mean_prompt_ += newest_weight * (wanted.prompt_tokens_ - mean_prompt_);
-    // The rate decays over about a second, the length of a change of load.
-    const double decay =
-        std::exp(-milliseconds_between(last_arrival_, now) / arrival_window_ms);
-    arrival_rate_ =
-        arrival_rate_ * decay + wanted.prompt_tokens_ / arrival_window_ms;
-    last_arrival_ = now;
-}
-
 base::milliseconds
 stream_scheduler::retry_after(base::attempt_id attempt) const {
     const auto spread =
@@ -352,14 +236,8 @@
 
 stream_refusal stream_scheduler::refuse(const stream_request& wanted,
                                         base::time_point now) {
-    if (wanted.prompt_id_ != 0 && refused_.size() < remembered_refusals) {
-        refused_[wanted.prompt_id_] = now + refusal_memory;
-    }
-    const bool any_decode =
-        std::ranges::any_of(engines_, [](const auto& entry) {
-            return entry.second.engine_.role_ == engine_role::decode;
-        });
-    if (!any_decode) {
+    refused_.add(wanted.prompt_id_, now);
+    if (!has_engine(engine_role::decode)) {
         return {wanted.attempt_, refusal_reason::no_engine, no_engine_return};
     }
     if (!can_ever_serve(wanted)) {
@@ -373,24 +251,24 @@
 stream_scheduler::request(const stream_request& wanted, base::time_point now) {
     ++requests_;
     const auto latest_start =
-        now - prefill_time(wanted.prompt_tokens_) - first_event_overhead;
+        now - model_.first_event_time(wanted.prompt_tokens_);
     queued_request entry{wanted, latest_start + wanted.budget_,
                          latest_start +
                              std::max(wanted.budget_, wanted.patience_)};
     if (wanted.time_left_ > base::milliseconds{0}) {
         // An answer that would be cut off at its end is not begun.
         const auto complete = latest_start + wanted.time_left_ -
-                              answer_time(describe(wanted, now));
+                              model_.answer_time(model_.describe(wanted, now));
         entry.expires_ = std::min(entry.expires_, complete);
         entry.gives_up_ = std::min(entry.gives_up_, complete);
     }
     if (!can_ever_serve(wanted) || entry.gives_up_ < now) {
         return {refuse(wanted, now)};
     }
-    if (is_returning(wanted, now) || entry.expires_ < now) {
+    if (refused_.contains(wanted.prompt_id_, now) || entry.expires_ < now) {
         return wait_late(entry, now);
     }
-    note_arrival(wanted, now);
+    model_.note_arrival(wanted.prompt_tokens_, now);
     if (queue_.empty()) {
         if (auto grant = try_grant(wanted, entry.expires_, 0, now)) {
             return {*grant};
@@ -399,7 +277,7 @@
     if (!on_time_expected(entry, now)) {
         return wait_late(entry, now);
     }
-    enqueue(queue_, entry);
+    queue_.insert(entry);
     return {};
 }
 
@@ -409,7 +287,7 @@
 stream_scheduler::wait_late(const queued_request& wanted,
                             base::time_point now) {
     if (queue_.empty() && late_queue_.empty()) {
-        const double reserve = settings_.late_reserve_ * mean_prompt_;
+        const double reserve = settings_.late_reserve_ * model_.mean_prompt();
         if (auto grant =
                 try_grant(wanted.request_, std::max(now, wanted.gives_up_),
                           reserve, now)) {
@@ -421,7 +299,7 @@
     }
     auto entry = wanted;
     entry.expires_ = wanted.gives_up_;
-    enqueue(late_queue_, entry);
+    late_queue_.insert(entry);
     return {};
 }
 
@@ -431,7 +309,7 @@
         auto stream = known->second;
         if (stream.decode_ != running.decode_) {
             stream.decode_ = running.decode_;
-            add(running.attempt_, std::move(stream));
+            add(running.attempt_, std::move(stream), now);
         }
         return;
     }
@@ -441,14 +319,18 @@
                                     running.max_output_tokens_,
                                     running.expected_output_tokens_,
                                     {}};
-    auto stream = describe(as_request, now);
+    auto stream = model_.describe(as_request, now);
     stream.prefill_ = running.prefill_;
     stream.decode_ = running.decode_;
     stream.prefilling_ = !running.prefilled_;
     if (running.started_) {
         stream.started_ = now - running.running_for_;
     }
-    add(running.attempt_, std::move(stream));
+    const auto reader = engines_.find(stream.prefill_);
+    if (stream.prefilling_ && reader != engines_.end()) {
+        reader->second.prefill_.begin(stream.prompt_tokens_, now);
+    }
+    add(running.attempt_, std::move(stream), now);
 }
 
 void stream_scheduler::prefill_finished(base::attempt_id attempt,
@@ -463,15 +345,9 @@
     if (engine == engines_.end()) {
         return;
     }
-    auto& state = engine->second;
-    // The engine reads one prompt after the other.
-    const double took = milliseconds_between(
-        std::max(stream.granted_, state.last_prefill_), now);
-    state.last_prefill_ = now;
-    if (took >= 1) {
-        const double rate = stream.prompt_tokens_ / took;
-        prefill_rate_ += newest_weight * (rate - prefill_rate_);
-    }
+    auto& load = engine->second.prefill_;
+    load.finish(stream.prompt_tokens_, now);
+    model_.note_prefill(load.rate(now));
 }
 
 void stream_scheduler::decode_started(base::attempt_id attempt,
@@ -495,7 +371,7 @@
                                retry_after(attempt)}};
     }
     auto stream = found->second;
-    forget(attempt);
+    forget(attempt, now);
     const auto rejecting = engines_.find(stream.decode_);
     if (rejecting != engines_.end()) {
         auto& pause = rejecting->second.failed_until_;
@@ -514,7 +390,7 @@
     }
     stream.decode_ = decode->engine_.id_;
     stream_grant grant{attempt, stream.prefill_, stream.decode_};
-    add(attempt, std::move(stream));
+    add(attempt, std::move(stream), now);
     return {grant};
 }
 
@@ -526,8 +402,10 @@
     }
 }
 
-void stream_scheduler::add(base::attempt_id attempt, running_stream stream) {
-    forget(attempt);
+void stream_scheduler::add(base::attempt_id attempt,
+                           placed_stream stream,
+                           base::time_point now) {
+    forget(attempt, now);
     const auto engine = engines_.find(stream.decode_);
     if (engine != engines_.end()) {
         engine->second.streams_.insert(attempt);
@@ -536,7 +414,7 @@
     streams_.emplace(attempt, std::move(stream));
 }
 
-void stream_scheduler::forget(base::attempt_id attempt) {
+void stream_scheduler::forget(base::attempt_id attempt, base::time_point now) {
     const auto found = streams_.find(attempt);
     if (found == streams_.end()) {
         return;
@@ -546,33 +424,24 @@
         engine->second.streams_.erase(attempt);
         engine->second.outlook_at_.reset();
     }
+    const auto reader = engines_.find(found->second.prefill_);
+    if (found->second.prefilling_ && reader != engines_.end()) {
+        reader->second.prefill_.abandon(found->second.prompt_tokens_, now);
+    }
     streams_.erase(found);
 }
 
-// The queue is in the order in which the requests expire. A large prompt takes
-// longer to read, so it expires earlier and stands further ahead; it also needs
-// more memory of one engine, which takes longer to come free.
-void stream_scheduler::enqueue(std::deque<queued_request>& queue,
-                               const queued_request& wanted) {
-    const auto place = std::ranges::upper_bound(queue, wanted.expires_, {},
-                                                &queued_request::expires_);
-    queue.insert(place, wanted);
-}
-
 stream_scheduler::decisions stream_scheduler::ended(base::attempt_id attempt,
                                                     std::uint32_t events,
                                                     base::time_point now) {
     const auto found = streams_.find(attempt);
-    if (found != streams_.end() && events > 1 && found->second.started_) {
-        const double interval =
-            milliseconds_between(*found->second.started_, now) / events;
-        event_interval_ms_ += newest_weight * (interval - event_interval_ms_);
-        mean_events_ += newest_weight * (events - mean_events_);
+    if (found != streams_.end()) {
+        model_.note_answer(found->second, events, now);
     }
-    forget(attempt);
+    forget(attempt, now);
     for (auto* queue : {&queue_, &late_queue_}) {
-        std::erase_if(*queue, [attempt](const queued_request& waiting) {
-            return waiting.request_.attempt_ == attempt;
+        queue->erase_if([attempt](const stream_request& waiting) {
+            return waiting.attempt_ == attempt;
         });
     }
     return dispatch(now);
@@ -587,10 +456,11 @@
             lost.push_back(attempt);
         }
     }
-    std::ranges::for_each(lost, [this](auto attempt) { forget(attempt); });
+    std::ranges::for_each(lost,
+                          [this, now](auto attempt) { forget(attempt, now); });
     for (auto* queue : {&queue_, &late_queue_}) {
-        std::erase_if(*queue, [gateway](const queued_request& waiting) {
-            return waiting.request_.attempt_.instance_ == gateway;
+        queue->erase_if([gateway](const stream_request& waiting) {
+            return waiting.attempt_.instance_ == gateway;
         });
     }
     return dispatch(now);
@@ -645,7 +515,7 @@
 }
 
 void stream_scheduler::dispatch_late(decisions& made, base::time_point now) {
-    const double reserve = settings_.late_reserve_ * mean_prompt_;
+    const double reserve = settings_.late_reserve_ * model_.mean_prompt();
     while (!late_queue_.empty()) {
         const auto& first = late_queue_.front();
         if (first.expires_ < now) {
@@ -672,21 +542,11 @@
             overdue.push_back(attempt);
         }
     }
-    std::ranges::for_each(overdue, [this](auto attempt) { forget(attempt); });
+    std::ranges::for_each(overdue,
+                          [this, now](auto attempt) { forget(attempt, now); });
     return dispatch(now);
 }
 
-std::optional<base::time_point> stream_scheduler::next_wakeup() const {
-    std::optional<base::time_point> next;
-    for (const auto* queue : {&queue_, &late_queue_}) {
-        if (!queue->empty()) {
-            const auto at = queue->front().expires_;
-            next = next ? std::min(*next, at) : at;
-        }
-    }
-    return next;
-}
-
 void stream_scheduler::begin_role_change(const base::upstream_name& engine,
                                          engine_role role,
                                          base::time_point until) {
@@ -697,13 +557,35 @@
     }
 }
 
-stream_demand stream_scheduler::demand() const {
+// Engines that read at less than half of the best speed count as slow.
+void stream_scheduler::measure_prefill(stream_demand& demand,
+                                       base::time_point now) const {
+    std::vector<double> rates;
+    for (const auto& [id, state] : engines_) {
+        if (state.engine_.role_ == engine_role::prefill) {
+            rates.push_back(state.prefill_.rate(now));
+        }
+    }
+    demand.prefill_rate_ = model_.prefill_rate();
+    if (rates.empty()) {
+        return;
+    }
+    const double limit = std::ranges::max(rates) / 2;
+    const auto slow = std::ranges::partition(
+        rates, [limit](double rate) { return rate >= limit; });
+    const auto usual = static_cast<double>(rates.size() - slow.size());
+    demand.prefill_rate_ =
+        std::accumulate(rates.begin(), slow.begin(), 0.0) / usual;
+    for (const double rate : slow) {
+        demand.missing_prefill_ += 1 - rate / demand.prefill_rate_;
+    }
+}
+
+stream_demand stream_scheduler::demand(base::time_point now) const {
     stream_demand result;
-    result.prompt_tokens_ = mean_prompt_;
-    result.prefill_rate_ = prefill_rate_;
-    const double mean_tokens =
-        mean_prompt_ + settings_.tokens_per_event_ * mean_events_ / 2;
-    result.token_ms_ = mean_tokens * mean_events_ * event_interval_ms_;
+    result.prompt_tokens_ = model_.mean_prompt();
+    result.token_ms_ = model_.token_ms();
+    measure_prefill(result, now);
     for (const auto& [id, state] : engines_) {
         result.kv_tokens_ = std::max(
             result.kv_tokens_, static_cast<double>(state.engine_.kv_tokens_));
@@ -718,15 +600,11 @@
         engines_, std::back_inserter(planned), [now](const auto& entry) {
             const auto& state = entry.second;
             const bool changing = state.changing_until_ > now;
-            const auto reading =
-                std::max(state.prefill_free_ - now, base::clock::duration{0});
-            const auto prompts =
-                std::chrono::duration_cast<base::milliseconds>(reading);
             return planned_engine{
                 entry.first, changing ? state.next_role_ : state.engine_.role_,
                 state.engine_.failure_domain_,
                 static_cast<std::uint32_t>(state.streams_.size()) +
-                    static_cast<std::uint32_t>(prompts.count())};
+                    state.prefill_.prompts()};
         });
     return planned;
 }
@@ -745,8 +623,8 @@
         }
     }
     for (const auto& [attempt, stream] : streams_) {
-        total.decode_tokens_ +=
-            static_cast<std::uint64_t>(expected_tokens(stream, now, now).mean_);
+        total.decode_tokens_ += static_cast<std::uint64_t>(
+            model_.expected_tokens(stream, now, now).mean_);
     }
     return total;
 }
--- a/pimentoferry/placement/stream_scheduler.hpp
+++ b/pimentoferry/placement/stream_scheduler.hpp
@@ -20,7 +20,7 @@
 ///     scheduler.set_engines(engines, now);
 ///     perform(scheduler.request(request, now));
 ///     perform(scheduler.ended(attempt, events, now));
-///     perform(scheduler.tick(now));   // at next_wakeup()
+///     perform(scheduler.tick(now));   // about every 20 ms
 ///
 /// It has no sockets, no threads and no clock. Times never run back.
 #ifndef PIMENTOFERRY_PLACEMENT_STREAM_SCHEDULER_HPP
@@ -29,13 +29,13 @@
 #include "pimentoferry/base/ids.hpp"
 #include "pimentoferry/base/time.hpp"
 #include "pimentoferry/placement/events.hpp"
+#include "pimentoferry/placement/prefill_load.hpp"
 #include "pimentoferry/placement/stage_plan.hpp"
 #include "pimentoferry/placement/stream_messages.hpp"
+#include "pimentoferry/placement/stream_model.hpp"
+#include "pimentoferry/placement/stream_queue.hpp"
 
-#include <array>
-#include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -87,10 +87,11 @@
 public:
     using decisions = std::vector<stream_decision>;
 
-    explicit stream_scheduler(const stream_settings& settings)
-        : settings_(settings) {}
+    explicit stream_scheduler(const stream_settings& settings) {
+        configure(settings);
+    }
 
-    void configure(const stream_settings& settings) { settings_ = settings; }
+    void configure(const stream_settings& settings);
 
     /// Replaces the engines. Streams on engines that are gone are forgotten.
     decisions set_engines(const std::vector<stream_engine>& engines,
@@ -123,8 +124,6 @@
 
     decisions tick(base::time_point now);
 
-    std::optional<base::time_point> next_wakeup() const;
-
     stream_usage usage(base::time_point now) const;
 
     /// An engine is changing its role and takes nothing until then.
@@ -133,7 +132,7 @@
                            base::time_point until);
 
     /// What the streams seen so far ask of the engines.
-    stream_demand demand() const;
+    stream_demand demand(base::time_point now) const;
 
     /// The engines with the roles that they have or are changing to.
     std::vector<planned_engine> planned_engines(base::time_point now) const;
@@ -142,72 +141,39 @@
     bool idle_so_far() const { return requests_ == 0; }
 
 private:
-    /// Tokens in memory at a later time.
-    struct estimate {
-        double mean_{0};
-        double variance_{0};
-    };
-
-    struct running_stream {
-        base::upstream_name prefill_;
-        base::upstream_name decode_;
-        std::uint32_t prompt_tokens_{0};
-        double expected_events_{0};
-        double max_events_{0};
-        bool prefilling_{true};
-        /// When the first event came; none before.
-        std::optional<base::time_point> started_;
-        base::time_point granted_;
-    };
-    /// Points in the near future at which memory is estimated.
-    static constexpr std::size_t horizon_count = 6;
-    using outlook = std::array<estimate, horizon_count>;
-
     struct engine_state {
         stream_engine engine_;
         base::time_point failed_until_;
         /// The role that it is changing to, and until when.
         engine_role next_role_{engine_role::prefill};
         base::time_point changing_until_;
-        /// When the prompts that were granted will have been read.
-        base::time_point prefill_free_;
-        base::time_point last_prefill_; ///< End of the last one.
+        prefill_load prefill_;
         std::set<base::attempt_id> streams_;
         /// Sum over its streams; computed anew when it is out of date.
-        mutable outlook outlook_{};
+        mutable memory_outlook outlook_{};
         mutable std::optional<base::time_point> outlook_at_;
-    };
-    struct queued_request {
-        stream_request request_;
-        /// Afterwards its first event, if it began then, would be late; in the
-        /// late queue: would come after its caller gave up.
-        base::time_point expires_;
-        base::time_point gives_up_;
-    };
 
+        bool serves(engine_role role, base::time_point at) const {
+            return engine_.role_ == role && failed_until_ <= at &&
+                   changing_until_ <= at;
+        }
+    };
     /// How far an engine may be filled.
     struct memory_limit {
         double share_{1};   ///< Of its memory.
         double reserve_{0}; ///< Tokens that stay free besides.
     };
 
-    double events_at(const running_stream& stream, base::time_point at) const;
-    estimate expected_tokens(const running_stream& stream,
-                             base::time_point now,
-                             base::time_point at) const;
-    outlook outlook_of(const running_stream& stream,
-                       base::time_point now) const;
-    const outlook& outlook_of(const engine_state& engine,
-                              base::time_point now) const;
+    const memory_outlook& outlook_of(const engine_state& engine,
+                                     base::time_point now) const;
     double free_tokens(const engine_state& engine,
-                       const outlook& wanted,
+                       const memory_outlook& wanted,
                        double memory_share,
                        base::time_point now) const;
-    running_stream describe(const stream_request& wanted,
-                            base::time_point now) const;
     engine_state* choose_prefill(const stream_request& wanted,
+                                 base::time_point expires,
                                  base::time_point now);
-    engine_state* choose_decode(const running_stream& wanted,
+    engine_state* choose_decode(const placed_stream& wanted,
                                 const base::failure_domain& near,
                                 memory_limit limit,
                                 base::time_point now);
@@ -215,49 +181,31 @@
                                           base::time_point expires,
                                           double reserve,
                                           base::time_point now);
-    bool has_prefill_engine() const;
+    bool has_engine(engine_role role) const;
     bool can_ever_serve(const stream_request& wanted) const;
     double room_at(base::time_point at, base::time_point now) const;
     bool on_time_expected(const queued_request& wanted,
                           base::time_point now) const;
     bool late_expected(const queued_request& wanted,
                        base::time_point now) const;
-    bool is_returning(const stream_request& wanted, base::time_point now);
-    void note_arrival(const stream_request& wanted, base::time_point now);
     decisions wait_late(const queued_request& wanted, base::time_point now);
     base::milliseconds retry_after(base::attempt_id attempt) const;
     stream_refusal refuse(const stream_request& wanted, base::time_point now);
-    base::milliseconds prefill_time(std::uint32_t tokens) const;
-    base::milliseconds answer_time(const running_stream& stream) const;
-    void add(base::attempt_id attempt, running_stream stream);
-    void forget(base::attempt_id attempt);
-    static void enqueue(std::deque<queued_request>& queue,
-                        const queued_request& wanted);
+    void
+    add(base::attempt_id attempt, placed_stream stream, base::time_point now);
+    void forget(base::attempt_id attempt, base::time_point now);
+    void measure_prefill(stream_demand& demand, base::time_point now) const;
     decisions dispatch(base::time_point now);
     void dispatch_late(decisions& made, base::time_point now);
 
     stream_settings settings_;
+    stream_model model_;
     std::map<base::upstream_name, engine_state> engines_;
-    std::map<base::attempt_id, running_stream> streams_;
-    std::deque<queued_request> queue_;      ///< May still be on time.
-    std::deque<queued_request> late_queue_; ///< Late anyway.
-    /// Prompts that were refused, and when that is forgotten.
-    std::map<std::uint64_t, base::time_point> refused_;
-    /// Prompt tokens that arrive in a ms, of requests that can be on time.
-    double arrival_rate_{0};
-    base::time_point last_arrival_;
-    // The first values are those of the users' usual requests; they hold until
-    // enough streams were seen.
-
-    /// Mean time between two events of a stream.
-    double event_interval_ms_{50};
-    /// Mean events of complete answers.
-    double mean_events_{70};
-    /// Mean tokens of the prompts.
-    double mean_prompt_{5200};
+    std::map<base::attempt_id, placed_stream> streams_;
+    stream_queue queue_;      ///< May still be on time.
+    stream_queue late_queue_; ///< Late anyway.
+    refused_prompts refused_;
     std::uint64_t requests_{0};
-    /// Prompt tokens that a prefill engine reads in a ms.
-    double prefill_rate_{50};
 };
 
 } // namespace pimentoferry::placement
--- a/pimentoferry/placement/stream_scheduler_test.cpp
+++ b/pimentoferry/placement/stream_scheduler_test.cpp
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <map>
+
 namespace pimentoferry::placement {
 
 namespace {
@@ -23,6 +25,9 @@
     CPPUNIT_TEST(decode_reads_when_there_is_no_prefill_engine);
     CPPUNIT_TEST(a_rejected_stream_gets_another_engine);
     CPPUNIT_TEST(streams_of_a_lost_gateway_are_forgotten);
+    CPPUNIT_TEST(a_slow_prefill_engine_gets_few_prompts);
+    CPPUNIT_TEST(a_silent_prefill_engine_gets_no_more_prompts);
+    CPPUNIT_TEST(slow_prefill_engines_ask_for_more_of_them);
     CPPUNIT_TEST(a_stream_announced_twice_is_counted_once);
     CPPUNIT_TEST(a_stream_announced_at_another_engine_has_moved);
     CPPUNIT_TEST(an_engine_that_changes_its_role_gets_nothing);
@@ -215,6 +220,80 @@
 
     // A gateway announces its streams to every new owner, also to one that
     // placed some of them itself.
+    /// Prompts of 5,000 tokens arrive every 60 ms, and each engine reads one
+    /// after the other in its own time; returns how many each got.
+    std::map<std::string, int>
+    read_prompts(std::map<std::string, milliseconds> time_of, int prompts) {
+        std::map<std::string, int> count;
+        std::multimap<base::time_point, base::attempt_id> ends;
+        std::map<std::string, base::time_point> free;
+        for (int i = 0; i < prompts; ++i) {
+            now_ += milliseconds{60};
+            while (!ends.empty() && ends.begin()->first <= now_) {
+                const auto [at, attempt] = *ends.begin();
+                ends.erase(ends.begin());
+                scheduler_.prefill_finished(attempt, at);
+                scheduler_.ended(attempt, 0, at);
+            }
+            if (const auto grant = granted(make_request(5000))) {
+                const auto& engine = grant->prefill_.value_;
+                ++count[engine];
+                auto& end = free[engine];
+                end = std::max(end, now_) + time_of.at(engine);
+                ends.emplace(end, grant->attempt_);
+            }
+        }
+        return count;
+    }
+
+    void use_three_readers() {
+        std::vector<stream_engine> engines;
+        for (const auto* id : {"p1", "p2", "p3"}) {
+            engines.push_back(engine(id, engine_role::prefill));
+        }
+        for (const auto* id : {"d1", "d2", "d3", "d4"}) {
+            engines.push_back(engine(id, engine_role::decode));
+        }
+        use(engines);
+    }
+
+    // Guards against prompts that wait for a slow engine while a usual one
+    // would have read them in time: on a played day three of five prefill
+    // engines took 550 ms instead of 110 ms and got as many prompts.
+    void a_slow_prefill_engine_gets_few_prompts() {
+        use_three_readers();
+        const auto count = read_prompts({{"p1", milliseconds{550}},
+                                         {"p2", milliseconds{100}},
+                                         {"p3", milliseconds{100}}},
+                                        200);
+        CPPUNIT_ASSERT(count.at("p2") + count.at("p3") > 160);
+        CPPUNIT_ASSERT(count.at("p1") < 20);
+    }
+
+    // Guards against a series of prompts that time out one after the other.
+    void a_silent_prefill_engine_gets_no_more_prompts() {
+        use_three_readers();
+        const auto count = read_prompts({{"p1", milliseconds{100'000}},
+                                         {"p2", milliseconds{100}},
+                                         {"p3", milliseconds{100}}},
+                                        100);
+        CPPUNIT_ASSERT(count.at("p1") <= 2);
+        CPPUNIT_ASSERT(count.at("p2") + count.at("p3") > 90);
+    }
+
+    void slow_prefill_engines_ask_for_more_of_them() {
+        use_three_readers();
+        const auto before = scheduler_.demand(now_);
+        CPPUNIT_ASSERT_EQUAL(0.0, before.missing_prefill_);
+        read_prompts({{"p1", milliseconds{1000}},
+                      {"p2", milliseconds{100}},
+                      {"p3", milliseconds{100}}},
+                     60);
+        const auto after = scheduler_.demand(now_);
+        CPPUNIT_ASSERT(after.missing_prefill_ > 0.5);
+        CPPUNIT_ASSERT(after.missing_prefill_ < 1);
+    }
+
     void a_stream_announced_twice_is_counted_once() {
         use({engine("p", engine_role::prefill),
              engine("d1", engine_role::decode),
