Add a fault soak of real gateways on one machine

Ruled out: killing the stand-in of the store instead of switching its mode: its content is what survives on the platform.

Change: tests/soak: a loopback proxy (delay, silence, one-way cut, refusal, reset), callers that keep connections, a seeded series of overlapping faults and the checks.

Before: no soak.

--- a/standins/platform_replica.cpp
+++ b/standins/platform_replica.cpp
@@ -202,9 +202,9 @@
             co_await call.write_chunk(std::move(part));
             co_return;
         }
-        std::string whole = "id: " + number +
-                            "\ndata: " + call.header(request_id) + ":" +
-                            number + "\n\n";
+        std::string whole = "id: " + number + "\ndata: ";
+        whole += call.header(request_id);
+        whole += ":" + number + "\n\n";
         co_await call.write_chunk(std::move(whole));
         co_await sleep_for(call.executor(), event_);
     }
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -4,6 +4,7 @@
 #include "tests/process/fleet.hpp"
 
 #include <sodium/utils.h>
+#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -100,12 +101,14 @@
 }
 
 /// Ports that are free now. They lie below those that the system gives to
-/// outgoing connections, so that none of these takes one of them meanwhile.
+/// outgoing connections, and fleets that start at the same time in several
+/// processes look in different ranges, so that nobody takes one meanwhile.
 std::vector<std::uint16_t> free_ports(std::size_t count) {
-    constexpr std::uint16_t first = 12'000;
-    constexpr std::uint16_t last = 30'000;
-    std::random_device random;
-    auto next = static_cast<std::uint16_t>(first + random() % (last - first));
+    constexpr int first = 12'000;
+    constexpr int last = 30'000;
+    constexpr int ports_of_a_process = 64;
+    auto next = static_cast<std::uint16_t>(
+        first + ::getpid() * ports_of_a_process % (last - first));
     boost::asio::io_context io;
     std::vector<std::uint16_t> ports;
     while (ports.size() < count) {
@@ -237,7 +240,7 @@
 }
 
 void gateway_fleet::register_replica(const platform_replica_process& replica,
-                                     const std::string& state) {
+                                     const std::string& state) const {
     Json::Value entry;
     entry["service"] = replica.stage_.empty() ? "desk" : "chat";
     entry["address"] = address(replica.registered_port_);
@@ -252,9 +255,9 @@
     control(store_port_, http::write_json(body));
 }
 
-void gateway_fleet::withdraw_replica(const platform_replica_process& replica) {
+void gateway_fleet::withdraw_replica(const std::string& id) const {
     Json::Value body;
-    body["remove"].append("servers/" + replica.id_);
+    body["remove"].append("servers/" + id);
     control(store_port_, http::write_json(body));
 }
 
--- a/tests/process/gateway_fleet.hpp
+++ b/tests/process/gateway_fleet.hpp
@@ -81,8 +81,8 @@
     void restart_replica(platform_replica_process& replica);
     /// Writes or removes the registration.
     void register_replica(const platform_replica_process& replica,
-                          const std::string& state = "ready");
-    void withdraw_replica(const platform_replica_process& replica);
+                          const std::string& state = "ready") const;
+    void withdraw_replica(const std::string& id) const;
 
     /// Writes the next version of the configuration.
     void put_configuration();
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using standins::http_answer;
 using standins::http_stream;
 
 constexpr unsigned status_ok = 200;
--- /dev/null
+++ b/tests/soak/callers.cpp
@@ -0,0 +1,192 @@
+#include "tests/soak/callers.hpp"
+
+#include "pimentoferry/http/json.hpp"
+#include "tests/process/gateway_fleet.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <array>
+#include <charconv>
+#include <string_view>
+
+namespace pimentoferry::soak {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr base::milliseconds patience{3000};
+constexpr base::milliseconds stream_patience{8000};
+// How long a caller keeps a list of addresses, as the users' callers do.
+constexpr base::milliseconds keep_addresses{2000};
+constexpr base::milliseconds directory_timeout{1000};
+constexpr base::milliseconds longest_pause{120};
+constexpr int status_ok = 200;
+
+constexpr std::array<std::string_view, 4> paths{"/read/1", "/book/1", "/chat/1",
+                                                "/talk/1"};
+
+std::string path_of(call_kind kind) {
+    return std::string{paths.at(static_cast<std::size_t>(kind))};
+}
+
+bool is_stream(call_kind kind) {
+    return kind == call_kind::chat || kind == call_kind::talk;
+}
+
+http::awaitable<void> pause(asio::io_context& io, base::milliseconds time) {
+    asio::steady_timer timer{io, time};
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+std::vector<base::endpoint> read_addresses(const std::string& body) {
+    std::vector<base::endpoint> addresses;
+    const auto object = http::parse_object(body);
+    if (!object) {
+        return addresses;
+    }
+    for (const auto& each : (*object)["addresses"]) {
+        const auto text = each.asString();
+        const auto colon = text.rfind(':');
+        addresses.push_back(
+            {text.substr(0, colon),
+             static_cast<std::uint16_t>(std::stoi(text.substr(colon + 1)))});
+    }
+    return addresses;
+}
+
+} // namespace
+
+callers::callers(asio::io_context& io,
+                 std::vector<std::uint16_t> directories,
+                 std::uint64_t seed)
+    : io_(io), client_(io), directories_(std::move(directories)),
+      random_(seed) {}
+
+void callers::start(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+        asio::co_spawn(
+            io_, [this, i] { return run(i); }, asio::detached);
+    }
+}
+
+http::awaitable<std::vector<base::endpoint>> callers::ask_for_addresses() {
+    const auto first = draw(directories_.size());
+    for (std::size_t i = 0; i < directories_.size(); ++i) {
+        const base::endpoint directory{
+            "127.0.0.1", directories_[(first + i) % directories_.size()]};
+        http::request request;
+        request.target_ = "/api/resolution?name=silage.example&zone=north";
+        http::call_options options;
+        options.deadline_ = base::clock::now() + directory_timeout;
+        const auto answer = co_await client_.call(directory, std::move(request),
+                                                  std::move(options));
+        if (const auto* told = std::get_if<http::response>(&answer)) {
+            auto addresses = read_addresses(told->body_);
+            if (!addresses.empty()) {
+                co_return addresses;
+            }
+        }
+    }
+    co_return std::vector<base::endpoint>{};
+}
+
+http::request callers::make_request(const call_record& record) const {
+    http::request request;
+    request.method_ = "POST";
+    request.target_ = path_of(record.kind_);
+    for (auto& [name, value] : process_tests::caller_fields(
+             request.target_, record.id_,
+             is_stream(record.kind_) ? stream_patience : patience)) {
+        request.fields_.push_back({name, value});
+    }
+    return request;
+}
+
+http::awaitable<void> callers::run(std::size_t caller) {
+    std::vector<base::endpoint> addresses;
+    base::time_point asked;
+    while (!stopped_) {
+        const base::milliseconds rest{
+            1 + draw(static_cast<std::size_t>(longest_pause.count()))};
+        co_await pause(io_, rest);
+        const auto now = base::clock::now();
+        if (now - asked > keep_addresses || addresses.empty()) {
+            auto fresh = co_await ask_for_addresses();
+            asked = now;
+            addresses = fresh.empty() ? addresses : std::move(fresh);
+        }
+        if (addresses.empty()) {
+            continue;
+        }
+        const auto address = addresses[draw(addresses.size())];
+        call_record record;
+        record.id_ =
+            "r" + std::to_string(caller) + "-" + std::to_string(++requests_);
+        record.kind_ = static_cast<call_kind>(draw(paths.size()));
+        record.gateway_ = address.port_;
+        record.sent_ = base::clock::now();
+        co_await call(record, address);
+        record.ended_ = base::clock::now();
+        if (record.status_ == 0) {
+            // Callers leave an address that failed them.
+            std::erase(addresses, address);
+        }
+        records_.push_back(std::move(record));
+    }
+}
+
+http::awaitable<void> callers::call(call_record& record,
+                                    base::endpoint address) {
+    auto request = make_request(record);
+    http::call_options options;
+    options.deadline_ = base::clock::now() +
+                        (is_stream(record.kind_) ? stream_patience : patience);
+    auto opened =
+        co_await client_.open(address, std::move(request), std::move(options));
+    auto* answer = std::get_if<http::open_answer>(&opened);
+    if (answer == nullptr) {
+        co_return;
+    }
+    record.status_ = answer->head().status_;
+    const auto id = http::find_field(answer->head().fields_, "X-Request-Id");
+    record.foreign_ = !id.empty() && id != record.id_;
+    if (is_stream(record.kind_) && record.status_ == status_ok) {
+        co_await read_stream(record, *answer);
+        co_return;
+    }
+    const auto body = co_await answer->read_all();
+    const auto* text = std::get_if<std::string>(&body);
+    record.whole_ = text != nullptr;
+    if (record.whole_ && record.status_ == status_ok) {
+        const auto expected =
+            "of " + record.id_ + " at " + path_of(record.kind_);
+        record.foreign_ = record.foreign_ || !text->ends_with(expected);
+    }
+}
+
+http::awaitable<void> callers::read_stream(call_record& record,
+                                           http::open_answer& answer) {
+    http::event_reader reader{answer};
+    while (true) {
+        const auto next = co_await reader.next();
+        if (const auto* event = std::get_if<http::sse_event>(&next)) {
+            const auto colon = event->data_.rfind(':');
+            std::uint64_t number = 0;
+            std::from_chars(event->data_.data() + colon + 1,
+                            event->data_.data() + event->data_.size(), number);
+            record.foreign_ =
+                record.foreign_ || event->data_.substr(0, colon) != record.id_;
+            record.events_.push_back(number);
+            continue;
+        }
+        record.whole_ = std::holds_alternative<http::body_end>(next);
+        co_return;
+    }
+}
+
+} // namespace pimentoferry::soak
--- /dev/null
+++ b/tests/soak/loopback_proxy.cpp
@@ -0,0 +1,134 @@
+#include "tests/soak/loopback_proxy.hpp"
+
+#include <array>
+
+namespace pimentoferry::soak {
+
+namespace net = boost::asio;
+using standins::error_code;
+using standins::milliseconds;
+using standins::sleep_for;
+using standins::tcp;
+
+namespace {
+
+constexpr milliseconds delay{150};
+constexpr milliseconds watch_interval{20};
+constexpr std::size_t piece_bytes = 16'384;
+
+/// Closes with a reset instead of an orderly end.
+void abort(tcp::socket& socket) {
+    error_code ignored;
+    socket.set_option(net::socket_base::linger{true, 0}, ignored);
+    socket.close(ignored);
+}
+
+} // namespace
+
+struct loopback_proxy::connection {
+    connection(tcp::socket client, std::shared_ptr<state> shared)
+        : client_(std::move(client)), server_(client_.get_executor()),
+          shared_(std::move(shared)), generation_(shared_->generation_) {}
+
+    bool is_stale() const { return shared_->generation_ != generation_; }
+
+    tcp::socket client_;
+    tcp::socket server_;
+    std::shared_ptr<state> shared_;
+    std::uint64_t generation_;
+    bool dead_{false}; ///< Lost bytes; nothing more is delivered.
+};
+
+loopback_proxy::loopback_proxy(net::io_context& io, std::uint16_t target)
+    : shared_(std::make_shared<state>()) {
+    shared_->target_ = target;
+    const tcp::endpoint address{net::ip::address_v4::loopback(), 0};
+    auto acceptor = std::make_shared<tcp::acceptor>(io, address);
+    port_ = acceptor->local_endpoint().port();
+    net::co_spawn(io, accept(std::move(acceptor), shared_), net::detached);
+}
+
+net::awaitable<void>
+loopback_proxy::accept(std::shared_ptr<tcp::acceptor> acceptor,
+                       std::shared_ptr<state> shared) {
+    while (true) {
+        error_code failure;
+        auto socket = co_await acceptor->async_accept(
+            net::redirect_error(net::use_awaitable, failure));
+        if (failure) {
+            co_return;
+        }
+        if (shared->fault_ == link_fault::refusing) {
+            abort(socket);
+            continue;
+        }
+        net::co_spawn(acceptor->get_executor(),
+                      serve(std::move(socket), shared), net::detached);
+    }
+}
+
+net::awaitable<void> loopback_proxy::serve(tcp::socket client,
+                                           std::shared_ptr<state> shared) {
+    auto link = std::make_shared<connection>(std::move(client), shared);
+    const tcp::endpoint target{net::ip::address_v4::loopback(),
+                               shared->target_};
+    error_code failure;
+    co_await link->server_.async_connect(
+        target, net::redirect_error(net::use_awaitable, failure));
+    if (failure) {
+        abort(link->client_);
+        co_return;
+    }
+    error_code ignored;
+    link->client_.set_option(tcp::no_delay{true}, ignored);
+    link->server_.set_option(tcp::no_delay{true}, ignored);
+    const auto executor = link->client_.get_executor();
+    net::co_spawn(executor, pump(link, true), net::detached);
+    net::co_spawn(executor, pump(link, false), net::detached);
+    net::co_spawn(executor, watch(link), net::detached);
+}
+
+// Passes bytes on until either side ends.
+net::awaitable<void> loopback_proxy::pump(std::shared_ptr<connection> link,
+                                          bool to_server) {
+    auto& from = to_server ? link->client_ : link->server_;
+    auto& to = to_server ? link->server_ : link->client_;
+    const auto lost =
+        to_server ? link_fault::requests_lost : link_fault::answers_lost;
+    std::array<char, piece_bytes> piece{};
+    error_code failure;
+    while (!failure) {
+        const auto size = co_await from.async_read_some(
+            net::buffer(piece),
+            net::redirect_error(net::use_awaitable, failure));
+        const auto fault = link->shared_->fault_.load();
+        link->dead_ =
+            link->dead_ || fault == link_fault::silent || fault == lost;
+        if (failure || link->dead_) {
+            continue;
+        }
+        if (fault == link_fault::delayed) {
+            co_await sleep_for(from.get_executor(), delay);
+        }
+        co_await net::async_write(
+            to, net::buffer(piece.data(), size),
+            net::redirect_error(net::use_awaitable, failure));
+    }
+    // A peer does not hear of the end over a silent connection.
+    while (link->dead_ && !link->is_stale()) {
+        co_await sleep_for(from.get_executor(), watch_interval);
+    }
+    error_code ignored;
+    to.shutdown(tcp::socket::shutdown_both, ignored);
+    from.shutdown(tcp::socket::shutdown_both, ignored);
+}
+
+net::awaitable<void> loopback_proxy::watch(std::shared_ptr<connection> link) {
+    while (!link->is_stale() && link->client_.is_open()) {
+        co_await sleep_for(link->client_.get_executor(), watch_interval);
+    }
+    abort(link->client_);
+    abort(link->server_);
+}
+
+} // namespace pimentoferry::soak
