--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -1,6 +1,7 @@
 #include "tests/process/fleet.hpp"
 
 #include "pimentoferry/base/ids.hpp"
+#include "tests/process/loopback.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -40,28 +41,6 @@
     return acceptor.local_endpoint().port();
 }
 
-std::string address(std::uint16_t port) {
-    return "127.0.0.1:" + std::to_string(port);
-}
-
-std::string read_text(const std::string& path) {
-    std::ifstream in{path};
-    std::stringstream text;
-    text << in.rdbuf();
-    return text.str();
-}
-
-/// The port in the last line `listening IP:PORT`; 0 when there is none yet.
-std::uint16_t listening_port(const std::string& log) {
-    const auto line = log.rfind("listening ");
-    const auto end = log.find('\n', line);
-    if (line == std::string::npos || end == std::string::npos) {
-        return 0;
-    }
-    const auto colon = log.rfind(':', end);
-    return static_cast<std::uint16_t>(std::stoi(log.substr(colon + 1)));
-}
-
 const char* domain_of(std::size_t number) {
     constexpr std::array<const char*, 3> domains{"hawassa", "dilla",
                                                  "yirgalem"};
@@ -189,16 +168,16 @@
     settings["name"] = "entry-" + std::to_string(entry);
     settings["failure_domain"] = domain_of(entry);
     settings["region"] = "sidama";
-    settings["traffic_address"] = address(own.traffic_);
-    settings["admin_address"] = address(own.admin_);
-    settings["peer_address"] = address(own.peer_);
+    settings["traffic_address"] = loopback_address(own.traffic_);
+    settings["admin_address"] = loopback_address(own.admin_);
+    settings["peer_address"] = loopback_address(own.peer_);
     settings["peers"] = Json::arrayValue;
     for (const auto& ports : ports_) {
         if (ports.peer_ != own.peer_) {
-            settings["peers"].append(address(ports.peer_));
+            settings["peers"].append(loopback_address(ports.peer_));
         }
     }
-    settings["store_address"] = address(store_.port_);
+    settings["store_address"] = loopback_address(store_.port_);
     settings["fleet_key"] = std::string(64, 'a');
     settings["drain_limit_ms"] =
         static_cast<Json::Int64>(options_.drain_limit_.count());
@@ -310,7 +289,7 @@
         Json::Value upstream;
         upstream["name"] = "engine-" + std::to_string(i);
         upstream["kind"] = "engine";
-        upstream["address"] = address(engines_[i].port_);
+        upstream["address"] = loopback_address(engines_[i].port_);
         upstream["failure_domain"] = domain_of(i);
         upstream["deployment"] = "verdicts";
         upstream["role"] = i < options_.prefill_engines_ ? "prefill" : "decode";
@@ -320,7 +299,7 @@
         Json::Value upstream;
         upstream["name"] = "desk-" + std::to_string(i);
         upstream["kind"] = "service";
-        upstream["address"] = address(services_[i].port_);
+        upstream["address"] = loopback_address(services_[i].port_);
         upstream["failure_domain"] = domain_of(i);
         upstream["service"] = "desk";
         ticket["upstreams"].append(upstream);
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "pimentoferry/http/json.hpp"
 #include "tests/process/fleet.hpp"
+#include "tests/process/loopback.hpp"
 
 #include <sodium/utils.h>
 #include <unistd.h>
@@ -44,17 +45,6 @@
     return encoded;
 }
 
-std::string address(std::uint16_t port) {
-    return "127.0.0.1:" + std::to_string(port);
-}
-
-std::string read_text(const std::string& path) {
-    std::ifstream in{path};
-    std::stringstream text;
-    text << in.rdbuf();
-    return text.str();
-}
-
 Json::Value make_route(const std::string& name,
                        const std::string& kind,
                        const std::string& service,
@@ -101,13 +91,14 @@
 }
 
 /// Ports that are free now. They lie below those that the system gives to
-/// outgoing connections, and fleets that start at the same time in several
-/// processes look in different ranges, so that nobody takes one meanwhile.
+/// outgoing connections, fleets that start at the same time in several
+/// processes look in different ranges, and fleets of one process never get the
+/// same ones, so that nobody takes one meanwhile.
 std::vector<std::uint16_t> free_ports(std::size_t count) {
     constexpr int first = 12'000;
     constexpr int last = 30'000;
     constexpr int ports_of_a_process = 64;
-    auto next = static_cast<std::uint16_t>(
+    static auto next = static_cast<std::uint16_t>(
         first + ::getpid() * ports_of_a_process % (last - first));
     boost::asio::io_context io;
     std::vector<std::uint16_t> ports;
@@ -126,17 +117,6 @@
     return ports;
 }
 
-/// The port in the line `listening IP:PORT`; 0 when there is none yet.
-std::uint16_t listening_port(const std::string& log) {
-    const auto line = log.rfind("listening ");
-    const auto end = log.find('\n', line);
-    if (line == std::string::npos || end == std::string::npos) {
-        return 0;
-    }
-    return static_cast<std::uint16_t>(
-        std::stoi(log.substr(log.rfind(':', end) + 1)));
-}
-
 std::uint16_t wait_for_port(const std::string& log) {
     std::uint16_t port = 0;
     wait_for(
@@ -229,7 +209,7 @@
     switches["stage"] = replica.stage_;
     replica.process_ = child_process::start(
         {STANDINS_PROGRAM, "--role", "platform-replica", "--listen",
-         address(replica.port_), "--set", http::write_json(switches)},
+         loopback_address(replica.port_), "--set", http::write_json(switches)},
         replica.log_);
     replica.port_ = wait_for_port(replica.log_);
 }
@@ -243,7 +223,7 @@
                                      const std::string& state) const {
     Json::Value entry;
     entry["service"] = replica.stage_.empty() ? "desk" : "chat";
-    entry["address"] = address(replica.registered_port_);
+    entry["address"] = loopback_address(replica.registered_port_);
     entry["zone"] = "north";
     entry["state"] = state;
     entry["slots"] = 64;
@@ -274,17 +254,17 @@
     settings["name"] = "gateway-" + std::to_string(gateway);
     settings["failure_domain"] = "north";
     settings["region"] = "coast";
-    settings["traffic_address"] = address(own.traffic_);
-    settings["readiness_address"] = address(own.readiness_);
-    settings["directory_address"] = address(own.directory_);
-    settings["peer_address"] = address(own.peer_);
+    settings["traffic_address"] = loopback_address(own.traffic_);
+    settings["readiness_address"] = loopback_address(own.readiness_);
+    settings["directory_address"] = loopback_address(own.directory_);
+    settings["peer_address"] = loopback_address(own.peer_);
     settings["peers"] = Json::Value{Json::arrayValue};
     for (const auto& other : ports_) {
         if (other.peer_ != own.peer_) {
-            settings["peers"].append(address(other.peer_));
+            settings["peers"].append(loopback_address(other.peer_));
         }
     }
-    settings["store_address"] = address(own.store_);
+    settings["store_address"] = loopback_address(own.store_);
     settings["fleet_key"] = std::string(64, 'a');
     settings["processor_share"] = 1.0;
     settings["drain_limit_s"] =
