Log when the store answered the fleet and how a removal was received

Callers: no change; requests are placed as before.

The lines of a removal did not say since when a gateway thought the store away, when it came back and who said so, and a send did not show the age of the view that chose its instance. store::availability keeps the span in which the store has been answering the gateway or its peers; replica updates carry the span of their sender. instance_gone, store_answering, send, prefill and decode lines show it, with two gauges (store_own_link_up replaces store_reachable, which described the own link only).

Decisions still use the state of the own link.

--- a/pimentoferry/base/time.hpp
+++ b/pimentoferry/base/time.hpp
@@ -7,6 +7,7 @@
 #define PIMENTOFERRY_BASE_TIME_HPP
 
 #include <chrono>
+#include <cstdint>
 
 namespace pimentoferry::base {
 
@@ -17,6 +18,11 @@
 using wall_time =
     std::chrono::time_point<std::chrono::system_clock, milliseconds>;
 
+/// Time since `at` in whole milliseconds, for log lines and gauges.
+inline std::int64_t age_ms(time_point at, time_point now) {
+    return std::chrono::duration_cast<milliseconds>(now - at).count();
+}
+
 } // namespace pimentoferry::base
 
 #endif
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -87,7 +87,8 @@
     bool listen();
     std::optional<http::server> open(const base::endpoint& address,
                                      http::handler handle);
-    void on_changes(const std::vector<store::mirror_change>& changes);
+    void on_changes(const std::vector<store::mirror_change>& changes,
+                    std::string_view origin);
     void update_seeds();
     void apply_limits();
 
@@ -152,7 +153,9 @@
                 store_,
                 shared_.metrics_,
                 {"", watch_wait, self.value_},
-                [this](const auto& changes) { on_changes(changes); }),
+                [this](const auto& changes, std::string_view origin) {
+                    on_changes(changes, origin);
+                }),
       registration_(io_,
                     store_,
                     shared_.metrics_,
@@ -163,16 +166,16 @@
       orders_(shared_, store_, base::to_hex(self.value_)),
       signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_) {
     shared_.streams_ = &placement_;
+    shared_.store_answers_ = &follower_.availability();
 }
 
 peer_handlers gateway_process::make_peer_handlers() {
     peer_handlers handlers;
     handlers.read_replica_ = [this](store::revision since) {
-        return replica_update{follower_.replica().since(since),
-                              follower_.current(base::clock::now())};
+        return follower_.update_since(since, base::clock::now());
     };
     handlers.merge_replica_ = [this](const replica_update& update) {
-        follower_.merge(update.delta_, update.current_);
+        follower_.merge(update);
     };
     handlers.on_stream_message_ = [this](base::instance_id from,
                                          service_stream_message message) {
@@ -247,14 +250,15 @@
 }
 
 void gateway_process::on_changes(
-    const std::vector<store::mirror_change>& changes) {
+    const std::vector<store::mirror_change>& changes, std::string_view origin) {
     const auto now = base::clock::now();
     const bool store_recently_unavailable = follower_.recently_unavailable(now);
+    const change_origin received{origin, &follower_.availability()};
     bool configuration_changed = false;
     bool instances_changed = false;
     for (const auto& change : changes) {
-        const auto affected =
-            shared_.registry_.apply(change, store_recently_unavailable, now);
+        const auto affected = shared_.registry_.apply(
+            change, received, store_recently_unavailable, now);
         configuration_changed =
             configuration_changed || affected == registry_change::configuration;
         instances_changed =
@@ -399,8 +403,15 @@
     shared_.metrics_.set_gauge("in_flight", shared_.in_flight_);
     shared_.metrics_.set_gauge(
         "instances", static_cast<double>(shared_.registry_.instances().size()));
-    shared_.metrics_.set_gauge("store_reachable",
-                               follower_.reachable() ? 1 : 0);
+    const auto& store_answers = follower_.availability();
+    shared_.metrics_.set_gauge("store_own_link_up",
+                               store_answers.own_link_up() ? 1 : 0);
+    if (const auto& span = store_answers.span()) {
+        shared_.metrics_.set_gauge(
+            "store_answer_age_ms",
+            static_cast<double>(
+                base::age_ms(span->last_answer_, base::clock::now())));
+    }
     shared_.metrics_.set_gauge("log_lines_dropped",
                                static_cast<double>(log::dropped_lines()));
     http::response answer;
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -45,15 +45,29 @@
     }
 };
 
+/// When the store answered the sender, see `store::answering_span`. Times are
+/// ages, because the clocks of two machines differ.
+struct answering_report {
+    base::milliseconds from_{0};
+    base::milliseconds last_answer_{0};
+    bool after_outage_{false};
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.from_, self.last_answer_, self.after_outage_);
+    }
+};
+
 /// What the receiver's replica of the store lacks. `current_`: the sender has
 /// received a response of the store recently, so that a replica as complete as
 /// its own is up to date.
 struct replica_update {
     store::mirror_delta delta_;
     bool current_{false};
+    /// Unset if the store has not answered the sender in the span it knows.
+    std::optional<answering_report> answering_;
     template <class Self>
     static auto fields(Self& self) {
-        return std::tie(self.delta_, self.current_);
+        return std::tie(self.delta_, self.current_, self.answering_);
     }
 };
 
--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -134,6 +134,7 @@
          {"configuration", std::to_string(call_.routes_->version())},
          {"instance", replica.id_.value_},
          {"send", std::to_string(tried_.size())},
+         {"view_ms", shared_.view_age(began)},
          {"outcome", outcome_text(outcome)},
          {"status",
           outcome.answer_ ? std::to_string(outcome.answer_->status_) : "none"},
--- a/pimentoferry/gateway/registry.cpp
+++ b/pimentoferry/gateway/registry.cpp
@@ -69,6 +69,7 @@
 }
 
 registry_change registry::apply(const store::mirror_change& change,
+                                const change_origin& origin,
                                 bool store_recently_unavailable,
                                 base::time_point now) {
     if (const auto* written = std::get_if<store::item_written>(&change)) {
@@ -88,10 +89,19 @@
         return registry_change::nothing;
     }
     const base::upstream_name id{key.substr(codec_.instance_prefix_.size())};
+    const auto returned = origin.store_answers_ != nullptr
+                              ? origin.store_answers_->returned_at()
+                              : std::nullopt;
     log::log_info(
         "instance_gone",
         {{"instance", id.value_},
-         {"kept", store_recently_unavailable ? "until_reregistration" : "no"}});
+         {"kept", store_recently_unavailable ? "until_reregistration" : "no"},
+         {"received_by", std::string{origin.received_by_}},
+         {"store_returned_ms",
+          returned ? std::to_string(base::age_ms(*returned, now)) : "none"},
+         {"told_by",
+          returned ? std::string{to_string(origin.store_answers_->source())}
+                   : "none"}});
     instances_.remove(id, store_recently_unavailable, now);
     return registry_change::instances;
 }
--- a/pimentoferry/gateway/registry.hpp
+++ b/pimentoferry/gateway/registry.hpp
@@ -17,15 +17,23 @@
 #include "pimentoferry/gateway/registry_codec.hpp"
 #include "pimentoferry/routing/instance_table.hpp"
 #include "pimentoferry/routing/route_table.hpp"
+#include "pimentoferry/store/availability.hpp"
 #include "pimentoferry/store/mirror.hpp"
 
 #include <memory>
+#include <string_view>
 
 namespace pimentoferry::gateway {
 
 /// The part of the registry that a change of the replica affected.
 enum class registry_change : std::uint8_t { nothing, configuration, instances };
 
+/// How a change reached the gateway, for log lines.
+struct change_origin {
+    std::string_view received_by_; ///< "list", "watch" or "peer".
+    const store::availability* store_answers_{nullptr};
+};
+
 class registry {
 public:
     explicit registry(registry_codec codec) : codec_(std::move(codec)) {}
@@ -34,6 +42,7 @@
     /// was unavailable shortly before, so that a removed registration may only
     /// have lapsed.
     registry_change apply(const store::mirror_change& change,
+                          const change_origin& origin,
                           bool store_recently_unavailable,
                           base::time_point now);
 
--- a/pimentoferry/gateway/registry_test.cpp
+++ b/pimentoferry/gateway/registry_test.cpp
@@ -47,7 +47,8 @@
     registry registry_{simple_codec()};
 
     registry_change write(const std::string& key, const std::string& value) {
-        return registry_.apply(store::item_written{{key, value, 1}}, false, {});
+        return registry_.apply(store::item_written{{key, value, 1}}, {}, false,
+                               {});
     }
 
     void an_older_configuration_is_ignored() {
@@ -73,7 +74,7 @@
 
     void other_keys_are_ignored() {
         CPPUNIT_ASSERT(write("other", "x") == registry_change::nothing);
-        CPPUNIT_ASSERT(registry_.apply(store::item_removed{"other"}, false,
+        CPPUNIT_ASSERT(registry_.apply(store::item_removed{"other"}, {}, false,
                                        {}) == registry_change::nothing);
     }
 };
--- a/pimentoferry/gateway/runtime.cpp
+++ b/pimentoferry/gateway/runtime.cpp
@@ -60,6 +60,13 @@
     return std::uniform_real_distribution<double>{0, 1}(random_);
 }
 
+std::string runtime::view_age(base::time_point now) const {
+    const bool known = store_answers_ != nullptr && store_answers_->span();
+    return known ? std::to_string(
+                       base::age_ms(store_answers_->span()->last_answer_, now))
+                 : "none";
+}
+
 std::string_view to_string(routing::call_kind kind) {
     switch (kind) {
     case routing::call_kind::idempotent:
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -11,6 +11,7 @@
 #include "pimentoferry/http/exchange.hpp"
 #include "pimentoferry/requests/retry_budget.hpp"
 #include "pimentoferry/routing/replica_picker.hpp"
+#include "pimentoferry/store/availability.hpp"
 
 #include <cstdint>
 #include <map>
@@ -49,6 +50,10 @@
     /// A random number in [0, 1).
     double random_fraction();
 
+    /// The age of the view of the instances, for log lines: the time in ms
+    /// since the store last answered this gateway or a peer, or "none".
+    std::string view_age(base::time_point now) const;
+
     boost::asio::io_context& io_;
     config::gateway_settings settings_;
     const upstream_protocol protocol_;
@@ -57,6 +62,7 @@
     routing::replica_picker picker_;
     metrics metrics_;
     stream_placement* streams_{nullptr};
+    const store::availability* store_answers_{nullptr};
     bool draining_{false};
     std::uint32_t in_flight_{0};
 
--- a/pimentoferry/gateway/store_follower.cpp
+++ b/pimentoferry/gateway/store_follower.cpp
@@ -127,6 +127,13 @@
     const auto now = base::clock::now();
     failures_ = responded ? 0 : failures_ + 1;
     responded_at_ = responded ? now : responded_at_;
+    const auto span_before = availability_.span();
+    if (responded) {
+        availability_.record_answer(now);
+    } else {
+        availability_.record_failure(now);
+    }
+    log_availability_change(span_before);
     if (responded == reachable_) {
         return;
     }
@@ -141,6 +148,21 @@
                    {"revision", std::to_string(replica_.at())}});
 }
 
+void store_follower::log_availability_change(
+    const std::optional<store::answering_span>& before) const {
+    const auto& span = availability_.span();
+    if (!span || (before && before->after_outage_ == span->after_outage_ &&
+                  (before->from_ == span->from_ || !span->after_outage_))) {
+        return;
+    }
+    log::log_info("store_answering",
+                  {{"since_ms", std::to_string(base::age_ms(
+                                    span->from_, base::clock::now()))},
+                   {"after_outage", span->after_outage_ ? "yes" : "no"},
+                   {"told_by", std::string{to_string(availability_.source())}},
+                   {"revision", std::to_string(replica_.at())}});
+}
+
 bool store_follower::recently_unavailable(base::time_point now) const {
     const bool outage = !reachable_ && now - lost_at_ >= min_outage_for_lapse;
     return outage || now < recovered_at_ + lapse_window_after_recovery;
@@ -167,7 +189,7 @@
     log::log_info("store_listed", {{"items", std::to_string(items.size())},
                                    {"revision", std::to_string(at)}});
     listed_ = true;
-    on_changes_(replica_.replace(items, at));
+    on_changes_(replica_.replace(items, at), "list");
     co_return true;
 }
 
@@ -185,15 +207,35 @@
     if (changes == nullptr) {
         co_return false;
     }
-    on_changes_(replica_.apply(*changes));
+    on_changes_(replica_.apply(*changes), "watch");
     co_return true;
 }
 
-void store_follower::merge(const store::mirror_delta& delta, bool current) {
+replica_update store_follower::update_since(store::revision since,
+                                            base::time_point now) const {
+    replica_update update{replica_.since(since), current(now), std::nullopt};
+    const auto age = [now](base::time_point at) {
+        return std::chrono::duration_cast<base::milliseconds>(now - at);
+    };
+    if (const auto span = availability_.own_span()) {
+        update.answering_ = answering_report{
+            age(span->from_), age(span->last_answer_), span->after_outage_};
+    }
+    return update;
+}
+
+void store_follower::merge(const replica_update& update) {
+    const auto now = base::clock::now();
+    if (const auto& report = update.answering_) {
+        const auto span_before = availability_.span();
+        availability_.merge({now - report->from_, now - report->last_answer_,
+                             report->after_outage_});
+        log_availability_change(span_before);
+    }
     const auto before = replica_.at();
-    const auto changes = replica_.merge(delta);
-    if (current && replica_.at() >= delta.to_) {
-        confirmed_at_ = base::clock::now();
+    const auto changes = replica_.merge(update.delta_);
+    if (update.current_ && replica_.at() >= update.delta_.to_) {
+        confirmed_at_ = now;
         listed_ = listed_ || replica_.at() > 0;
     }
     if (changes.empty()) {
@@ -203,7 +245,7 @@
                   {{"before", std::to_string(before)},
                    {"revision", std::to_string(replica_.at())},
                    {"changes", std::to_string(changes.size())}});
-    on_changes_(changes);
+    on_changes_(changes, "peer");
 }
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/gateway/store_follower.hpp
+++ b/pimentoferry/gateway/store_follower.hpp
@@ -9,7 +9,7 @@
 ///
 ///     store_follower follower{io, store, counters, options, on_changes};
 ///     follower.start(should_watch);
-///     follower.merge(delta_of_a_peer, current);
+///     follower.merge(update_of_a_peer);
 ///
 /// All functions and handlers run on the thread of the io_context.
 #ifndef PIMENTOFERRY_GATEWAY_STORE_FOLLOWER_HPP
@@ -17,12 +17,16 @@
 
 #include "pimentoferry/base/time.hpp"
 #include "pimentoferry/gateway/metrics.hpp"
+#include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/http/awaitable.hpp"
+#include "pimentoferry/store/availability.hpp"
 #include "pimentoferry/store/http_store.hpp"
 #include "pimentoferry/store/mirror.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace boost::asio {
@@ -42,8 +46,9 @@
 
 class store_follower {
 public:
-    using changes_handler =
-        std::function<void(const std::vector<store::mirror_change>&)>;
+    /// `origin`: "list", "watch" or "peer".
+    using changes_handler = std::function<void(
+        const std::vector<store::mirror_change>&, std::string_view origin)>;
 
     store_follower(boost::asio::io_context& io,
                    store::http_store& store,
@@ -56,9 +61,12 @@
     /// peer confirms its replica.
     void start(std::function<bool()> should_watch);
 
-    /// Merges the changes that a peer sent. `current`: the peer has received a
-    /// response of the store recently.
-    void merge(const store::mirror_delta& delta, bool current);
+    /// Returns what a peer lacks whose replica is complete up to `since`.
+    replica_update update_since(store::revision since,
+                                base::time_point now) const;
+
+    /// Merges the changes that a peer sent, and when the store answered it.
+    void merge(const replica_update& update);
 
     /// Whether the store itself has confirmed the replica recently.
     bool current(base::time_point now) const;
@@ -70,8 +78,8 @@
     /// an outage recently, so that registrations may have lapsed.
     bool recently_unavailable(base::time_point now) const;
 
-    /// Whether the last call to the store was answered.
-    bool reachable() const { return reachable_; }
+    /// When the store answered this gateway or its peers.
+    const store::availability& availability() const { return availability_; }
 
 private:
     http::awaitable<void> run();
@@ -80,6 +88,8 @@
     http::awaitable<store::outcome> call(store::request request,
                                          std::string_view name);
     void record_result(bool responded, std::string_view operation);
+    void log_availability_change(
+        const std::optional<store::answering_span>& before) const;
     base::milliseconds next_backoff();
 
     boost::asio::io_context& io_;
@@ -88,6 +98,7 @@
     store_follower_options options_;
     changes_handler on_changes_;
     store::mirror replica_;
+    store::availability availability_;
     std::function<bool()> should_watch_;
     base::time_point responded_at_; ///< Last response of the store.
     base::time_point confirmed_at_; ///< Last confirmation by a peer.
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -305,6 +305,7 @@
         {{"request", call_.request_.id_},
          {"instance", engine.id_.value_},
          {"outcome", text},
+         {"view_ms", shared_.view_age(began)},
          {"ms", std::to_string(std::chrono::duration_cast<base::milliseconds>(
                                    base::clock::now() - began)
                                    .count())}});
@@ -412,6 +413,7 @@
              {"after_event",
               last_event_sent_ ? std::to_string(*last_event_sent_) : "none"},
              {"outcome", outcome},
+             {"view_ms", shared_.view_age(began)},
              {"ms",
               std::to_string(std::chrono::duration_cast<base::milliseconds>(
                                  base::clock::now() - began)
