Judge a removal by what the fleet knows of the store, not by the own link

Callers: the platform saw requests reach replicas 2,010 to 2,417 ms after the store had acknowledged that they leave (bound 2,000 ms). A replica that exits in that time breaks them off.

Cause: store_follower took the state of the gateway's own calls for the state of the store. The first answered call of a new process counted as the end of an outage that began at the clock's epoch, and a gateway that had lost its link and is confirmed by peers makes no calls, so its outage never ended. Both kept a removed instance for 2 s from when they heard of the removal.

Change: store::availability, which joins the answers of all gateways, is the only place that knows of outages. Kept instances share one deadline, 2.5 s after the return of the store whoever noticed it first; it is applied to those kept already, so a peer's report ends a mistaken keeping. The scheduler is told when a kept engine is no longer used.

The instance_table tests use the new interface with the same checks.

--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -252,13 +252,12 @@
 void gateway_process::on_changes(
     const std::vector<store::mirror_change>& changes, std::string_view origin) {
     const auto now = base::clock::now();
-    const bool store_recently_unavailable = follower_.recently_unavailable(now);
+    shared_.registry_.set_store_return(follower_.availability().returned_at());
     const change_origin received{origin, &follower_.availability()};
     bool configuration_changed = false;
     bool instances_changed = false;
     for (const auto& change : changes) {
-        const auto affected = shared_.registry_.apply(
-            change, received, store_recently_unavailable, now);
+        const auto affected = shared_.registry_.apply(change, received, now);
         configuration_changed =
             configuration_changed || affected == registry_change::configuration;
         instances_changed =
@@ -509,7 +508,10 @@
 
 void gateway_process::tick() {
     const auto now = base::clock::now();
-    shared_.registry_.expire(now);
+    shared_.registry_.set_store_return(follower_.availability().returned_at());
+    if (shared_.registry_.expire(now)) {
+        placement_.set_engines(shared_.registry_, now);
+    }
     const auto routes = shared_.registry_.routes();
     if (!drain_began_) {
         peers_.update_self(false, routes ? routes->version() : 0,
--- a/pimentoferry/gateway/registry.cpp
+++ b/pimentoferry/gateway/registry.cpp
@@ -52,8 +52,7 @@
                       {{"instance", std::string{id}},
                        {"revision", std::to_string(item.revision_)},
                        {"reason", failure->reason_}});
-        instances_.remove(base::upstream_name{std::string{id}}, false,
-                          base::time_point{});
+        instances_.erase(base::upstream_name{std::string{id}});
         return registry_change::instances;
     }
     auto& instance = std::get<routing::instance>(read);
@@ -68,9 +67,13 @@
     return registry_change::instances;
 }
 
+void registry::set_store_return(std::optional<base::time_point> returned_at) {
+    instances_.keep_lapsed_until(returned_at ? *returned_at + lapse_window
+                                             : base::time_point::min());
+}
+
 registry_change registry::apply(const store::mirror_change& change,
                                 const change_origin& origin,
-                                bool store_recently_unavailable,
                                 base::time_point now) {
     if (const auto* written = std::get_if<store::item_written>(&change)) {
         const auto& item = written->item_;
@@ -92,17 +95,18 @@
     const auto returned = origin.store_answers_ != nullptr
                               ? origin.store_answers_->returned_at()
                               : std::nullopt;
+    instances_.remove(id, now);
+    const bool kept = instances_.find_usable(id, now) != nullptr;
     log::log_info(
         "instance_gone",
         {{"instance", id.value_},
-         {"kept", store_recently_unavailable ? "until_reregistration" : "no"},
+         {"kept", kept ? "until_reregistration" : "no"},
          {"received_by", std::string{origin.received_by_}},
          {"store_returned_ms",
           returned ? std::to_string(base::age_ms(*returned, now)) : "none"},
          {"told_by",
           returned ? std::string{to_string(origin.store_answers_->source())}
                    : "none"}});
-    instances_.remove(id, store_recently_unavailable, now);
     return registry_change::instances;
 }
 
--- a/pimentoferry/gateway/registry.hpp
+++ b/pimentoferry/gateway/registry.hpp
@@ -1,8 +1,9 @@
 /// A gateway's view of routes and instances, read from its local replica of the
 /// store's data.
 ///
+///     registry.set_store_return(availability.returned_at());
 ///     for (const auto& change : replica.apply(changes)) {
-///         registry.apply(change, store_recently_unavailable, now);
+///         registry.apply(change, origin, now);
 ///     }
 ///     registry.routes();     // null before the first configuration
 ///     registry.instances();
@@ -21,6 +22,7 @@
 #include "pimentoferry/store/mirror.hpp"
 
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace pimentoferry::gateway {
@@ -28,6 +30,10 @@
 /// The part of the registry that a change of the replica affected.
 enum class registry_change : std::uint8_t { nothing, configuration, instances };
 
+/// Live instances register again within about 2 s after the store's return;
+/// the rest is the time until every gateway has received the registration.
+inline constexpr base::milliseconds lapse_window{2500};
+
 /// How a change reached the gateway, for log lines.
 struct change_origin {
     std::string_view received_by_; ///< "list", "watch" or "peer".
@@ -38,12 +44,15 @@
 public:
     explicit registry(registry_codec codec) : codec_(std::move(codec)) {}
 
-    /// Applies a change of the replica. `store_recently_unavailable`: the store
-    /// was unavailable shortly before, so that a removed registration may only
-    /// have lapsed.
+    /// Sets when the last outage of the store ended; unset if none is known.
+    /// A registration that is removed within `lapse_window` after that may only
+    /// have lapsed, and is kept until the end of the window. Applies to those
+    /// that are kept already, too.
+    void set_store_return(std::optional<base::time_point> returned_at);
+
+    /// Applies a change of the replica.
     registry_change apply(const store::mirror_change& change,
                           const change_origin& origin,
-                          bool store_recently_unavailable,
                           base::time_point now);
 
     /// The routes in force; null before the first configuration. A request
@@ -54,7 +63,8 @@
 
     const routing::instance_table& instances() const { return instances_; }
 
-    void expire(base::time_point now) { instances_.expire(now); }
+    /// Returns whether an instance that was kept is no longer used.
+    bool expire(base::time_point now) { return instances_.expire(now); }
 
 private:
     registry_change apply_configuration(const store::item& item);
--- a/pimentoferry/gateway/registry_test.cpp
+++ b/pimentoferry/gateway/registry_test.cpp
@@ -42,13 +42,26 @@
     CPPUNIT_TEST(an_unreadable_configuration_changes_nothing);
     CPPUNIT_TEST(an_unreadable_registration_removes_its_instance);
     CPPUNIT_TEST(other_keys_are_ignored);
+    CPPUNIT_TEST(a_lapsed_registration_is_kept_until_the_window_ends);
+    CPPUNIT_TEST(a_removal_after_the_window_is_final);
+    CPPUNIT_TEST(a_refuted_outage_ends_the_use_of_kept_instances);
     CPPUNIT_TEST_SUITE_END();
 
     registry registry_{simple_codec()};
+    base::time_point now_{base::milliseconds{60'000}};
+
+    std::size_t usable() const {
+        return registry_.instances()
+            .usable(base::service_name{"desk"}, now_)
+            .size();
+    }
+
+    registry_change remove(const std::string& key) {
+        return registry_.apply(store::item_removed{key}, {}, now_);
+    }
 
     registry_change write(const std::string& key, const std::string& value) {
-        return registry_.apply(store::item_written{{key, value, 1}}, {}, false,
-                               {});
+        return registry_.apply(store::item_written{{key, value, 1}}, {}, now_);
     }
 
     void an_older_configuration_is_ignored() {
@@ -74,8 +87,40 @@
 
     void other_keys_are_ignored() {
         CPPUNIT_ASSERT(write("other", "x") == registry_change::nothing);
-        CPPUNIT_ASSERT(registry_.apply(store::item_removed{"other"}, {}, false,
-                                       {}) == registry_change::nothing);
+        CPPUNIT_ASSERT(remove("other") == registry_change::nothing);
+    }
+
+    // Guards against the removal of every instance after an outage of the
+    // store, during which their registrations lapsed.
+    void a_lapsed_registration_is_kept_until_the_window_ends() {
+        write("instances/a", "ok");
+        registry_.set_store_return(now_ - base::milliseconds{1000});
+        CPPUNIT_ASSERT(remove("instances/a") == registry_change::instances);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+        now_ += lapse_window - base::milliseconds{1000};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+        CPPUNIT_ASSERT(registry_.expire(now_));
+        CPPUNIT_ASSERT(!registry_.expire(now_));
+    }
+
+    // Guards against requests to an instance that left long after the outage.
+    void a_removal_after_the_window_is_final() {
+        write("instances/a", "ok");
+        registry_.set_store_return(now_ - lapse_window);
+        remove("instances/a");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+    }
+
+    // Guards against requests to an instance that left while only this
+    // gateway's link to the store was down, after a peer has told so.
+    void a_refuted_outage_ends_the_use_of_kept_instances() {
+        write("instances/a", "ok");
+        registry_.set_store_return(now_);
+        remove("instances/a");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+        registry_.set_store_return(std::nullopt);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+        CPPUNIT_ASSERT(registry_.expire(now_));
     }
 };
 
--- a/pimentoferry/gateway/store_follower.cpp
+++ b/pimentoferry/gateway/store_follower.cpp
@@ -31,13 +31,9 @@
 // gateway watches the store itself.
 constexpr base::milliseconds confirmation_validity{1300};
 constexpr base::milliseconds confirmation_check_interval{100};
-
-// A registration lapses only when its instance could not renew it for a while,
-// so a shorter outage, such as an interrupted watch, does not explain a
-// removal.
-constexpr base::milliseconds min_outage_for_lapse{1000};
-// Removals received this soon after a longer outage may be lapses.
-constexpr base::milliseconds lapse_window_after_recovery{2500};
+// Joining the reports of peers moves the beginning of a span by the times that
+// messages travel; smaller moves are not logged.
+constexpr base::milliseconds min_logged_move{100};
 
 std::string_view outcome_name(const store::outcome& outcome) {
     return std::visit(
@@ -61,7 +57,9 @@
       on_changes_(std::move(on_changes)) {}
 
 bool store_follower::current(base::time_point now) const {
-    return reachable_ && listed_ && now - responded_at_ < response_validity;
+    const auto own = availability_.own_span();
+    return listed_ && availability_.own_link_up() && own &&
+           now - own->last_answer_ < response_validity;
 }
 
 void store_follower::start(std::function<bool()> should_watch) {
@@ -126,7 +124,7 @@
 void store_follower::record_result(bool responded, std::string_view operation) {
     const auto now = base::clock::now();
     failures_ = responded ? 0 : failures_ + 1;
-    responded_at_ = responded ? now : responded_at_;
+    const bool link_was_up = availability_.own_link_up();
     const auto span_before = availability_.span();
     if (responded) {
         availability_.record_answer(now);
@@ -134,15 +132,10 @@
         availability_.record_failure(now);
     }
     log_availability_change(span_before);
-    if (responded == reachable_) {
+    const bool first_answer = responded && !span_before;
+    if (responded == link_was_up || first_answer) {
         return;
     }
-    reachable_ = responded;
-    if (!responded) {
-        lost_at_ = now;
-    } else if (now - lost_at_ >= min_outage_for_lapse) {
-        recovered_at_ = now;
-    }
     log::log_info(responded ? "store_regained" : "store_lost",
                   {{"operation", std::string{operation}},
                    {"revision", std::to_string(replica_.at())}});
@@ -151,8 +144,10 @@
 void store_follower::log_availability_change(
     const std::optional<store::answering_span>& before) const {
     const auto& span = availability_.span();
-    if (!span || (before && before->after_outage_ == span->after_outage_ &&
-                  (before->from_ == span->from_ || !span->after_outage_))) {
+    const bool same =
+        span && before && before->after_outage_ == span->after_outage_ &&
+        std::chrono::abs(before->from_ - span->from_) < min_logged_move;
+    if (!span || same) {
         return;
     }
     log::log_info("store_answering",
@@ -163,11 +158,6 @@
                    {"revision", std::to_string(replica_.at())}});
 }
 
-bool store_follower::recently_unavailable(base::time_point now) const {
-    const bool outage = !reachable_ && now - lost_at_ >= min_outage_for_lapse;
-    return outage || now < recovered_at_ + lapse_window_after_recovery;
-}
-
 http::awaitable<bool> store_follower::list_all() {
     std::vector<store::item> items;
     store::revision at = 0;
--- a/pimentoferry/gateway/store_follower.hpp
+++ b/pimentoferry/gateway/store_follower.hpp
@@ -74,10 +74,6 @@
     /// Empty, at revision 0, before the first listing or update.
     const store::mirror& replica() const { return replica_; }
 
-    /// Whether the store has not responded for a while, or recovered from such
-    /// an outage recently, so that registrations may have lapsed.
-    bool recently_unavailable(base::time_point now) const;
-
     /// When the store answered this gateway or its peers.
     const store::availability& availability() const { return availability_; }
 
@@ -100,14 +96,10 @@
     store::mirror replica_;
     store::availability availability_;
     std::function<bool()> should_watch_;
-    base::time_point responded_at_; ///< Last response of the store.
     base::time_point confirmed_at_; ///< Last confirmation by a peer.
     bool listed_{false};
-    bool reachable_{false};
     std::uint32_t failures_{0};
     std::uint64_t backoff_count_{0};
-    base::time_point lost_at_;
-    base::time_point recovered_at_;
 };
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/routing/instance_table.cpp
+++ b/pimentoferry/routing/instance_table.cpp
@@ -8,11 +8,10 @@
 void instance_table::put(instance registered) {
     auto id = registered.id_;
     records_.insert_or_assign(std::move(id),
-                              record{std::move(registered), std::nullopt});
+                              record{std::move(registered), false});
 }
 
 void instance_table::remove(const base::upstream_name& id,
-                            bool source_disturbed,
                             base::time_point now) {
     const auto found = records_.find(id);
     if (found == records_.end()) {
@@ -20,15 +19,14 @@
     }
     // A draining instance has announced that it leaves and does not register
     // again.
-    if (!source_disturbed || found->second.instance_.draining_) {
+    if (now >= lapsed_kept_until_ || found->second.instance_.draining_) {
         records_.erase(found);
-    } else if (!found->second.kept_until_) {
-        found->second.kept_until_ = now + reregistration_time;
+    } else {
+        found->second.lapsed_ = true;
     }
 }
 
 void instance_table::retain(const std::vector<base::upstream_name>& ids,
-                            bool source_disturbed,
                             base::time_point now) {
     const std::set<base::upstream_name> kept{ids.begin(), ids.end()};
     std::vector<base::upstream_name> removed;
@@ -37,12 +35,12 @@
             removed.push_back(id);
         }
     }
-    std::ranges::for_each(
-        removed, [&](const auto& id) { remove(id, source_disturbed, now); });
+    std::ranges::for_each(removed, [&](const auto& id) { remove(id, now); });
 }
 
-bool instance_table::is_usable(const record& entry, base::time_point now) {
-    const bool expired = entry.kept_until_ && *entry.kept_until_ <= now;
+bool instance_table::is_usable(const record& entry,
+                               base::time_point now) const {
+    const bool expired = entry.lapsed_ && now >= lapsed_kept_until_;
     return !entry.instance_.draining_ && !expired;
 }
 
@@ -66,10 +64,10 @@
                : nullptr;
 }
 
-void instance_table::expire(base::time_point now) {
-    std::erase_if(records_, [now](const auto& entry) {
-        return entry.second.kept_until_ && *entry.second.kept_until_ <= now;
-    });
+bool instance_table::expire(base::time_point now) {
+    return std::erase_if(records_, [&](const auto& entry) {
+               return entry.second.lapsed_ && now >= lapsed_kept_until_;
+           }) > 0;
 }
 
 } // namespace pimentoferry::routing
--- a/pimentoferry/routing/instance_table.hpp
+++ b/pimentoferry/routing/instance_table.hpp
@@ -3,12 +3,15 @@
 /// Instances register themselves, and the registrations reach the gateway
 /// through a source that can be unavailable for a while. An instance that
 /// drains or deregisters receives no new requests from the moment at which the
-/// gateway learns of it. A registration that expires while the source is
-/// unavailable or slow is kept for a short time, because a live instance
-/// registers again soon after the source has recovered.
+/// gateway learns of it. A registration that lapsed during an outage of the
+/// source is kept until shortly after the source returned, because a live
+/// instance registers again by then. The table does not know of outages: it is
+/// told until when removals may be lapses, and applies a later correction to
+/// the registrations that it keeps already.
 ///
 ///     instances.put(instance);
-///     instances.remove(id, source_disturbed, now);
+///     instances.keep_lapsed_until(source_returned + window);
+///     instances.remove(id, now);
 ///     for (const auto* each : instances.usable(service, now)) { ... }
 ///
 /// The returned pointers are valid until the table is changed.
@@ -45,25 +48,26 @@
     friend bool operator==(const instance&, const instance&) = default;
 };
 
-/// Time for which an expired registration is still used after the source
-/// recovered. Live instances register again within about two seconds.
-inline constexpr base::milliseconds reregistration_time{2000};
-
 class instance_table {
 public:
     /// Adds or replaces a registration.
     void put(instance registered);
 
+    /// Removals before `until` may be lapses; the removed instances are used
+    /// until then. A time in the past ends the use of all of them.
+    void keep_lapsed_until(base::time_point until) {
+        lapsed_kept_until_ = until;
+    }
+
     /// Records that the registration was removed from the source.
-    /// `source_disturbed`: the source was unavailable or slow shortly before,
-    /// so the registration may only have expired.
-    void remove(const base::upstream_name& id,
-                bool source_disturbed,
-                base::time_point now);
+    void remove(const base::upstream_name& id, base::time_point now);
+
+    /// Removes an instance that cannot be used, whatever the state of the
+    /// source.
+    void erase(const base::upstream_name& id) { records_.erase(id); }
 
     /// Removes every instance that is not in `ids`, as `remove` does.
     void retain(const std::vector<base::upstream_name>& ids,
-                bool source_disturbed,
                 base::time_point now);
 
     /// Returns the instances of a service that may receive new requests.
@@ -74,21 +78,22 @@
     const instance* find_usable(const base::upstream_name& id,
                                 base::time_point now) const;
 
-    /// Erases expired registrations that are no longer kept.
-    void expire(base::time_point now);
+    /// Erases lapsed registrations that are no longer kept. Returns whether
+    /// there were any.
+    bool expire(base::time_point now);
 
     std::size_t size() const { return records_.size(); }
 
 private:
     struct record {
         instance instance_;
-        /// Set when the registration has expired: until when it is still used.
-        std::optional<base::time_point> kept_until_;
+        bool lapsed_{false};
     };
 
-    static bool is_usable(const record& entry, base::time_point now);
+    bool is_usable(const record& entry, base::time_point now) const;
 
     std::map<base::upstream_name, record> records_;
+    base::time_point lapsed_kept_until_{base::time_point::min()};
 };
 
 } // namespace pimentoferry::routing
--- a/pimentoferry/routing/instance_table_test.cpp
+++ b/pimentoferry/routing/instance_table_test.cpp
@@ -39,31 +39,34 @@
     // Guards against requests to a replica that leaves without draining first.
     void a_removed_instance_gets_no_new_requests() {
         table_.put(make_instance("a"));
-        table_.remove(base::upstream_name{"a"}, false, now_);
+        table_.remove(base::upstream_name{"a"}, now_);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
     }
 
     // Guards against the removal of every replica after an outage of the store.
     void an_expired_registration_is_kept_for_a_while() {
         table_.put(make_instance("a"));
-        table_.remove(base::upstream_name{"a"}, true, now_);
+        constexpr base::milliseconds kept{2000};
+        table_.keep_lapsed_until(now_ + kept);
+        table_.remove(base::upstream_name{"a"}, now_);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
-        now_ += reregistration_time;
+        now_ += kept;
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
-        table_.expire(now_);
+        CPPUNIT_ASSERT(table_.expire(now_));
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, table_.size());
     }
 
     void a_draining_instance_is_removed_at_once() {
         table_.put(make_instance("a", true));
-        table_.remove(base::upstream_name{"a"}, true, now_);
+        table_.keep_lapsed_until(now_ + base::milliseconds{2000});
+        table_.remove(base::upstream_name{"a"}, now_);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, table_.size());
     }
 
     void retain_removes_instances_that_are_not_listed() {
         table_.put(make_instance("a"));
         table_.put(make_instance("b"));
-        table_.retain({base::upstream_name{"b"}}, false, now_);
+        table_.retain({base::upstream_name{"b"}}, now_);
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
         CPPUNIT_ASSERT(table_.find_usable(base::upstream_name{"b"}, now_) !=
                        nullptr);
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -60,6 +60,8 @@
     CPPUNIT_TEST(caller_disconnect_cancels_the_call_at_the_replica);
     CPPUNIT_TEST(draining_gateway_completes_accepted_requests);
     CPPUNIT_TEST(draining_replica_receives_no_new_calls);
+    CPPUNIT_TEST(removed_replica_gets_no_calls_from_a_restarted_gateway);
+    CPPUNIT_TEST(removed_replica_gets_no_calls_from_a_gateway_without_store);
     CPPUNIT_TEST(all_gateways_recover_after_all_are_killed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -345,6 +347,40 @@
         }
     }
 
+    /// Removes a replica from the store and checks that calls which a gateway
+    /// receives 1 s later, half of the platform's drain time, run elsewhere.
+    void check_removal_at(std::size_t gateway) {
+        const auto leaving = system_->replicas()[0].id_;
+        system_->withdraw_replica(leaving);
+        std::this_thread::sleep_for(1000ms);
+        for (int i = 0; i < 8; ++i) {
+            const auto answer = system_->call(gateway, "/book/1", next_id());
+            CPPUNIT_ASSERT_EQUAL(status_ok, answer.status_);
+            CPPUNIT_ASSERT(!answer.body_.starts_with(leaving + " "));
+        }
+    }
+
+    // Guards against a gateway that takes the first answer of the store for the
+    // end of an outage, and keeps a removed replica in use.
+    void removed_replica_gets_no_calls_from_a_restarted_gateway() {
+        system_->gateway(1).signal(SIGKILL);
+        system_->gateway(1).wait(2s);
+        system_->restart_gateway(1);
+        CPPUNIT_ASSERT(wait_for([this] { return system_->is_ready(1); }, 4s));
+        check_removal_at(1);
+    }
+
+    // Guards against a gateway that takes the loss of its link to the store for
+    // an outage of the store, and keeps a removed replica in use.
+    void removed_replica_gets_no_calls_from_a_gateway_without_store() {
+        constexpr std::uint16_t port_without_listener = 1;
+        system_.emplace(gateway_fleet_options{.route_timeout_ = 2000ms});
+        CPPUNIT_ASSERT(system_->start_standins());
+        system_->ports(1).store_ = port_without_listener;
+        CPPUNIT_ASSERT(system_->start_gateways());
+        check_removal_at(1);
+    }
+
     // Guards against required state that exists only in the processes.
     void all_gateways_recover_after_all_are_killed() {
         for (std::size_t i = 0; i < system_->gateway_count(); ++i) {
