Pass on what is known of an outage together with the data of the store

Cause: a gateway that had heard of the return of the store from a peer reported no span until its own next call was answered, but passed on the changes. Their receiver took the lapses for final removals.

Change: a report always accompanies the data. It ends with the sender's own last answer, or with the first one of the span, so that reports do not refresh each other.

Test: outage_is_reported_by_a_gateway_that_heard_of_it, written with the change; the interface before had no report to send in that case.

--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -63,7 +63,7 @@
 struct replica_update {
     store::mirror_delta delta_;
     bool current_{false};
-    /// Unset if the store has not answered the sender in the span it knows.
+    /// Unset if the sender knows of no answer of the store.
     std::optional<answering_report> answering_;
     template <class Self>
     static auto fields(Self& self) {
--- a/pimentoferry/gateway/store_follower.cpp
+++ b/pimentoferry/gateway/store_follower.cpp
@@ -57,9 +57,9 @@
       on_changes_(std::move(on_changes)) {}
 
 bool store_follower::current(base::time_point now) const {
-    const auto own = availability_.own_span();
-    return listed_ && availability_.own_link_up() && own &&
-           now - own->last_answer_ < response_validity;
+    const auto& own_answer = availability_.last_own_answer();
+    return listed_ && availability_.own_link_up() && own_answer &&
+           now - *own_answer < response_validity;
 }
 
 void store_follower::start(std::function<bool()> should_watch) {
@@ -207,7 +207,7 @@
     const auto age = [now](base::time_point at) {
         return std::chrono::duration_cast<base::milliseconds>(now - at);
     };
-    if (const auto span = availability_.own_span()) {
+    if (const auto span = availability_.report()) {
         update.answering_ = answering_report{
             age(span->from_), age(span->last_answer_), span->after_outage_};
     }
--- a/pimentoferry/store/availability.cpp
+++ b/pimentoferry/store/availability.cpp
@@ -72,12 +72,13 @@
     }
 }
 
-std::optional<answering_span> availability::own_span() const {
-    if (!span_ || !last_own_answer_ || *last_own_answer_ < span_->from_) {
+std::optional<answering_span> availability::report() const {
+    if (!span_) {
         return std::nullopt;
     }
-    return answering_span{span_->from_, *last_own_answer_,
-                          span_->after_outage_};
+    const auto last =
+        std::max(last_own_answer_.value_or(span_->from_), span_->from_);
+    return answering_span{span_->from_, last, span_->after_outage_};
 }
 
 std::optional<base::time_point> availability::returned_at() const {
--- a/pimentoferry/store/availability.hpp
+++ b/pimentoferry/store/availability.hpp
@@ -10,7 +10,7 @@
 ///     availability known;
 ///     known.record_failure(now);            // own calls
 ///     known.record_answer(now);
-///     send(peer, known.own_span());         // times as ages
+///     send(peer, known.report());           // times as ages
 ///     known.merge(span_of_peer);
 ///     known.returned_at();                  // end of an outage
 ///
@@ -59,10 +59,16 @@
     /// Who reported the beginning of the span.
     told_by source() const { return source_; }
 
-    /// The span for peers: it ends with the last answer to this instance.
-    /// Reports of peers are not passed on, because each hop would make the last
-    /// answer appear more recent. Unset without an answer in the span.
-    std::optional<answering_span> own_span() const;
+    /// The span for peers; it has to accompany data of the store that an
+    /// instance passes on. Its last answer is the last one to this instance in
+    /// the span, or the first one to anyone: passing on later ones would make
+    /// them appear more recent with each hop.
+    std::optional<answering_span> report() const;
+
+    /// The last answer to this instance; unset before the first.
+    const std::optional<base::time_point>& last_own_answer() const {
+        return last_own_answer_;
+    }
 
     /// End of the last outage of the store; unset if none is known.
     std::optional<base::time_point> returned_at() const;
