--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/gateway/stream_relay.hpp"
 
 #include "pimentoferry/base/overloaded.hpp"
+#include "pimentoferry/gateway/engine_check.hpp"
 #include "pimentoferry/gateway/event_splitter.hpp"
 #include "pimentoferry/http/proxy.hpp"
 #include "pimentoferry/log/log.hpp"
@@ -53,10 +54,13 @@
     /// The engine sent bytes without end, so further streams would not get an
     /// answer either.
     bool engine_faulty_{false};
+    /// The engine closed the connection before the first event.
+    bool before_first_event_{false};
 };
-stream_broken broken_by(const http::call_failure& failure) {
+stream_broken broken_by(const http::call_failure& failure, bool any_event) {
     return {std::string{to_string(failure.kind_)},
-            failure.kind_ == http::failure_kind::too_large};
+            failure.kind_ == http::failure_kind::too_large,
+            failure.kind_ == http::failure_kind::broken && !any_event};
 }
 
 struct caller_disconnect {};
@@ -166,6 +170,8 @@
     http::awaitable<void> finish(stream_outcome outcome);
     http::awaitable<void>
     refuse_placement(const placement::stream_refusal& refused);
+    http::awaitable<void>
+    examine_lost_answer(const base::upstream_name& engine);
     bool may_continue(const stream_outcome& outcome) const;
     http::call_options options_until(base::time_point limit) const;
     send_options send_options_for(const base::upstream_name& engine) const;
@@ -181,6 +187,8 @@
     std::optional<std::uint64_t> last_event_sent_;
     /// Whether this request has sent any event to the caller.
     bool any_event_sent_{false};
+    /// Where the last decode was sent.
+    base::upstream_name decode_engine_;
 };
 
 bool stream_call::caller_disconnected() const {
@@ -350,7 +358,7 @@
             if (failure->kind_ == http::failure_kind::cancelled) {
                 co_return caller_disconnect{};
             }
-            co_return broken_by(*failure);
+            co_return broken_by(*failure, !first);
         }
         if (std::holds_alternative<http::body_end>(chunk)) {
             if (events.incomplete_bytes() != 0) {
@@ -394,6 +402,7 @@
                          base::attempt_id attempt,
                          placement_guard& guard) {
     const auto began = base::clock::now();
+    decode_engine_ = engine.id_;
     const auto options = send_options_for(engine.id_);
     auto request =
         source ? shared_.protocol_.decode_call_(call_.exchange_.call(), *source,
@@ -429,7 +438,7 @@
                                      placement::decode_rejection::unreachable};
         }
         ++possible_runs_;
-        co_return broken_by(*failure);
+        co_return broken_by(*failure, false);
     }
     auto& answer = std::get<http::open_answer>(opened);
     const auto meaning =
@@ -538,6 +547,8 @@
     if (const auto* broken = std::get_if<stream_broken>(&outcome);
         broken != nullptr && broken->engine_faulty_) {
         shared_.streams_->engine_failed(call_.service_, grant.decode_);
+    } else if (broken != nullptr && broken->before_first_event_) {
+        co_await examine_lost_answer(decode_engine_);
     }
     if (source && possible_runs_ == possible_runs_before) {
         release_prefill_result(*source, grant.prefill_);
@@ -545,6 +556,27 @@
     co_return outcome;
 }
 
+// A decode engine closed the connection before the first event: it crashed, or
+// broke off this answer alone.
+http::awaitable<void>
+stream_call::examine_lost_answer(const base::upstream_name& engine) {
+    const auto found = find_engine(engine);
+    auto state = engine_state::gone;
+    if (found) {
+        state = co_await check_engine(shared_, *found);
+    }
+    const auto prompt = call_.request_.prompt_.value_or(model_prompt{});
+    std::string parts;
+    for (const auto part : prompt.parts_) {
+        parts += (parts.empty() ? "" : ",") + base::to_hex(part);
+    }
+    log::log_warn("answer_lost_at_begin",
+                  {{"request", call_.request_.id_},
+                   {"instance", engine.value_},
+                   {"engine", std::string{to_string(state)}},
+                   {"prompt_parts", parts.empty() ? "none" : parts}});
+}
+
 bool stream_call::may_continue(const stream_outcome& outcome) const {
     if (std::holds_alternative<stream_not_run>(outcome)) {
         return !call_.exchange_.begun() || call_.route_.resumable_;
--- a/pimentoferry/gateway/upstream_protocol.hpp
+++ b/pimentoferry/gateway/upstream_protocol.hpp
@@ -12,6 +12,7 @@
 #include "pimentoferry/http/message.hpp"
 #include "pimentoferry/placement/events.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -22,7 +23,10 @@
 
 namespace pimentoferry::gateway {
 
-/// The size of a model request.
+/// Maximum number of parts of a prompt that are looked at.
+inline constexpr std::size_t max_prompt_parts = 32;
+
+/// The prompt of a model request.
 struct model_prompt {
     std::uint32_t prompt_tokens_{0};
     std::uint32_t max_output_tokens_{0};
@@ -31,6 +35,9 @@
     std::uint32_t expected_output_tokens_{0};
     /// Identifies the prompt, also when its caller sends it again; 0: unknown.
     std::uint64_t id_{0};
+    /// Ids of the parts that other prompts may have, too, in order. At most
+    /// `max_prompt_parts` are kept.
+    std::vector<std::uint64_t> parts_;
 };
 
 /// The parts of a caller's request that the gateway uses.
