Refuse requests with a part of a prompt that crashes engines

Cause: nothing counted crashes by what the requests share. Each request is new, so limits of attempts never apply; in addition, a gateway sent a resumable request again after a crash.

Change: an answer that is lost before its first event is followed by a question to the engine; an engine that is gone has crashed. requests::prompt_quarantine blames those parts of the request that no answer has begun with since the last crash; a part with two crashes is quarantined for 20 s, then twice as long, and for two hours after five. Parts blamed for the same crashes are tied, and only requests with all of them are refused. An answer that begins clears its parts. After a quarantine one request is tried. gateway::crash_guard sends marks to all gateways at once and all marks to one every 500 ms. requests::quarantine keeps the marks, as for the request table. The refusal is 503 quarantined, not run; a suspect request is not sent again. A crashed engine is reported to the scheduler at once.

--- /dev/null
+++ b/pimentoferry/gateway/crash_guard.cpp
@@ -0,0 +1,155 @@
+#include "pimentoferry/gateway/crash_guard.hpp"
+
+#include "pimentoferry/log/log.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace pimentoferry::gateway {
+
+namespace {
+
+constexpr base::milliseconds exchange_interval{500};
+
+// Engines that crashed are back after some seconds. The quarantine doubles with
+// each crash; a part that has crashed five engines is not tried again for two
+// hours.
+constexpr base::milliseconds first_quarantine{20'000};
+constexpr base::milliseconds longest_quarantine{7'200'000};
+constexpr std::uint8_t crashes_to_longest = 5;
+
+requests::quarantine_limits guard_limits() {
+    requests::quarantine_limits limits;
+    limits.first_quarantine_ = first_quarantine;
+    limits.longest_quarantine_ = longest_quarantine;
+    limits.crashes_to_longest_ = crashes_to_longest;
+    return limits;
+}
+
+requests::prompt_parts parts_of(const caller_request& request) {
+    return request.prompt_ ? requests::prompt_parts{request.prompt_->parts_,
+                                                    request.prompt_->id_}
+                           : requests::prompt_parts{};
+}
+
+blamed_parts to_message(const std::vector<requests::crash_mark>& marks) {
+    blamed_parts message;
+    std::ranges::transform(
+        marks, std::back_inserter(message.marks_),
+        [](const requests::crash_mark& mark) {
+            return part_mark{mark.fingerprint_, mark.crashes_, mark.remaining_};
+        });
+    return message;
+}
+
+} // namespace
+
+std::string parts_text(const caller_request& request) {
+    std::string text;
+    for (const auto part : parts_of(request).shared_) {
+        text += (text.empty() ? "" : ",") + base::to_hex(part);
+    }
+    return text.empty() ? "none" : text;
+}
+
+crash_guard::crash_guard(peers& peer_gateways, metrics& counters)
+    : peers_(peer_gateways), counters_(counters), marks_(guard_limits()) {}
+
+std::optional<base::milliseconds>
+crash_guard::refused_for(const caller_request& request,
+                         base::time_point now) const {
+    return marks_.refused_for(parts_of(request), now);
+}
+
+std::optional<base::milliseconds>
+crash_guard::admit(const caller_request& request, base::time_point now) {
+    return marks_.admit(parts_of(request), now);
+}
+
+bool crash_guard::is_suspect(const caller_request& request,
+                             base::time_point now) const {
+    return marks_.is_suspect(parts_of(request), now);
+}
+
+void crash_guard::log_mark(const requests::crash_mark& mark,
+                           std::string_view told_by) const {
+    log::log_warn("part_blamed",
+                  {{"part", base::to_hex(mark.fingerprint_)},
+                   {"crashes", std::to_string(mark.crashes_)},
+                   {"remaining_ms", std::to_string(mark.remaining_.count())},
+                   {"told_by", std::string{told_by}}});
+}
+
+void crash_guard::engine_crashed(const caller_request& request,
+                                 const base::upstream_name& engine,
+                                 base::time_point now) {
+    const auto raised = marks_.record_crash(parts_of(request), now);
+    log::log_warn("engine_crashed_at_begin",
+                  {{"request", request.id_},
+                   {"instance", engine.value_},
+                   {"prompt_parts", parts_text(request)},
+                   {"marks", std::to_string(raised.size())}});
+    for (const auto& mark : raised) {
+        log_mark(mark, "own_request");
+    }
+    if (!raised.empty()) {
+        peers_.send_to_all(to_message(raised));
+    }
+}
+
+void crash_guard::answer_began(const caller_request& request,
+                               base::time_point now) {
+    const auto cleared = marks_.record_begin(parts_of(request), now);
+    if (cleared.empty()) {
+        return;
+    }
+    for (const auto part : cleared) {
+        log::log_info("part_cleared",
+                      {{"part", base::to_hex(part)}, {"request", request.id_}});
+    }
+    peers_.send_to_all(sound_parts{cleared});
+}
+
+void crash_guard::receive(base::instance_id from, const blamed_parts& message) {
+    const auto now = base::clock::now();
+    sound_parts refuted;
+    for (const auto& received : message.marks_) {
+        const requests::crash_mark mark{received.part_, received.crashes_,
+                                        received.remaining_};
+        switch (marks_.merge(mark, now)) {
+        case requests::merge_result::changed:
+            log_mark(mark, base::to_hex(from.value_));
+            break;
+        case requests::merge_result::refuted:
+            refuted.parts_.push_back(received.part_);
+            break;
+        case requests::merge_result::unchanged:
+            break;
+        }
+    }
+    if (!refuted.parts_.empty()) {
+        peers_.send(from, std::move(refuted));
+    }
+}
+
+void crash_guard::receive(const sound_parts& message) {
+    const auto now = base::clock::now();
+    std::ranges::for_each(message.parts_, [&](std::uint64_t part) {
+        marks_.merge_sound(part, now);
+    });
+}
+
+void crash_guard::tick(base::time_point now) {
+    if (now < next_exchange_) {
+        return;
+    }
+    next_exchange_ = now + exchange_interval;
+    const auto marks = marks_.marks(now);
+    counters_.set_gauge("blamed_prompt_parts",
+                        static_cast<double>(marks.size()));
+    if (!marks.empty()) {
+        peers_.send_to_random(to_message(marks));
+    }
+}
+
+} // namespace pimentoferry::gateway
--- /dev/null
+++ b/pimentoferry/gateway/crash_guard.hpp
@@ -0,0 +1,72 @@
+/// Shares among the gateways which parts of prompts crash engines.
+///
+/// A mark is sent to all gateways when it is set or raised, and one of the
+/// others receives all marks every 500 ms, so that gateways that have started
+/// or were cut off have them soon. `requests::prompt_quarantine` decides.
+///
+/// Alternatives considered: the owner of a service's scheduler sees all streams
+/// but is replaced when it is lost, and others place streams without it. A key
+/// in the store cannot be written while the store is away.
+#ifndef PIMENTOFERRY_GATEWAY_CRASH_GUARD_HPP
+#define PIMENTOFERRY_GATEWAY_CRASH_GUARD_HPP
+
+#include "pimentoferry/base/ids.hpp"
+#include "pimentoferry/base/time.hpp"
+#include "pimentoferry/gateway/metrics.hpp"
+#include "pimentoferry/gateway/peers.hpp"
+#include "pimentoferry/gateway/upstream_protocol.hpp"
+#include "pimentoferry/requests/prompt_quarantine.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pimentoferry::gateway {
+
+class crash_guard {
+public:
+    crash_guard(peers& peer_gateways, metrics& counters);
+
+    /// How long a request is refused because of a part of its prompt; unset if
+    /// it is not.
+    std::optional<base::milliseconds> refused_for(const caller_request& request,
+                                                  base::time_point now) const;
+
+    /// As `refused_for`, for a new request, see `prompt_quarantine::admit`.
+    std::optional<base::milliseconds> admit(const caller_request& request,
+                                            base::time_point now);
+
+    /// Whether a part of the request was blamed for a crash, so that another
+    /// send may cost another engine.
+    bool is_suspect(const caller_request& request, base::time_point now) const;
+
+    /// The engine crashed as it began to answer the request.
+    void engine_crashed(const caller_request& request,
+                        const base::upstream_name& engine,
+                        base::time_point now);
+
+    /// The first event of the answer to the request arrived.
+    void answer_began(const caller_request& request, base::time_point now);
+
+    void receive(base::instance_id from, const blamed_parts& message);
+    void receive(const sound_parts& message);
+
+    /// Must be called at least every 100 ms.
+    void tick(base::time_point now);
+
+private:
+    void log_mark(const requests::crash_mark& mark,
+                  std::string_view told_by) const;
+
+    peers& peers_;
+    metrics& counters_;
+    requests::prompt_quarantine marks_;
+    base::time_point next_exchange_;
+};
+
+/// The parts of a prompt as the caller names them, for log lines.
+std::string parts_text(const caller_request& request);
+
+} // namespace pimentoferry::gateway
+
+#endif
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/gateway/gateway.hpp"
 
 #include "pimentoferry/config/parse.hpp"
+#include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/directory.hpp"
 #include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/gateway/plain_relay.hpp"
@@ -120,6 +121,7 @@
     registration registration_;
     peers peers_;
     stream_placement placement_;
+    crash_guard crashes_;
     stage_orders orders_;
     asio::signal_set signals_;
     asio::steady_timer timer_;
@@ -163,9 +165,11 @@
                     settings.peer_address_),
       peers_(io_, settings, self, make_peer_handlers()),
       placement_(io_, peers_, shared_.metrics_, settings.region_),
+      crashes_(peers_, shared_.metrics_),
       orders_(shared_, store_, base::to_hex(self.value_)),
       signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_) {
     shared_.streams_ = &placement_;
+    shared_.crashes_ = &crashes_;
     shared_.store_answers_ = &follower_.availability();
 }
 
@@ -184,6 +188,13 @@
     handlers.on_stream_reply_ = [this](const placement::stream_reply& reply) {
         placement_.receive(reply);
     };
+    handlers.on_blamed_parts_ = [this](base::instance_id from,
+                                       const blamed_parts& message) {
+        crashes_.receive(from, message);
+    };
+    handlers.on_sound_parts_ = [this](const sound_parts& message) {
+        crashes_.receive(message);
+    };
     handlers.on_member_ = [this](const membership::member& member) {
         placement_.member_changed(member);
         shared_.update_fleet_size(
@@ -519,6 +530,7 @@
     }
     peers_.tick(follower_.replica().at(), now);
     placement_.tick(now);
+    crashes_.tick(now);
     if (drain_began_) {
         stop_when_idle(now);
     }
--- a/pimentoferry/gateway/peers.cpp
+++ b/pimentoferry/gateway/peers.cpp
@@ -107,15 +107,32 @@
                             random_);
     };
     add_random(watchers());
-    std::vector<base::instance_id> all;
-    std::ranges::transform(swim_.live(), std::back_inserter(all),
-                           &membership::member::instance_);
-    add_random(all);
+    add_random(others());
     for (const auto to : targets) {
         send(to, replica_position{replica_at});
     }
 }
 
+std::vector<base::instance_id> peers::others() const {
+    std::vector<base::instance_id> found;
+    std::ranges::transform(swim_.live(), std::back_inserter(found),
+                           &membership::member::instance_);
+    std::erase(found, self());
+    return found;
+}
+
+void peers::send_to_all(const peer_message& message) {
+    std::ranges::for_each(others(), [&](auto to) { send(to, message); });
+}
+
+void peers::send_to_random(peer_message message) {
+    std::vector<base::instance_id> chosen;
+    std::ranges::sample(others(), std::back_inserter(chosen), 1, random_);
+    for (const auto to : chosen) {
+        send(to, std::move(message));
+    }
+}
+
 std::vector<base::instance_id> peers::watchers() const {
     // A watcher forwards each change to many gateways.
     auto live = membership::strongest(swim_.live());
@@ -222,7 +239,9 @@
             },
             [&](const placement::stream_reply& m) {
                 handlers_.on_stream_reply_(m);
-            }},
+            },
+            [&](const blamed_parts& m) { handlers_.on_blamed_parts_(from, m); },
+            [&](const sound_parts& m) { handlers_.on_sound_parts_(m); }},
         received.message_);
 }
 
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -81,12 +81,43 @@
     }
 };
 
+/// See `requests::crash_mark`.
+struct part_mark {
+    std::uint64_t part_{0};
+    std::uint8_t crashes_{0};
+    base::milliseconds remaining_{0};
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.part_, self.crashes_, self.remaining_);
+    }
+};
+
+/// Parts of prompts that the sender blames for crashes of engines.
+struct blamed_parts {
+    std::vector<part_mark> marks_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.marks_);
+    }
+};
+
+/// Parts with which an answer began after they were blamed.
+struct sound_parts {
+    std::vector<std::uint64_t> parts_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.parts_);
+    }
+};
+
 /// New alternatives are added at the end.
 using peer_message = std::variant<membership::message,
                                   replica_position,
                                   replica_update,
                                   service_stream_message,
-                                  placement::stream_reply>;
+                                  placement::stream_reply,
+                                  blamed_parts,
+                                  sound_parts>;
 
 struct peer_handlers {
     /// Returns the changes in this gateway's replica after `since`.
@@ -95,6 +126,9 @@
     std::function<void(base::instance_id from, service_stream_message)>
         on_stream_message_;
     std::function<void(const placement::stream_reply&)> on_stream_reply_;
+    std::function<void(base::instance_id from, const blamed_parts&)>
+        on_blamed_parts_;
+    std::function<void(const sound_parts&)> on_sound_parts_;
     /// A gateway joined or left, began to drain, or is suspected or dead.
     std::function<void(const membership::member&)> on_member_;
 };
@@ -134,6 +168,12 @@
     /// available.
     void send(base::instance_id to, peer_message message);
 
+    /// Sends to every other live gateway.
+    void send_to_all(const peer_message& message);
+
+    /// Sends to one other live gateway, chosen at random.
+    void send_to_random(peer_message message);
+
     /// Live gateways, including this one.
     std::vector<membership::member> live() const { return swim_.live(); }
 
@@ -145,6 +185,7 @@
     void perform(const membership::send_message& action);
     void compare_replicas(store::revision replica_at);
     std::vector<base::instance_id> watchers() const;
+    std::vector<base::instance_id> others() const;
 
     boost::asio::io_context& io_;
     peer_handlers handlers_;
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -32,6 +32,8 @@
 requests::retry_limits retry_share(const config::retry_settings& fleet,
                                    std::uint32_t gateways);
 
+class crash_guard;
+
 struct runtime {
     runtime(boost::asio::io_context& io,
             const config::gateway_settings& settings,
@@ -62,6 +64,7 @@
     routing::replica_picker picker_;
     metrics metrics_;
     stream_placement* streams_{nullptr};
+    crash_guard* crashes_{nullptr};
     const store::availability* store_answers_{nullptr};
     bool draining_{false};
     std::uint32_t in_flight_{0};
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/gateway/stream_relay.hpp"
 
 #include "pimentoferry/base/overloaded.hpp"
+#include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/engine_check.hpp"
 #include "pimentoferry/gateway/event_splitter.hpp"
 #include "pimentoferry/http/proxy.hpp"
@@ -34,6 +35,10 @@
 constexpr std::uint32_t max_decode_sends = 3;
 
 constexpr base::milliseconds no_engine_retry_after{1500};
+// After the end of a quarantine one request is tried first; the callers that
+// were refused come back later than that, and not all at once.
+constexpr base::milliseconds quarantine_retry_margin{5000};
+constexpr base::milliseconds quarantine_retry_spread{5000};
 
 // Responses to prefills and releases have a few fields.
 constexpr std::size_t control_body_limit_bytes = std::size_t{64} << 10;
@@ -168,11 +173,14 @@
     void release_prefill_result(const kv_source& source,
                                 const base::upstream_name& engine);
     http::awaitable<void> finish(stream_outcome outcome);
+    http::awaitable<void> refuse_quarantined(base::milliseconds left);
     http::awaitable<void>
     refuse_placement(const placement::stream_refusal& refused);
     http::awaitable<void>
     examine_lost_answer(const base::upstream_name& engine);
     bool may_continue(const stream_outcome& outcome) const;
+    /// How long requests like this one are refused; unset if they are not.
+    std::optional<base::milliseconds> quarantined_for() const;
     http::call_options options_until(base::time_point limit) const;
     send_options send_options_for(const base::upstream_name& engine) const;
     std::optional<routing::instance>
@@ -379,6 +387,7 @@
         }
         if (std::exchange(first, false)) {
             shared_.streams_->decode_started(attempt);
+            shared_.crashes_->answer_began(call_.request_, base::clock::now());
             if (!any_event_sent_) {
                 shared_.metrics_.observe_first_event(
                     std::chrono::duration_cast<base::milliseconds>(
@@ -490,6 +499,11 @@
         "the decode engine is gone", placement::decode_rejection::unreachable};
     for (std::uint32_t i = 0; i < max_decode_sends; ++i) {
         const auto engine = find_engine(grant.decode_);
+        // Other crashes may have been reported while the prompt was read.
+        if (quarantined_for()) {
+            co_return stream_not_run{
+                "a part of the prompt has crashed engines"};
+        }
         if (engine) {
             outcome =
                 co_await send_decode(*engine, source, grant.attempt_, guard);
@@ -565,16 +579,20 @@
     if (found) {
         state = co_await check_engine(shared_, *found);
     }
-    const auto prompt = call_.request_.prompt_.value_or(model_prompt{});
-    std::string parts;
-    for (const auto part : prompt.parts_) {
-        parts += (parts.empty() ? "" : ",") + base::to_hex(part);
-    }
     log::log_warn("answer_lost_at_begin",
                   {{"request", call_.request_.id_},
                    {"instance", engine.value_},
                    {"engine", std::string{to_string(state)}},
-                   {"prompt_parts", parts.empty() ? "none" : parts}});
+                   {"prompt_parts", parts_text(call_.request_)}});
+    if (state == engine_state::gone) {
+        shared_.crashes_->engine_crashed(call_.request_, engine,
+                                         base::clock::now());
+        shared_.streams_->engine_failed(call_.service_, engine);
+    }
+}
+
+std::optional<base::milliseconds> stream_call::quarantined_for() const {
+    return shared_.crashes_->refused_for(call_.request_, base::clock::now());
 }
 
 bool stream_call::may_continue(const stream_outcome& outcome) const {
@@ -583,7 +601,9 @@
     }
     return std::holds_alternative<stream_broken>(outcome) &&
            call_.route_.resumable_ &&
-           possible_runs_ < call_.route_.max_attempts_;
+           possible_runs_ < call_.route_.max_attempts_ &&
+           (any_event_sent_ ||
+            !shared_.crashes_->is_suspect(call_.request_, base::clock::now()));
 }
 
 http::awaitable<void> stream_call::run() {
@@ -593,6 +613,16 @@
     stream_outcome outcome = stream_not_run{"no place"};
     for (std::uint32_t i = 0; i < max_placements; ++i) {
         const bool is_retry = i > 0;
+        const auto quarantined =
+            is_retry ? quarantined_for()
+                     : shared_.crashes_->admit(call_.request_, call_.arrived_);
+        if (quarantined) {
+            if (!call_.exchange_.begun() && possible_runs_ == 0) {
+                co_await refuse_quarantined(*quarantined);
+                co_return;
+            }
+            break;
+        }
         if (is_retry && !budget.take(base::clock::now())) {
             break;
         }
@@ -619,6 +649,16 @@
     co_await finish(std::move(outcome));
 }
 
+http::awaitable<void> stream_call::refuse_quarantined(base::milliseconds left) {
+    const auto spread = std::chrono::duration_cast<base::milliseconds>(
+        quarantine_retry_spread * shared_.random_fraction());
+    base::refusal refusal{base::refusal_code::quarantined,
+                          base::ran_state::not_run,
+                          left + quarantine_retry_margin + spread,
+                          "a part of the prompt has crashed engines"};
+    co_await refuse(shared_, call_, std::move(refusal));
+}
+
 http::awaitable<void>
 stream_call::refuse_placement(const placement::stream_refusal& refused) {
     using reason = placement::refusal_reason;
--- a/pimentoferry/requests/quarantine.cpp
+++ b/pimentoferry/requests/quarantine.cpp
@@ -88,6 +88,9 @@
 }
 
 base::milliseconds quarantine::quarantine_time(std::uint8_t crashes) const {
+    if (crashes >= limits_.crashes_to_longest_) {
+        return limits_.longest_quarantine_;
+    }
     base::milliseconds time = limits_.first_quarantine_;
     for (std::uint8_t n = crashes_to_quarantine;
          n < crashes && time < limits_.longest_quarantine_; ++n) {
@@ -114,6 +117,41 @@
     return {fingerprint, raised.crashes_, left};
 }
 
+bool quarantine::was_quarantined(std::uint64_t fingerprint,
+                                 base::time_point now) const {
+    const mark* found = find(fingerprint, now);
+    return found != nullptr && found->crashes_ >= crashes_to_quarantine &&
+           found->quarantined_until_ <= now;
+}
+
+std::optional<crash_mark> quarantine::find_mark(std::uint64_t fingerprint,
+                                                base::time_point now) const {
+    const mark* found = find(fingerprint, now);
+    if (found == nullptr) {
+        return std::nullopt;
+    }
+    const bool counted = found->crashes_ >= crashes_to_quarantine;
+    const auto end = counted ? found->quarantined_until_ : found->expires_;
+    return crash_mark{fingerprint, found->crashes_, time_left(end, now)};
+}
+
+std::vector<crash_mark> quarantine::marks(base::time_point now) const {
+    std::vector<crash_mark> found;
+    for (const auto& [fingerprint, value] : marks_) {
+        if (const auto mark = find_mark(fingerprint, now)) {
+            found.push_back(*mark);
+        }
+    }
+    return found;
+}
+
+base::milliseconds quarantine::age(const crash_mark& mark) const {
+    const auto whole = mark.crashes_ >= crashes_to_quarantine
+                           ? quarantine_time(mark.crashes_)
+                           : limits_.mark_lifetime_;
+    return std::max(whole - mark.remaining_, base::milliseconds{0});
+}
+
 void quarantine::run_completed(std::uint64_t fingerprint,
                                base::time_point now) {
     if (status_of(fingerprint, now) == crash_status::suspect) {
--- a/pimentoferry/requests/quarantine.hpp
+++ b/pimentoferry/requests/quarantine.hpp
@@ -19,6 +19,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <unordered_map>
@@ -30,6 +32,8 @@
     base::milliseconds mark_lifetime_{600'000};
     base::milliseconds first_quarantine_{600'000};
     base::milliseconds longest_quarantine_{7'200'000};
+    /// From this number of crashes on, the quarantine is the longest one.
+    std::uint8_t crashes_to_longest_{std::numeric_limits<std::uint8_t>::max()};
     std::size_t max_marks_{4'096};
 };
 
@@ -69,6 +73,22 @@
     attribute_crash(const std::vector<crash_candidate>& candidates,
                     base::time_point now);
 
+    /// Removes the mark of a fingerprint, a quarantine too.
+    void clear(std::uint64_t fingerprint) { erase(fingerprint); }
+
+    /// Whether a quarantine of the fingerprint has ended and its mark has not.
+    bool was_quarantined(std::uint64_t fingerprint, base::time_point now) const;
+
+    /// The mark of a fingerprint; unset if none is in force.
+    std::optional<crash_mark> find_mark(std::uint64_t fingerprint,
+                                        base::time_point now) const;
+
+    /// The marks that are in force, with what remains of each.
+    std::vector<crash_mark> marks(base::time_point now) const;
+
+    /// Time since the crash that set or raised a mark.
+    base::milliseconds age(const crash_mark& mark) const;
+
     /// Records a completed run: it clears a suspect, but not a quarantine.
     void run_completed(std::uint64_t fingerprint, base::time_point now);
 
--- a/standins/platform_replica.cpp
+++ b/standins/platform_replica.cpp
@@ -65,6 +65,7 @@
     event_interval_ =
         milliseconds{number_or(switches, "event_ms", event_interval_.count())};
     crash_on_ = text_or(switches, "crash_on", crash_on_);
+    crash_on_part_ = text_or(switches, "crash_on_part", crash_on_part_);
     for (const auto* name : fault_names) {
         pending_faults_[name] =
             number_or(switches, name, pending_faults_[name]);
@@ -226,6 +227,7 @@
     auto fields = answer_fields(call);
     std::string type = "text/event-stream";
     co_await call.begin_chunks(std::move(type), std::move(fields));
+    crash_if_contains(call.header("X-Prompt-Prefix"), crash_on_part_);
     for (auto event = first; event <= events_; ++event) {
         const auto number = std::to_string(event);
         if (cut && event > events_ / 2) {
--- a/standins/platform_replica.hpp
+++ b/standins/platform_replica.hpp
@@ -26,6 +26,8 @@
 ///   until the peer closes: a prefill by a head, a plain call by a body, a
 ///   stream by an event.
 /// * `crash_on`: the process exits when it runs a path that contains this text.
+/// * `crash_on_part`: the process exits when it begins to write the answer to a
+///   prompt with a part whose name contains this text.
 ///
 /// `GET /runs` answers with the number of runs of each request.
 #ifndef PIMENTOFERRY_STANDINS_PLATFORM_REPLICA_HPP
@@ -69,6 +71,7 @@
     std::map<std::string, std::int64_t>
         pending_faults_; ///< By switch name; number left.
     std::string crash_on_;
+    std::string crash_on_part_;
     std::int64_t running_{0};
     std::uint64_t handle_count_{0};
     std::uint64_t order_count_{0};
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -7,6 +7,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <cstddef>
@@ -62,6 +63,7 @@
     CPPUNIT_TEST(draining_replica_receives_no_new_calls);
     CPPUNIT_TEST(removed_replica_gets_no_calls_from_a_restarted_gateway);
     CPPUNIT_TEST(removed_replica_gets_no_calls_from_a_gateway_without_store);
+    CPPUNIT_TEST(prompt_part_that_crashes_engines_is_refused_everywhere);
     CPPUNIT_TEST(all_gateways_recover_after_all_are_killed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -381,6 +383,58 @@
         check_removal_at(1);
     }
 
+    /// Status of a stream whose prompt has these parts before its own.
+    unsigned stream_status(std::size_t gateway, const std::string& parts) {
+        auto fields = caller_fields("/chat/1", next_id(), 8000ms);
+        std::ranges::find(fields, "X-Prompt-Prefix",
+                          &standins::request_headers::value_type::first)
+            ->second = parts + "," + std::to_string(requests_) + ":10";
+        http_stream stream{system_->ports(gateway).traffic_, "/chat/1", "",
+                           fields};
+        const auto [events, whole] = read_events(stream);
+        return stream.status() == status_ok && !whole ? status_bad_gateway
+                                                      : stream.status();
+    }
+
+    std::size_t crashed_engines() {
+        return static_cast<std::size_t>(
+            std::ranges::count_if(system_->replicas(), [](auto& replica) {
+                return replica.process_.wait(0ms).has_value();
+            }));
+    }
+
+    // Guards against requests with nothing in common but one part of their
+    // prompts that crash one engine after the other.
+    void prompt_part_that_crashes_engines_is_refused_everywhere() {
+        system_.emplace(gateway_fleet_options{.decode_engines_ = 5,
+                                              .route_timeout_ = 2000ms});
+        CPPUNIT_ASSERT(system_->start());
+        set_on_all_replicas(R"({"crash_on_part":"dead","event_ms":5})");
+        const std::string deadly = "a1:200,dead:4000";
+        const std::string sound = "a1:200,beef:4000";
+        for (int i = 0; i < 2; ++i) {
+            CPPUNIT_ASSERT_EQUAL(status_ok, stream_status(i, sound));
+        }
+        for (std::size_t i = 0; i < 8; ++i) {
+            stream_status(i % 2, deadly);
+            std::this_thread::sleep_for(350ms);
+        }
+        // The second crash tells the part from a request that ran beside it.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, crashed_engines());
+        for (std::size_t i = 0; i < 2; ++i) {
+            CPPUNIT_ASSERT_EQUAL(status_unavailable, stream_status(i, deadly));
+            CPPUNIT_ASSERT_EQUAL(status_ok, stream_status(i, sound));
+        }
+        system_->gateway(1).signal(SIGKILL);
+        system_->gateway(1).wait(2s);
+        system_->restart_gateway(1);
+        CPPUNIT_ASSERT(wait_for([this] { return system_->is_ready(1); }, 4s));
+        // Members exchange marks every 500 ms, once they know one another.
+        std::this_thread::sleep_for(2500ms);
+        CPPUNIT_ASSERT_EQUAL(status_unavailable, stream_status(1, deadly));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, crashed_engines());
+    }
+
     // Guards against required state that exists only in the processes.
     void all_gateways_recover_after_all_are_killed() {
         for (std::size_t i = 0; i < system_->gateway_count(); ++i) {
