Record the quarantined parts of prompts in the store

Cause: the marks were kept in the memory of the gateways only, and membership needs one to two seconds to introduce a gateway that starts.

Change: gateway::crash_record keeps the quarantined parts in one key under a lease; a gateway reads it with its first listing, before it is ready. The live gateway with the highest rendezvous score writes, the next ones if it cannot. Crashes that are 100 ms apart (300 ms before) count as two: refused connections show a crash within that.

--- a/pimentoferry/gateway/crash_guard.cpp
+++ b/pimentoferry/gateway/crash_guard.cpp
@@ -1,5 +1,6 @@
 #include "pimentoferry/gateway/crash_guard.hpp"
 
+#include "pimentoferry/base/hash.hpp"
 #include "pimentoferry/log/log.hpp"
 
 #include <algorithm>
@@ -52,8 +53,22 @@
     return text.empty() ? "none" : text;
 }
 
-crash_guard::crash_guard(peers& peer_gateways, metrics& counters)
-    : peers_(peer_gateways), counters_(counters), marks_(guard_limits()) {}
+crash_guard::crash_guard(peers& peer_gateways,
+                         store::http_store& store,
+                         metrics& counters)
+    : peers_(peer_gateways), counters_(counters), record_(store),
+      marks_(guard_limits()) {}
+
+std::size_t crash_guard::writers_before_this_one() const {
+    const auto score = [](base::instance_id instance) {
+        return base::rendezvous_score(crash_record_key, instance.value_);
+    };
+    const auto live = peers_.live();
+    return static_cast<std::size_t>(
+        std::ranges::count_if(live, [&](const membership::member& member) {
+            return score(member.instance_) > score(peers_.self());
+        }));
+}
 
 std::optional<base::milliseconds>
 crash_guard::refused_for(const caller_request& request,
@@ -110,7 +125,8 @@
     peers_.send_to_all(sound_parts{cleared});
 }
 
-void crash_guard::receive(base::instance_id from, const blamed_parts& message) {
+sound_parts crash_guard::merge(const blamed_parts& message,
+                               std::string_view told_by) {
     const auto now = base::clock::now();
     sound_parts refuted;
     for (const auto& received : message.marks_) {
@@ -118,7 +134,7 @@
                                         received.remaining_};
         switch (marks_.merge(mark, now)) {
         case requests::merge_result::changed:
-            log_mark(mark, base::to_hex(from.value_));
+            log_mark(mark, told_by);
             break;
         case requests::merge_result::refuted:
             refuted.parts_.push_back(received.part_);
@@ -127,11 +143,28 @@
             break;
         }
     }
+    return refuted;
+}
+
+void crash_guard::receive(base::instance_id from, const blamed_parts& message) {
+    auto refuted = merge(message, base::to_hex(from.value_));
     if (!refuted.parts_.empty()) {
         peers_.send(from, std::move(refuted));
     }
 }
 
+void crash_guard::receive(const store::item& record) {
+    if (record.key_ != crash_record_key) {
+        return;
+    }
+    if (const auto parts = crash_record::read(record.value_)) {
+        merge(*parts, "store");
+    } else {
+        log::log_warn("crash_record_unreadable",
+                      {{"revision", std::to_string(record.revision_)}});
+    }
+}
+
 void crash_guard::receive(const sound_parts& message) {
     const auto now = base::clock::now();
     std::ranges::for_each(message.parts_, [&](std::uint64_t part) {
@@ -139,7 +172,7 @@
     });
 }
 
-void crash_guard::tick(base::time_point now) {
+void crash_guard::tick(const store::mirror& replica, base::time_point now) {
     if (now < next_exchange_) {
         return;
     }
@@ -150,6 +183,14 @@
     if (!marks.empty()) {
         peers_.send_to_random(to_message(marks));
     }
+    std::vector<requests::crash_mark> quarantined;
+    std::ranges::copy_if(marks, std::back_inserter(quarantined),
+                         [&](const requests::crash_mark& mark) {
+                             return marks_.is_quarantined(mark.fingerprint_,
+                                                          now);
+                         });
+    record_.update(to_message(quarantined), writers_before_this_one(), replica,
+                   now);
 }
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/gateway/crash_guard.hpp
+++ b/pimentoferry/gateway/crash_guard.hpp
@@ -1,17 +1,19 @@
 /// Shares among the gateways which parts of prompts crash engines.
 ///
 /// A mark is sent to all gateways when it is set or raised, and one of the
-/// others receives all marks every 500 ms, so that gateways that have started
-/// or were cut off have them soon. `requests::prompt_quarantine` decides.
+/// others receives all marks every 500 ms, so that gateways that were cut off
+/// have them soon. A gateway that starts reads the quarantined parts from the
+/// store (`crash_record`). `requests::prompt_quarantine` decides.
 ///
 /// Alternatives considered: the owner of a service's scheduler sees all streams
-/// but is replaced when it is lost, and others place streams without it. A key
-/// in the store cannot be written while the store is away.
+/// but is replaced when it is lost, and others place streams without it. The
+/// store alone is not enough, because it cannot be written while it is away.
 #ifndef PIMENTOFERRY_GATEWAY_CRASH_GUARD_HPP
 #define PIMENTOFERRY_GATEWAY_CRASH_GUARD_HPP
 
 #include "pimentoferry/base/ids.hpp"
 #include "pimentoferry/base/time.hpp"
+#include "pimentoferry/gateway/crash_record.hpp"
 #include "pimentoferry/gateway/metrics.hpp"
 #include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/gateway/upstream_protocol.hpp"
@@ -25,7 +27,9 @@
 
 class crash_guard {
 public:
-    crash_guard(peers& peer_gateways, metrics& counters);
+    crash_guard(peers& peer_gateways,
+                store::http_store& store,
+                metrics& counters);
 
     /// How long a request is refused because of a part of its prompt; unset if
     /// it is not.
@@ -51,15 +55,21 @@
     void receive(base::instance_id from, const blamed_parts& message);
     void receive(const sound_parts& message);
 
+    /// Takes over the record of the store.
+    void receive(const store::item& record);
+
     /// Must be called at least every 100 ms.
-    void tick(base::time_point now);
+    void tick(const store::mirror& replica, base::time_point now);
 
 private:
+    std::size_t writers_before_this_one() const;
+    sound_parts merge(const blamed_parts& message, std::string_view told_by);
     void log_mark(const requests::crash_mark& mark,
                   std::string_view told_by) const;
 
     peers& peers_;
     metrics& counters_;
+    crash_record record_;
     requests::prompt_quarantine marks_;
     base::time_point next_exchange_;
 };
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -165,7 +165,7 @@
                     settings.peer_address_),
       peers_(io_, settings, self, make_peer_handlers()),
       placement_(io_, peers_, shared_.metrics_, settings.region_),
-      crashes_(peers_, shared_.metrics_),
+      crashes_(peers_, store_, shared_.metrics_),
       orders_(shared_, store_, base::to_hex(self.value_)),
       signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_) {
     shared_.streams_ = &placement_;
@@ -268,6 +268,9 @@
     bool configuration_changed = false;
     bool instances_changed = false;
     for (const auto& change : changes) {
+        if (const auto* written = std::get_if<store::item_written>(&change)) {
+            crashes_.receive(written->item_);
+        }
         const auto affected = shared_.registry_.apply(change, received, now);
         configuration_changed =
             configuration_changed || affected == registry_change::configuration;
@@ -530,7 +533,7 @@
     }
     peers_.tick(follower_.replica().at(), now);
     placement_.tick(now);
-    crashes_.tick(now);
+    crashes_.tick(follower_.replica(), now);
     if (drain_began_) {
         stop_when_idle(now);
     }
--- a/pimentoferry/requests/prompt_quarantine.cpp
+++ b/pimentoferry/requests/prompt_quarantine.cpp
@@ -8,8 +8,9 @@
 namespace {
 
 // Engines that end within this time of each other have a common cause, such as
-// the loss of a failure domain, and count as one crash.
-constexpr base::milliseconds min_crash_distance{300};
+// the loss of a failure domain, and several gateways notice the crash of one
+// engine within it: both count as one crash.
+constexpr base::milliseconds min_crash_distance{100};
 
 // A request that was admitted after a quarantine has begun, crashed an engine
 // or ended in another way by then.
--- a/pimentoferry/requests/prompt_quarantine.hpp
+++ b/pimentoferry/requests/prompt_quarantine.hpp
@@ -81,6 +81,10 @@
     /// Another gateway saw an answer begin with the part.
     void merge_sound(std::uint64_t part, base::time_point now);
 
+    bool is_quarantined(std::uint64_t part, base::time_point now) const {
+        return marks_.status_of(part, now) == crash_status::quarantined;
+    }
+
     std::vector<crash_mark> marks(base::time_point now) const {
         return marks_.marks(now);
     }
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -425,13 +425,18 @@
             CPPUNIT_ASSERT_EQUAL(status_unavailable, stream_status(i, deadly));
             CPPUNIT_ASSERT_EQUAL(status_ok, stream_status(i, sound));
         }
-        system_->gateway(1).signal(SIGKILL);
-        system_->gateway(1).wait(2s);
-        system_->restart_gateway(1);
-        CPPUNIT_ASSERT(wait_for([this] { return system_->is_ready(1); }, 4s));
-        // Members exchange marks every 500 ms, once they know one another.
-        std::this_thread::sleep_for(2500ms);
-        CPPUNIT_ASSERT_EQUAL(status_unavailable, stream_status(1, deadly));
+        // The store has the record after its writer's turn.
+        std::this_thread::sleep_for(1500ms);
+        for (std::size_t i = 0; i < 2; ++i) {
+            system_->gateway(i).signal(SIGKILL);
+            system_->gateway(i).wait(2s);
+        }
+        for (std::size_t i = 0; i < 2; ++i) {
+            system_->restart_gateway(i);
+            CPPUNIT_ASSERT(
+                wait_for([this, i] { return system_->is_ready(i); }, 4s));
+            CPPUNIT_ASSERT_EQUAL(status_unavailable, stream_status(i, deadly));
+        }
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, crashed_engines());
     }
 
