Treat a stream without any event as broken

Callers: an engine that crashed as it began an answer with neither a length nor chunks, and whose connection was closed in order, gave the caller an empty stream that ended as complete.

Cause: the end of the connection is the end of such an answer, and only an incomplete last event was taken for a truncation.

Change: an answer without events is broken, unless it resumes a stream, and the engine is asked as after any answer that is lost before its first event.

Tests (gateway_process_test): stream_without_any_event_is_broken failed before; answer_that_ends_with_its_connection_is_whole (plain and streamed) and unframed_stream_that_ends_inside_an_event_is_broken passed before. The stand-in replica has the switch unframed_next.

--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -372,6 +372,12 @@
             if (events.incomplete_bytes() != 0) {
                 co_return stream_broken{"the last event is incomplete"};
             }
+            // An answer that ends with its connection looks like this when the
+            // engine crashes as it begins. One that is resumed may have nothing
+            // left to send.
+            if (events.events() == 0 && !last_event_sent_) {
+                co_return stream_broken{"the answer has no event", false, true};
+            }
             guard.complete(static_cast<std::uint32_t>(events.events()));
             timing.complete_ = true;
             co_return stream_completed{};
--- a/standins/platform_replica.cpp
+++ b/standins/platform_replica.cpp
@@ -10,9 +10,9 @@
 namespace pimentoferry::standins {
 namespace {
 
-constexpr std::array<const char*, 6> fault_names{"lose_next",  "cut_next",
-                                                 "fail_next",  "reject_next",
-                                                 "stray_next", "endless_next"};
+constexpr std::array<const char*, 7> fault_names{
+    "lose_next",  "cut_next",     "fail_next",    "reject_next",
+    "stray_next", "endless_next", "unframed_next"};
 
 // Bounds an endless answer to a peer that reads it all.
 constexpr std::size_t max_endless_bytes = std::size_t{64} << 20;
@@ -195,12 +195,35 @@
     }
 }
 
+net::awaitable<void> platform_replica::answer_unframed(exchange& call,
+                                                       std::string type,
+                                                       std::string body) {
+    std::string bytes = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
+    for (const auto& [name, value] : answer_fields(call)) {
+        bytes += name + ": " + value + "\r\n";
+    }
+    bytes += "Content-Type: " + type + "\r\n\r\n" + body;
+    co_await call.write_raw(std::move(bytes));
+    call.close_unanswered();
+}
+
+std::string platform_replica::event_text(const exchange& call,
+                                         std::int64_t event) const {
+    const auto number = std::to_string(event);
+    return "id: " + number + "\ndata: " + call.header(request_id) + ":" +
+           number + "\n\n";
+}
+
 net::awaitable<void> platform_replica::answer_plain(exchange& call) {
     co_await sleep_for(call.executor(), work_time_);
     auto fields = answer_fields(call);
     std::string type = "text/plain";
     std::string body =
         id_ + " of " + call.header(request_id) + " at " + call.path();
+    if (consume_fault(pending_faults_["unframed_next"])) {
+        co_await answer_unframed(call, std::move(type), std::move(body));
+        co_return;
+    }
     if (consume_fault(pending_faults_["cut_next"])) {
         // Content-Length exceeds the number of bytes sent.
         std::string bytes =
@@ -226,6 +249,19 @@
     const auto first = first_event(call);
     auto fields = answer_fields(call);
     std::string type = "text/event-stream";
+    if (consume_fault(pending_faults_["unframed_next"])) {
+        std::string events;
+        for (auto event = first; event <= events_; ++event) {
+            events += event_text(call, event);
+        }
+        if (cut) {
+            constexpr std::string_view event_end = "\n\n";
+            const auto middle = events.find(event_end, events.size() / 2);
+            events.resize(middle + event_end.size() + 3);
+        }
+        co_await answer_unframed(call, std::move(type), std::move(events));
+        co_return;
+    }
     co_await call.begin_chunks(std::move(type), std::move(fields));
     crash_if_contains(call.header("X-Prompt-Prefix"), crash_on_part_);
     for (auto event = first; event <= events_; ++event) {
@@ -235,9 +271,7 @@
             co_await call.write_chunk(std::move(part));
             co_return;
         }
-        std::string text = "id: " + number + "\ndata: ";
-        text += call.header(request_id);
-        text += ":" + number + "\n\n";
+        auto text = event_text(call, event);
         co_await call.write_chunk(std::move(text));
         co_await sleep_for(call.executor(), event_interval_);
     }
--- a/standins/platform_replica.hpp
+++ b/standins/platform_replica.hpp
@@ -18,6 +18,9 @@
 /// * `lose_next`: the next N calls run, and their connections are closed
 ///   without an answer.
 /// * `cut_next`: the next N answers are truncated.
+/// * `unframed_next`: the next N answers have neither a length nor chunks and
+///   end with their connections; together with `cut_next`, a stream ends inside
+///   an event.
 /// * `fail_next`: the next N calls run and are answered 500.
 /// * `reject_next`: the next N calls are answered 503 as not run.
 /// * `stray_next`: the next N plain answers are followed by unsolicited
@@ -56,6 +59,9 @@
     net::awaitable<void> prefill(exchange& call);
     net::awaitable<void> decode(exchange& call);
     net::awaitable<void> answer_plain(exchange& call);
+    net::awaitable<void>
+    answer_unframed(exchange& call, std::string type, std::string body);
+    std::string event_text(const exchange& call, std::int64_t event) const;
     net::awaitable<void> send_endless(exchange& call, std::string begin);
     net::awaitable<void> reject(exchange& call, unsigned status);
     headers answer_fields(const exchange& call) const;
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -56,6 +56,9 @@
     CPPUNIT_TEST(answers_without_end_are_cut_off);
     CPPUNIT_TEST(truncated_stream_does_not_end_as_complete);
     CPPUNIT_TEST(resumable_stream_continues_without_gap_or_repeat);
+    CPPUNIT_TEST(answer_that_ends_with_its_connection_is_whole);
+    CPPUNIT_TEST(unframed_stream_that_ends_inside_an_event_is_broken);
+    CPPUNIT_TEST(stream_without_any_event_is_broken);
     CPPUNIT_TEST(rejected_stream_is_decoded_on_another_engine);
     CPPUNIT_TEST(call_ends_at_the_timeout_of_its_route);
     CPPUNIT_TEST(caller_disconnect_cancels_the_call_at_the_replica);
@@ -267,6 +270,39 @@
 
     // Guards against a prefill that is wasted because one decode engine is
     // full.
+    // Guards against the loss of answers that have neither a length nor chunks.
+    void answer_that_ends_with_its_connection_is_whole() {
+        set_on_all_replicas(R"({"unframed_next":1})");
+        const auto id = next_id();
+        const auto answer = system_->call(0, "/read/1", id);
+        CPPUNIT_ASSERT_EQUAL(status_ok, answer.status_);
+        CPPUNIT_ASSERT(answer.body_.ends_with(" of " + id + " at /read/1"));
+        auto stream = open_stream("/chat/1", next_id());
+        const auto [events, whole] = read_events(stream);
+        CPPUNIT_ASSERT(whole);
+        CPPUNIT_ASSERT(events == numbers(1, 20));
+    }
+
+    // Guards against a truncated stream that ends as complete because its end
+    // is the end of the connection.
+    void unframed_stream_that_ends_inside_an_event_is_broken() {
+        set_on_all_replicas(R"({"unframed_next":1,"cut_next":1})");
+        auto stream = open_stream("/chat/1", next_id());
+        const auto [events, whole] = read_events(stream);
+        CPPUNIT_ASSERT(!whole);
+        CPPUNIT_ASSERT(!events.empty());
+        CPPUNIT_ASSERT(events == numbers(1, events.size()));
+    }
+
+    // Guards against an engine that crashes as it begins an unframed answer,
+    // whose closed connection reads as an empty stream.
+    void stream_without_any_event_is_broken() {
+        set_on_all_replicas(R"({"unframed_next":1,"events":0})");
+        auto stream = open_stream("/chat/1", next_id());
+        const auto [events, whole] = read_events(stream);
+        CPPUNIT_ASSERT(!whole);
+    }
+
     void rejected_stream_is_decoded_on_another_engine() {
         std::size_t decode_engines = 0;
         for (const auto& replica : system_->replicas()) {
