--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -370,7 +370,8 @@
         }
         if (std::holds_alternative<http::body_end>(chunk)) {
             if (events.incomplete_bytes() != 0) {
-                co_return stream_broken{"the last event is incomplete"};
+                co_return stream_broken{"the last event is incomplete", false,
+                                        events.events() == 0};
             }
             // An answer that ends with its connection looks like this when the
             // engine crashes as it begins. One that is resumed may have nothing
