Split the relay of streams into sends and decisions

No change of behaviour: the code was moved as it stood, and gateway_process_test (21 tests) and gateway_test pass as before.

--- /dev/null
+++ b/pimentoferry/gateway/stream_call.hpp
@@ -0,0 +1,121 @@
+/// A streamed request in progress: its placements and sends, and the state that
+/// they share. Internal to `relay_stream`.
+///
+/// `stream_call.cpp` talks to the engines (prefill, decode, the events of the
+/// answer); `stream_relay.cpp` decides about placements and ends.
+#ifndef PIMENTOFERRY_GATEWAY_STREAM_CALL_HPP
+#define PIMENTOFERRY_GATEWAY_STREAM_CALL_HPP
+
+#include "pimentoferry/gateway/runtime.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace pimentoferry::gateway {
+
+struct stream_completed {};
+/// The request was rejected before it ran.
+struct stream_not_run {
+    std::string detail_;
+    placement::decode_rejection reason_{placement::decode_rejection::full};
+};
+/// The response of an engine was lost, incomplete or to another request.
+struct stream_broken {
+    std::string detail_;
+    /// The engine sent bytes without end, so further streams would not get an
+    /// answer either.
+    bool engine_faulty_{false};
+    /// The engine closed the connection before the first event.
+    bool before_first_event_{false};
+};
+struct caller_disconnect {};
+/// The engine responded with an error instead of a stream of events.
+struct engine_error_response {
+    http::response response_;
+};
+
+using stream_outcome = std::variant<stream_completed,
+                                    stream_not_run,
+                                    stream_broken,
+                                    caller_disconnect,
+                                    engine_error_response>;
+
+/// Reports the end of a stream to the scheduler, which then frees the engine
+/// capacity granted to it.
+class placement_guard {
+public:
+    placement_guard(stream_placement& placement, base::attempt_id attempt)
+        : placement_(placement), attempt_(attempt) {}
+    placement_guard(const placement_guard&) = delete;
+    placement_guard& operator=(const placement_guard&) = delete;
+    ~placement_guard() { placement_.ended(attempt_, events_); }
+
+    /// The answer was complete; `events` is its number of events.
+    void complete(std::uint32_t events) { events_ = events; }
+
+private:
+    stream_placement& placement_;
+    base::attempt_id attempt_;
+    std::uint32_t events_{0};
+};
+
+class stream_call {
+public:
+    stream_call(runtime& shared, routed_call& call)
+        : shared_(shared), call_(call) {}
+
+    http::awaitable<void> run();
+
+private:
+    http::awaitable<placement::stream_decision>
+    request_placement(base::attempt_id attempt);
+    /// Logs the figures on which a refusal rests.
+    void log_no_room(const placement::stream_refusal& refused) const;
+    http::awaitable<stream_outcome> run_attempt(placement::stream_grant grant,
+                                                placement_guard& guard);
+    http::awaitable<std::variant<prefill_result, stream_outcome>>
+    prefill(const routing::instance& engine);
+    http::awaitable<stream_outcome> decode(placement::stream_grant grant,
+                                           std::optional<kv_source> source,
+                                           placement_guard& guard);
+    http::awaitable<stream_outcome> send_decode(const routing::instance& engine,
+                                                std::optional<kv_source> source,
+                                                base::attempt_id attempt,
+                                                placement_guard& guard);
+    http::awaitable<stream_outcome> relay_events(http::open_answer& answer,
+                                                 base::attempt_id attempt,
+                                                 placement_guard& guard);
+    void release_prefill_result(const kv_source& source,
+                                const base::upstream_name& engine);
+    http::awaitable<void> finish(stream_outcome outcome);
+    http::awaitable<void> refuse_quarantined(base::milliseconds left);
+    http::awaitable<void>
+    refuse_placement(const placement::stream_refusal& refused);
+    http::awaitable<void>
+    examine_lost_answer(const base::upstream_name& engine);
+    bool may_continue(const stream_outcome& outcome) const;
+    /// How long requests like this one are refused; unset if they are not.
+    std::optional<base::milliseconds> quarantined_for() const;
+    http::call_options options_until(base::time_point limit) const;
+    send_options send_options_for(const base::upstream_name& engine) const;
+    std::optional<routing::instance>
+    find_engine(const base::upstream_name& engine) const;
+    bool caller_disconnected() const;
+
+    runtime& shared_;
+    routed_call& call_;
+    /// Decodes that may have run.
+    std::uint32_t possible_runs_{0};
+    /// Id of the last event sent to the caller.
+    std::optional<std::uint64_t> last_event_sent_;
+    /// Whether this request has sent any event to the caller.
+    bool any_event_sent_{false};
+    /// Where the last decode was sent.
+    base::upstream_name decode_engine_;
+};
+
+} // namespace pimentoferry::gateway
+
+#endif
