--- a/pimentoferry/gateway/peers.cpp
+++ b/pimentoferry/gateway/peers.cpp
@@ -23,6 +23,9 @@
 // response from them watches the store itself.
 constexpr std::ptrdiff_t store_watcher_count = 4;
 
+// A configuration of some hundred routes; registrations are far smaller.
+constexpr std::size_t large_update_bytes = std::size_t{64} << 10;
+
 // Messages may come from senders that are not members; the number of addresses
 // kept is limited to that of a large fleet.
 constexpr std::size_t max_reply_addresses = 4096;
@@ -230,6 +233,14 @@
             [&](const replica_position& m) {
                 auto update = handlers_.read_replica_(m.at_);
                 if (update.current_ || update.delta_.to_ > m.at_) {
+                    if (update.delta_.bytes() >= large_update_bytes) {
+                        log::log_info(
+                            "large_update_sent",
+                            {{"to", base::to_hex(from.value_)},
+                             {"since", std::to_string(m.at_)},
+                             {"revision", std::to_string(update.delta_.to_)},
+                             {"bytes", std::to_string(update.delta_.bytes())}});
+                    }
                     send(from, std::move(update));
                 }
             },
--- a/pimentoferry/store/mirror.cpp
+++ b/pimentoferry/store/mirror.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/store/mirror.hpp"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 
 namespace pimentoferry::store {
@@ -12,6 +13,19 @@
 
 } // namespace
 
+std::size_t mirror_delta::bytes() const {
+    const auto keys =
+        std::accumulate(removed_.begin(), removed_.end(), std::size_t{0},
+                        [](std::size_t sum, const key_revision& each) {
+                            return sum + each.key_.size();
+                        });
+    return std::accumulate(written_.begin(), written_.end(), keys,
+                           [](std::size_t sum, const item& each) {
+                               return sum + each.key_.size() +
+                                      each.value_.size();
+                           });
+}
+
 void mirror::write(const item& update, std::vector<mirror_change>& changes) {
     const auto found = items_.find(update.key_);
     const bool newer =
--- a/pimentoferry/store/mirror.hpp
+++ b/pimentoferry/store/mirror.hpp
@@ -48,6 +48,9 @@
     std::vector<item> written_;
     std::vector<key_revision> removed_;
 
+    /// Size of the keys and values, which is about that of the message.
+    std::size_t bytes() const;
+
     template <class Self>
     static auto fields(Self& self) {
         return std::tie(self.from_, self.to_, self.written_, self.removed_);
