Hold back signals until a gateway handles them

Callers: a SIGHUP (the settings have changed) that arrived while a gateway started ended it, and its callers had to wait for the next start.

Cause: until the handlers are installed, the default action of SIGHUP, SIGTERM and SIGINT ends the process.

Change: the command blocks the three signals first and unblocks them when the handlers are installed, so that one that came in between is handled then. What remains is the time from the start of the program to its main function, which only its parent can cover.

--- a/pimentoferry/cli/gateway_commands.cpp
+++ b/pimentoferry/cli/gateway_commands.cpp
@@ -37,6 +37,7 @@
 } // namespace
 
 int run_gateway(const arguments& args) {
+    gateway::hold_signals();
     const auto path = settings_path(args);
     if (path.empty()) {
         return fail(exit_usage, std::string{"gateway needs --settings FILE or "
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -539,8 +539,22 @@
     }
 }
 
+sigset_t handled_signals() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+        sigaddset(&signals, number);
+    }
+    return signals;
+}
+
 } // namespace
 
+void hold_signals() {
+    const auto signals = handled_signals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 int run(const std::string& settings_path,
         const config::gateway_settings& settings,
         const ports& adapter) {
@@ -554,6 +568,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     gateway_process process{settings_path, settings, adapter,
                             make_instance_id()};
+    const auto signals = handled_signals();
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
     const int exit_code = process.run();
     // Requests that the drain limit interrupted are suspended coroutines. They
     // refer to members of `process`, which would be destroyed before them.
--- a/pimentoferry/gateway/gateway.hpp
+++ b/pimentoferry/gateway/gateway.hpp
@@ -28,6 +28,10 @@
     store::store_codec store_;
 };
 
+/// Holds back SIGTERM, SIGINT and SIGHUP until `run` handles them. To be called
+/// first: until then their default action ends the process.
+void hold_signals();
+
 /// Serves until SIGTERM or SIGINT and returns the exit code. SIGHUP reads the
 /// settings file again; of the settings only the peers, the retries and the
 /// log level change without a restart.
--- a/pimentoferry/gateway/peers.cpp
+++ b/pimentoferry/gateway/peers.cpp
@@ -131,8 +131,8 @@
 void peers::send_to_random(peer_message message) {
     std::vector<base::instance_id> chosen;
     std::ranges::sample(others(), std::back_inserter(chosen), 1, random_);
-    for (const auto to : chosen) {
-        send(to, std::move(message));
+    if (!chosen.empty()) {
+        send(chosen.front(), std::move(message));
     }
 }
 
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -4,6 +4,7 @@
 
 #include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
+#include "tests/process/loopback.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -11,6 +12,7 @@
 #include <atomic>
 #include <csignal>
 #include <cstddef>
+#include <filesystem>
 #include <fstream>
 #include <future>
 #include <optional>
@@ -18,6 +20,7 @@
 #include <thread>
 #include <vector>
 
+#include <sys/stat.h>
 #include <sys/types.h>
 
 namespace pimentoferry::process_tests {
@@ -63,6 +66,7 @@
     CPPUNIT_TEST(call_ends_at_the_timeout_of_its_route);
     CPPUNIT_TEST(caller_disconnect_cancels_the_call_at_the_replica);
     CPPUNIT_TEST(draining_gateway_completes_accepted_requests);
+    CPPUNIT_TEST(signal_during_the_start_does_not_end_a_gateway);
     CPPUNIT_TEST(draining_replica_receives_no_new_calls);
     CPPUNIT_TEST(removed_replica_gets_no_calls_from_a_restarted_gateway);
     CPPUNIT_TEST(removed_replica_gets_no_calls_from_a_gateway_without_store);
@@ -373,6 +377,33 @@
         CPPUNIT_ASSERT(system_->gateway(0).wait(4s) == std::optional{0});
     }
 
+    // Guards against a gateway that is ended by a SIGHUP which arrives before
+    // its handlers are installed.
+    void signal_during_the_start_does_not_end_a_gateway() {
+        system_->gateway(1).signal(SIGKILL);
+        system_->gateway(1).wait(2s);
+        const auto path = system_->directory() + "/gateway-1.json";
+        const auto settings = read_text(path);
+        std::filesystem::remove(path);
+        CPPUNIT_ASSERT_EQUAL(0, ::mkfifo(path.c_str(), 0600));
+        system_->restart_gateway(1);
+        {
+            // Opens when the gateway begins to read its settings.
+            std::ofstream pipe{path};
+            system_->gateway(1).signal(SIGHUP);
+            std::filesystem::remove(path);
+            std::ofstream{path} << settings;
+            pipe << settings;
+        }
+        CPPUNIT_ASSERT(wait_for([this] { return system_->is_ready(1); }, 4s));
+        CPPUNIT_ASSERT(wait_for(
+            [this] {
+                return system_->gateway_log(1).find("event=reload ") !=
+                       std::string::npos;
+            },
+            1s));
+    }
+
     void draining_replica_receives_no_new_calls() {
         auto& leaving = system_->replicas()[0];
         system_->register_replica(leaving, "draining");
