--- a/standins/platform_replica.cpp
+++ b/standins/platform_replica.cpp
@@ -200,7 +200,10 @@
                                                        std::string body) {
     std::string bytes = "HTTP/1.1 200 OK\r\nConnection: close\r\n";
     for (const auto& [name, value] : answer_fields(call)) {
-        bytes += name + ": " + value + "\r\n";
+        bytes += name;
+        bytes += ": ";
+        bytes += value;
+        bytes += "\r\n";
     }
     bytes += "Content-Type: " + type + "\r\n\r\n" + body;
     co_await call.write_raw(std::move(bytes));
