--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -97,7 +97,7 @@
 std::vector<std::uint16_t> free_ports(std::size_t count) {
     constexpr int first = 12'000;
     constexpr int last = 30'000;
-    constexpr int ports_per_process = 64;
+    constexpr int ports_per_process = 256;
     static auto next = static_cast<std::uint16_t>(
         first + ::getpid() * ports_per_process % (last - first));
     boost::asio::io_context io;
