Log which limits instances announce and tell them to all gateways

No line of a log said that a replica had announced a limit on its requests, who heard it and how old that was, so a gateway that ignores the limit could not be told from one that takes it for its own.

The adapter reads the field; routing::announced_limits orders the evidence of answers that overtake each other and of other gateways; gateway::limit_guard exchanges it. Lines: announced_limit (begun, changed, ended; by whom, how old), announced_limit_unreadable, the field limit of each send; gauge limited_instances. No request is routed otherwise than before.

Tests: announced_limits_test, announced_limits_are_read and unusual_limits_are_not_trusted (stated outcomes for garbled, zero, negative, huge and repeated values). Unit tests of routing, gateway and platform pass.

--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "pimentoferry/config/parse.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/directory.hpp"
+#include "pimentoferry/gateway/limit_guard.hpp"
 #include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/gateway/plain_relay.hpp"
 #include "pimentoferry/gateway/registration.hpp"
@@ -122,6 +123,7 @@
     peers peers_;
     stream_placement placement_;
     crash_guard crashes_;
+    limit_guard limits_;
     stage_orders orders_;
     asio::signal_set signals_;
     asio::steady_timer timer_;
@@ -165,11 +167,12 @@
                     settings.peer_address_),
       peers_(io_, settings, self, make_peer_handlers()),
       placement_(io_, peers_, shared_.metrics_, settings.region_),
-      crashes_(peers_, store_, shared_.metrics_),
+      crashes_(peers_, store_, shared_.metrics_), limits_(peers_, shared_),
       orders_(shared_, store_, base::to_hex(self.value_)),
       signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_) {
     shared_.streams_ = &placement_;
     shared_.crashes_ = &crashes_;
+    shared_.limits_ = &limits_;
     shared_.store_answers_ = &follower_.availability();
 }
 
@@ -195,6 +198,10 @@
     handlers.on_sound_parts_ = [this](const sound_parts& message) {
         crashes_.receive(message);
     };
+    handlers.on_heard_limits_ = [this](base::instance_id from,
+                                       const heard_limits& message) {
+        limits_.receive(from, message);
+    };
     handlers.on_member_ = [this](const membership::member& member) {
         placement_.member_changed(member);
         shared_.update_fleet_size(
@@ -534,6 +541,7 @@
     peers_.tick(follower_.replica().at(), now);
     placement_.tick(now);
     crashes_.tick(follower_.replica(), now);
+    limits_.tick(now);
     if (drain_began_) {
         stop_when_idle(now);
     }
--- a/pimentoferry/gateway/peers.cpp
+++ b/pimentoferry/gateway/peers.cpp
@@ -252,7 +252,10 @@
                 handlers_.on_stream_reply_(m);
             },
             [&](const blamed_parts& m) { handlers_.on_blamed_parts_(from, m); },
-            [&](const sound_parts& m) { handlers_.on_sound_parts_(m); }},
+            [&](const sound_parts& m) { handlers_.on_sound_parts_(m); },
+            [&](const heard_limits& m) {
+                handlers_.on_heard_limits_(from, m);
+            }},
         received.message_);
 }
 
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -110,6 +110,30 @@
     }
 };
 
+/// See `routing::announced_limit`. Times are ages.
+struct heard_limit {
+    base::upstream_name instance_;
+    std::uint64_t started_at_ms_{0};
+    std::optional<double> requests_per_s_;
+    base::milliseconds sent_age_{0};
+    base::milliseconds received_age_{0};
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.instance_, self.started_at_ms_,
+                        self.requests_per_s_, self.sent_age_,
+                        self.received_age_);
+    }
+};
+
+/// What the sender knows of the limits that instances announce.
+struct heard_limits {
+    std::vector<heard_limit> limits_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.limits_);
+    }
+};
+
 /// New alternatives are added at the end.
 using peer_message = std::variant<membership::message,
                                   replica_position,
@@ -117,7 +141,8 @@
                                   service_stream_message,
                                   placement::stream_reply,
                                   blamed_parts,
-                                  sound_parts>;
+                                  sound_parts,
+                                  heard_limits>;
 
 struct peer_handlers {
     /// Returns the changes in this gateway's replica after `since`.
@@ -129,6 +154,8 @@
     std::function<void(base::instance_id from, const blamed_parts&)>
         on_blamed_parts_;
     std::function<void(const sound_parts&)> on_sound_parts_;
+    std::function<void(base::instance_id from, const heard_limits&)>
+        on_heard_limits_;
     /// A gateway joined or left, began to drain, or is suspected or dead.
     std::function<void(const membership::member&)> on_member_;
 };
--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -1,5 +1,7 @@
 #include "pimentoferry/gateway/plain_relay.hpp"
 
+#include "pimentoferry/base/boot_time.hpp"
+#include "pimentoferry/gateway/limit_guard.hpp"
 #include "pimentoferry/http/proxy.hpp"
 #include "pimentoferry/log/log.hpp"
 
@@ -36,6 +38,11 @@
                meaning_ == answer_meaning::misrouted ||
                (failure_ && !failure_->sent_);
     }
+    /// The answer is one of the replica to this call.
+    bool is_of_replica() const {
+        return meaning_ != answer_meaning::misrouted &&
+               meaning_ != answer_meaning::foreign;
+    }
     bool cancelled() const {
         return failure_ && failure_->kind_ == http::failure_kind::cancelled;
     }
@@ -98,6 +105,7 @@
 
 http::awaitable<send_result> plain_call::send(routing::instance replica) {
     const auto began = base::clock::now();
+    const auto sent_at = base::boot_now();
     const bool idempotent =
         call_.route_.kind_ == routing::call_kind::idempotent;
     http::call_options options;
@@ -122,6 +130,10 @@
         outcome.meaning_ = shared_.protocol_.meaning_of_(
             call_.request_,
             {outcome.answer_->status_, outcome.answer_->fields_});
+        if (outcome.is_of_replica()) {
+            shared_.limits_->answer_received(replica, outcome.answer_->fields_,
+                                             sent_at);
+        }
     }
     const auto duration =
         std::chrono::duration_cast<base::milliseconds>(now - began);
@@ -135,6 +147,7 @@
          {"instance", replica.id_.value_},
          {"send", std::to_string(tried_.size())},
          {"view_ms", shared_.view_age(began)},
+         {"limit", shared_.limits_->limit_text(replica.id_)},
          {"outcome", outcome_text(outcome)},
          {"status",
           outcome.answer_ ? std::to_string(outcome.answer_->status_) : "none"},
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -33,6 +33,7 @@
                                    std::uint32_t gateways);
 
 class crash_guard;
+class limit_guard;
 
 struct runtime {
     runtime(boost::asio::io_context& io,
@@ -65,6 +66,7 @@
     metrics metrics_;
     stream_placement* streams_{nullptr};
     crash_guard* crashes_{nullptr};
+    limit_guard* limits_{nullptr};
     const store::availability* store_answers_{nullptr};
     bool draining_{false};
     std::uint32_t in_flight_{0};
--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -1,8 +1,10 @@
 #include "pimentoferry/gateway/stream_call.hpp"
 
+#include "pimentoferry/base/boot_time.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/engine_check.hpp"
 #include "pimentoferry/gateway/event_splitter.hpp"
+#include "pimentoferry/gateway/limit_guard.hpp"
 #include "pimentoferry/http/proxy.hpp"
 #include "pimentoferry/log/log.hpp"
 
@@ -112,6 +114,7 @@
 http::awaitable<std::variant<prefill_result, stream_outcome>>
 stream_call::prefill(const routing::instance& engine) {
     const auto began = base::clock::now();
+    const auto sent_at = base::boot_now();
     auto request = shared_.protocol_.prefill_call_(
         call_.exchange_.call(), send_options_for(engine.id_));
     auto options = options_until(began + prefill_timeout);
@@ -129,6 +132,7 @@
     } else {
         const auto& answer = std::get<http::response>(received);
         const auto result = shared_.protocol_.read_prefill_(answer.body_);
+        shared_.limits_->answer_received(engine, answer.fields_, sent_at);
         if (answer.status_ == 200 && result) {
             outcome = *result;
             text = "success";
@@ -143,6 +147,7 @@
          {"instance", engine.id_.value_},
          {"outcome", text},
          {"view_ms", shared_.view_age(began)},
+         {"limit", shared_.limits_->limit_text(engine.id_)},
          {"ms", std::to_string(std::chrono::duration_cast<base::milliseconds>(
                                    base::clock::now() - began)
                                    .count())}});
@@ -239,6 +244,7 @@
                          base::attempt_id attempt,
                          placement_guard& guard) {
     const auto began = base::clock::now();
+    const auto sent_at = base::boot_now();
     decode_engine_ = engine.id_;
     const auto options = send_options_for(engine.id_);
     auto request =
@@ -260,6 +266,7 @@
               last_event_sent_ ? std::to_string(*last_event_sent_) : "none"},
              {"outcome", outcome},
              {"view_ms", shared_.view_age(began)},
+             {"limit", shared_.limits_->limit_text(engine.id_)},
              {"ms",
               std::to_string(std::chrono::duration_cast<base::milliseconds>(
                                  base::clock::now() - began)
@@ -280,6 +287,11 @@
     auto& answer = std::get<http::open_answer>(opened);
     const auto meaning =
         shared_.protocol_.meaning_of_(call_.request_, answer.head());
+    if (meaning != answer_meaning::misrouted &&
+        meaning != answer_meaning::foreign) {
+        shared_.limits_->answer_received(engine, answer.head().fields_,
+                                         sent_at);
+    }
     log_outcome(std::to_string(answer.head().status_));
     if (meaning == answer_meaning::rejected ||
         meaning == answer_meaning::misrouted) {
--- a/pimentoferry/gateway/upstream_protocol.hpp
+++ b/pimentoferry/gateway/upstream_protocol.hpp
@@ -100,6 +100,20 @@
     foreign,   ///< Response to another request, or not of an upstream.
 };
 
+/// An answer without a limit on the requests to its instance.
+struct no_limit {};
+/// The instance accepts this many requests a second from all gateways together.
+struct requests_limit {
+    double per_second_{0};
+};
+/// The answer names a limit that cannot be read.
+struct unreadable_limit {
+    std::string text_;
+};
+/// What an answer says about the limit of its instance.
+using limit_statement =
+    std::variant<no_limit, requests_limit, unreadable_limit>;
+
 struct upstream_protocol {
     std::function<std::variant<caller_request, malformed_request>(
         const http::request&)>
@@ -131,6 +145,7 @@
     std::function<answer_meaning(const caller_request&,
                                  const http::response_head&)>
         meaning_of_;
+    std::function<limit_statement(const http::field_list&)> read_limit_;
     std::function<std::optional<prefill_result>(std::string_view body)>
         read_prefill_;
 
