--- a/standins/http_server.cpp
+++ b/standins/http_server.cpp
@@ -132,11 +132,11 @@
     return parse_json(request_.body()).value_or(json{});
 }
 
-net::awaitable<void> exchange::reply(unsigned status, json body) {
+net::awaitable<void>
+exchange::reply(unsigned status, json body, headers extra) {
     auto text = to_text(body);
-    headers none;
     co_await reply_bytes(status, "application/json", std::move(text),
-                         std::move(none));
+                         std::move(extra));
 }
 
 net::awaitable<void> exchange::reply_bytes(unsigned status,
--- a/standins/http_server.hpp
+++ b/standins/http_server.hpp
@@ -49,7 +49,7 @@
     /// Returns the body as JSON, or JSON null when it is not JSON.
     json body_json() const;
 
-    net::awaitable<void> reply(unsigned status, json body);
+    net::awaitable<void> reply(unsigned status, json body, headers extra = {});
     net::awaitable<void> reply_bytes(unsigned status,
                                      std::string type,
                                      std::string body,
--- a/standins/platform_replica.cpp
+++ b/standins/platform_replica.cpp
@@ -66,6 +66,13 @@
         milliseconds{number_or(switches, "event_ms", event_interval_.count())};
     crash_on_ = text_or(switches, "crash_on", crash_on_);
     crash_on_part_ = text_or(switches, "crash_on_part", crash_on_part_);
+    if (const auto limit = text_or(switches, "limit", limit_);
+        limit != limit_) {
+        limit_ = limit;
+        limited_since_ = std::chrono::steady_clock::now();
+        arrivals_.clear();
+        request_times_.clear();
+    }
     for (const auto* name : fault_names) {
         pending_faults_[name] =
             number_or(switches, name, pending_faults_[name]);
@@ -80,14 +87,50 @@
     return json{std::move(counts)};
 }
 
+void platform_replica::announce_limit(headers& fields) const {
+    if (!limit_.empty()) {
+        fields.emplace_back("Server-Limit", limit_);
+    }
+}
+
 headers platform_replica::answer_fields(const exchange& call) const {
-    return {{request_id, call.header(request_id)},
-            {"X-Server-Signature", "signed-by-" + id_}};
+    headers fields{{request_id, call.header(request_id)},
+                   {"X-Server-Signature", "signed-by-" + id_}};
+    announce_limit(fields);
+    return fields;
+}
+
+void platform_replica::record_arrival(const std::string& kind) {
+    ++arrivals_[kind];
+    if (kind == "run" || kind == "prefill" || kind == "rejected") {
+        request_times_.push_back(std::chrono::steady_clock::now());
+    }
+}
+
+json platform_replica::arrivals() const {
+    json::object counts;
+    for (const auto& [kind, count] : arrivals_) {
+        counts.emplace(kind, json{count});
+    }
+    // All gateways have heard of the limit by then.
+    const auto known_since = limited_since_ + std::chrono::milliseconds{500};
+    constexpr std::chrono::seconds window{4};
+    std::int64_t busiest = 0;
+    auto first = std::ranges::lower_bound(request_times_, known_since);
+    for (auto last = first; last != request_times_.end(); ++last) {
+        first = std::find_if(first, last, [&](const auto& time) {
+            return time + window > *last;
+        });
+        busiest = std::max<std::int64_t>(busiest, last - first + 1);
+    }
+    counts.emplace("busiest", json{busiest});
+    return json{std::move(counts)};
 }
 
 void platform_replica::record_run(const exchange& call) {
     const auto request = call.header(request_id);
     ++runs_[request];
+    record_arrival("run");
     std::cout << "run " << request << ' ' << call.path() << std::endl;
     crash_if_contains(call.path(), crash_on_);
 }
@@ -101,17 +144,23 @@
     } else if (path == "/runs") {
         auto body = runs();
         co_await call.reply(status_ok, std::move(body));
+    } else if (path == "/arrivals") {
+        auto body = arrivals();
+        co_await call.reply(status_ok, std::move(body));
     } else if (path == "/api/report") {
+        record_arrival("report");
         json body{json::object{{"stage", json{stage_}},
                                {"sequence", json{order_count_}},
                                {"running", json{running_}}}};
         co_await call.reply(status_ok, std::move(body));
     } else if (path == "/api/order") {
+        record_arrival("order");
         ++order_count_;
         stage_ = text_or(call.body_json(), "stage", stage_);
         json body{json::object{}};
         co_await call.reply(status_accepted, std::move(body));
     } else if (path.starts_with("/api/kv-handle/")) {
+        record_arrival("release");
         json body{json::object{}};
         co_await call.reply(status_ok, std::move(body));
     } else {
@@ -122,6 +171,8 @@
 net::awaitable<void> platform_replica::reject(exchange& call, unsigned status) {
     headers fields{{request_id, call.header(request_id)},
                    {"X-Not-Executed", "1"}};
+    announce_limit(fields);
+    record_arrival("rejected");
     std::string type = "text/plain";
     std::string body = "not run";
     co_await call.reply_bytes(status, std::move(type), std::move(body),
@@ -158,6 +209,7 @@
 
 net::awaitable<void> platform_replica::prefill(exchange& call) {
     const running_guard guard{running_};
+    record_arrival("prefill");
     if (consume_fault(pending_faults_["endless_next"])) {
         std::string begin = "HTTP/1.1 200 OK\r\nX-Filler: ";
         co_await send_endless(call, std::move(begin));
@@ -168,7 +220,9 @@
         {"kv_handle", json{id_ + "-" + std::to_string(++handle_count_)}},
         {"tokens", json{1}},
         {"version", json{1}}}};
-    co_await call.reply(status_ok, std::move(body));
+    headers fields{{request_id, call.header(request_id)}};
+    announce_limit(fields);
+    co_await call.reply(status_ok, std::move(body), std::move(fields));
 }
 
 net::awaitable<void> platform_replica::work(exchange& call) {
--- a/standins/platform_replica.hpp
+++ b/standins/platform_replica.hpp
@@ -32,7 +32,13 @@
 /// * `crash_on_part`: the process exits when it begins to write the answer to a
 ///   prompt with a part whose name contains this text.
 ///
-/// `GET /runs` answers with the number of runs of each request.
+/// * `limit`: requests a second that every answer announces, as text; empty:
+///   none. Setting it starts a new count of arrivals.
+///
+/// `GET /runs` answers with the number of runs of each request, `GET /arrivals`
+/// with the number of requests by kind (`run`, `prefill`, `rejected`,
+/// `release`, `report`, `order`) since the limit was set, and with the largest
+/// number of runs, prefills and rejected requests in 4 s (`busiest`).
 #ifndef PIMENTOFERRY_STANDINS_PLATFORM_REPLICA_HPP
 #define PIMENTOFERRY_STANDINS_PLATFORM_REPLICA_HPP
 
@@ -40,9 +46,11 @@
 #include "standins/http_server.hpp"
 #include "standins/json.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace pimentoferry::standins {
 
@@ -66,6 +74,9 @@
     net::awaitable<void> reject(exchange& call, unsigned status);
     headers answer_fields(const exchange& call) const;
     json runs() const;
+    json arrivals() const;
+    void record_arrival(const std::string& kind);
+    void announce_limit(headers& fields) const;
     void record_run(const exchange& call);
 
     std::string id_;
@@ -82,6 +93,10 @@
     std::uint64_t handle_count_{0};
     std::uint64_t order_count_{0};
     std::map<std::string, std::int64_t> runs_;
+    std::string limit_;
+    std::chrono::steady_clock::time_point limited_since_;
+    std::map<std::string, std::int64_t> arrivals_; ///< By kind.
+    std::vector<std::chrono::steady_clock::time_point> request_times_;
 };
 
 } // namespace pimentoferry::standins
