--- a/pimentoferry/wire/codec.hpp
+++ b/pimentoferry/wire/codec.hpp
@@ -127,12 +127,21 @@
         value = in.via.boolean;
         return true;
     } else if constexpr (std::floating_point<T>) {
-        if (in.type != msgpack::type::FLOAT64 &&
-            in.type != msgpack::type::FLOAT32) {
+        // The library writes whole numbers as integers.
+        switch (in.type) {
+        case msgpack::type::FLOAT64:
+        case msgpack::type::FLOAT32:
+            value = static_cast<T>(in.via.f64);
+            return true;
+        case msgpack::type::POSITIVE_INTEGER:
+            value = static_cast<T>(in.via.u64);
+            return true;
+        case msgpack::type::NEGATIVE_INTEGER:
+            value = static_cast<T>(in.via.i64);
+            return true;
+        default:
             return false;
         }
-        value = static_cast<T>(in.via.f64);
-        return true;
     } else {
         if (in.type == msgpack::type::POSITIVE_INTEGER) {
             value = static_cast<T>(in.via.u64);
--- a/pimentoferry/wire/codec_test.cpp
+++ b/pimentoferry/wire/codec_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST_SUITE(codec_test);
     CPPUNIT_TEST(round_trips_a_message);
     CPPUNIT_TEST(keeps_the_alternative_of_a_variant);
+    CPPUNIT_TEST(round_trips_floating_point_numbers);
     CPPUNIT_TEST(refuses_truncated_bytes);
     CPPUNIT_TEST(refuses_bytes_beyond_the_message);
     CPPUNIT_TEST(refuses_a_number_that_does_not_fit);
@@ -45,6 +46,16 @@
         CPPUNIT_ASSERT(request->suspect_);
     }
 
+    // Guards against whole numbers in floating-point members, which the library
+    // writes as integers: messages with such a value would be rejected.
+    void round_trips_floating_point_numbers() {
+        const std::vector<double> numbers{0.0, 1.0, -3.0, 14.7, -0.5, 1e300};
+        const auto decoded = decode<std::vector<double>>(encode(numbers));
+        const auto* received = std::get_if<std::vector<double>>(&decoded);
+        CPPUNIT_ASSERT(received != nullptr);
+        CPPUNIT_ASSERT(*received == numbers);
+    }
+
     void keeps_the_alternative_of_a_variant() {
         const placement::to_owner message =
             placement::placement_release{{base::instance_id{7}, 9},
