Count the requests to limited instances for the whole fleet

What callers saw: nothing.

Cause: what an upstream says of itself was dropped at the adapter; nothing in the gateway knew of a limit.

Change: the gateway that owns a service counts for the fleet. Its stream scheduler grants only what the allowance of an engine lets through, does not count the rest of its memory and time as free, and refuses at once what the limits delay for too long. Plain calls go to replicas without a limit; when those fail or are full, or there are none, the gateway asks the owner for a permit (requests::permit_queue). A limited replica without calls gets one a second, because only an answer can end its limit. An owner has the part of the limit that its part of the largest recent fleet is, a gateway that does not reach it half of an equal share, and both start from nothing. The split of the roles is planned for the pools as they are.

--- a/pimentoferry/base/refusal.cpp
+++ b/pimentoferry/base/refusal.cpp
@@ -33,6 +33,7 @@
     {refusal_code::no_upstream, "no_upstream", 503},
     {refusal_code::upstream_failed, "upstream_failed", 502},
     {refusal_code::upstream_timeout, "upstream_timeout", 504},
+    {refusal_code::upstream_limited, "upstream_limited", 503},
     {refusal_code::quarantined, "quarantined", 503},
     {refusal_code::draining, "draining", 503},
     {refusal_code::isolated, "isolated", 503},
--- a/pimentoferry/base/refusal.hpp
+++ b/pimentoferry/base/refusal.hpp
@@ -38,6 +38,7 @@
     no_upstream,
     upstream_failed,
     upstream_timeout,
+    upstream_limited,
     quarantined,
     draining,
     isolated,
@@ -48,7 +49,7 @@
 };
 
 /// Number of refusal codes; the codes are 0 to this minus one.
-inline constexpr std::size_t refusal_code_count = 25;
+inline constexpr std::size_t refusal_code_count = 26;
 
 /// Whether the refused request was executed.
 enum class ran_state : std::uint8_t {
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/gateway/gateway.hpp"
 
 #include "pimentoferry/config/parse.hpp"
+#include "pimentoferry/gateway/call_permits.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/directory.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
@@ -124,6 +125,7 @@
     stream_placement placement_;
     crash_guard crashes_;
     limit_guard limits_;
+    call_permits permits_;
     stage_orders orders_;
     asio::signal_set signals_;
     asio::steady_timer timer_;
@@ -166,13 +168,16 @@
                     settings.name_,
                     settings.peer_address_),
       peers_(io_, settings, self, make_peer_handlers()),
-      placement_(io_, peers_, shared_.metrics_, settings.region_),
+      placement_(
+          io_, peers_, shared_.metrics_, shared_.allowances_, settings.region_),
       crashes_(peers_, store_, shared_.metrics_), limits_(peers_, shared_),
+      permits_(peers_, shared_, limits_),
       orders_(shared_, store_, base::to_hex(self.value_)),
       signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_) {
     shared_.streams_ = &placement_;
     shared_.crashes_ = &crashes_;
     shared_.limits_ = &limits_;
+    shared_.permits_ = &permits_;
     shared_.store_answers_ = &follower_.availability();
 }
 
@@ -202,8 +207,16 @@
                                        const heard_limits& message) {
         limits_.receive(from, message);
     };
+    handlers.on_permit_request_ =
+        [this](base::instance_id from, const service_permit_request& message) {
+            permits_.receive(from, message);
+        };
+    handlers.on_permit_reply_ = [this](const permit_reply& reply) {
+        permits_.receive(reply);
+    };
     handlers.on_member_ = [this](const membership::member& member) {
         placement_.member_changed(member);
+        limits_.member_changed(base::clock::now());
         shared_.update_fleet_size(
             static_cast<std::uint32_t>(peers_.live().size()));
     };
@@ -542,6 +555,7 @@
     placement_.tick(now);
     crashes_.tick(follower_.replica(), now);
     limits_.tick(now);
+    permits_.tick(now);
     if (drain_began_) {
         stop_when_idle(now);
     }
--- a/pimentoferry/gateway/limit_guard.cpp
+++ b/pimentoferry/gateway/limit_guard.cpp
@@ -19,6 +19,8 @@
 // for newer than it is.
 constexpr base::milliseconds longest_transit{100};
 constexpr base::milliseconds unreadable_line_interval{1000};
+// How long a gateway that left counts as one that may only be out of reach.
+constexpr base::milliseconds fleet_size_kept{30'000};
 
 std::string rate_text(const std::optional<double>& per_second) {
     if (!per_second) {
@@ -64,9 +66,76 @@
          {"age_ms",
           std::to_string(base::age_ms(heard.received_at_, base::boot_now()))},
          {"told_by", std::string{told_by}}});
+    update_allowances(base::clock::now());
     return change;
 }
 
+void limit_guard::update_fleet_size(base::time_point now) {
+    const auto live = static_cast<std::uint32_t>(peers_.live().size());
+    if (live >= largest_fleet_ || now - largest_fleet_at_ > fleet_size_kept) {
+        largest_fleet_ = live;
+        largest_fleet_at_ = now;
+    }
+}
+
+base::instance_id
+limit_guard::owner_of(const base::service_name& service) const {
+    return peers_.owner_of(service, shared_.settings_.region_);
+}
+
+std::vector<base::upstream_name> limit_guard::owned_instances() const {
+    std::vector<base::upstream_name> owned;
+    for (const auto& [instance, counts] : counts_for_fleet_) {
+        if (counts) {
+            owned.push_back(instance);
+        }
+    }
+    return owned;
+}
+
+// What another gateway counted as the owner is unknown to a new one, which
+// therefore starts with nothing. A gateway that is not the owner starts with a
+// random part of a request: all of them begin to send on their own account at
+// the same time, when the owner is lost.
+void limit_guard::update_allowances(base::time_point now) {
+    const auto live = static_cast<std::uint32_t>(peers_.live().size());
+    auto& allowances = shared_.allowances_;
+    std::map<base::service_name, bool> owned;
+    std::map<base::upstream_name, bool> counts;
+    for (const auto& each : limits_.all()) {
+        const auto* instance =
+            shared_.registry_.instances().find_usable(each.instance_, now);
+        if (!each.requests_per_s_ || instance == nullptr) {
+            continue;
+        }
+        const auto [service, added] =
+            owned.try_emplace(instance->service_, false);
+        if (added) {
+            service->second = owner_of(instance->service_) == peers_.self();
+        }
+        const bool owns = service->second;
+        counts[each.instance_] = owns;
+        const auto before = counts_for_fleet_.find(each.instance_);
+        if (before != counts_for_fleet_.end() && before->second != owns) {
+            allowances.erase(each.instance_);
+        }
+        const double share = requests::limit_share(owns, live, largest_fleet_);
+        allowances.set(each.instance_, *each.requests_per_s_ * share,
+                       owns ? 0 : shared_.random_fraction(), now);
+    }
+    counts_for_fleet_ = std::move(counts);
+    allowances.retain([this](const base::upstream_name& instance) {
+        return counts_for_fleet_.contains(instance);
+    });
+}
+
+void limit_guard::member_changed(base::time_point now) {
+    update_fleet_size(now);
+    if (!limits_.all().empty()) {
+        update_allowances(now);
+    }
+}
+
 void limit_guard::log_unreadable(const base::upstream_name& instance,
                                  const std::string& text,
                                  base::time_point now) {
@@ -158,7 +227,11 @@
             return is_current(known, now);
         },
         base::boot_now());
+    update_fleet_size(now);
     const auto known = limits_.all();
+    if (!known.empty() || !counts_for_fleet_.empty()) {
+        update_allowances(now);
+    }
     shared_.metrics_.set_gauge(
         "limited_instances",
         static_cast<double>(std::ranges::count_if(known, [](const auto& each) {
--- a/pimentoferry/gateway/metrics.cpp
+++ b/pimentoferry/gateway/metrics.cpp
@@ -58,6 +58,11 @@
         counters(registry_,
                  "pimentoferry_gateway_placements_total",
                  "Placement decisions for streams")};
+    prometheus::Family<prometheus::Counter>& limited_{
+        counters(registry_,
+                 "pimentoferry_gateway_limited_requests_total",
+                 "Requests to instances that announced a limit, by service and "
+                 "outcome")};
     prometheus::Family<prometheus::Histogram>& answers_{
         histograms(registry_,
                    "pimentoferry_gateway_answer_seconds",
@@ -109,6 +114,14 @@
         .Increment();
 }
 
+void metrics::count_limited(std::string_view service,
+                            std::string_view outcome) {
+    families_->limited_
+        .Add({{"service", std::string{service}},
+              {"outcome", std::string{outcome}}})
+        .Increment();
+}
+
 void metrics::observe_answer(std::string_view kind,
                              base::milliseconds duration) {
     families_->answers_.Add({{"kind", std::string{kind}}}, latency_bounds)
--- a/pimentoferry/gateway/metrics.hpp
+++ b/pimentoferry/gateway/metrics.hpp
@@ -28,6 +28,9 @@
     void count_store_call(std::string_view operation, std::string_view outcome);
     /// `decision`: `granted`, `refused` or `autonomous`.
     void count_placement(std::string_view decision);
+    /// A request that needed a permit, or an engine, whose instance announced a
+    /// limit. `outcome`: `granted`, `spare` or `refused`.
+    void count_limited(std::string_view service, std::string_view outcome);
     void observe_answer(std::string_view kind, base::milliseconds duration);
     void observe_first_event(base::milliseconds duration);
     void observe_placement_wait(base::milliseconds duration);
--- a/pimentoferry/gateway/peers.cpp
+++ b/pimentoferry/gateway/peers.cpp
@@ -151,6 +151,15 @@
     return chosen;
 }
 
+base::instance_id peers::owner_of(const base::service_name& service,
+                                  const std::string& region) const {
+    const membership::cell_location cell{base::cell_name{service.value_},
+                                         region};
+    const auto candidates =
+        membership::cell_candidates(cell, {cell}, swim_.live());
+    return candidates.empty() ? self() : candidates.front();
+}
+
 bool peers::watches_store() const {
     return std::ranges::count(watchers(), self()) > 0;
 }
@@ -253,9 +262,11 @@
             },
             [&](const blamed_parts& m) { handlers_.on_blamed_parts_(from, m); },
             [&](const sound_parts& m) { handlers_.on_sound_parts_(m); },
-            [&](const heard_limits& m) {
-                handlers_.on_heard_limits_(from, m);
-            }},
+            [&](const heard_limits& m) { handlers_.on_heard_limits_(from, m); },
+            [&](const service_permit_request& m) {
+                handlers_.on_permit_request_(from, m);
+            },
+            [&](const permit_reply& m) { handlers_.on_permit_reply_(m); }},
         received.message_);
 }
 
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -17,6 +17,7 @@
 #include "pimentoferry/config/gateway_settings.hpp"
 #include "pimentoferry/membership/swim.hpp"
 #include "pimentoferry/placement/stream_messages.hpp"
+#include "pimentoferry/requests/permit_queue.hpp"
 #include "pimentoferry/store/mirror.hpp"
 #include "pimentoferry/wire/peer_channel.hpp"
 
@@ -134,6 +135,29 @@
     }
 };
 
+/// Asks the owner of a service for a permit.
+struct service_permit_request {
+    base::service_name service_;
+    requests::permit_request request_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.service_, self.request_);
+    }
+};
+
+/// The call waits for its permit; the decision follows.
+struct permit_queued {
+    base::attempt_id attempt_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.attempt_);
+    }
+};
+
+/// A grant without an attempt was not requested; any call may use it.
+using permit_reply = std::
+    variant<requests::permit_grant, requests::permit_refusal, permit_queued>;
+
 /// New alternatives are added at the end.
 using peer_message = std::variant<membership::message,
                                   replica_position,
@@ -142,7 +166,9 @@
                                   placement::stream_reply,
                                   blamed_parts,
                                   sound_parts,
-                                  heard_limits>;
+                                  heard_limits,
+                                  service_permit_request,
+                                  permit_reply>;
 
 struct peer_handlers {
     /// Returns the changes in this gateway's replica after `since`.
@@ -156,6 +182,9 @@
     std::function<void(const sound_parts&)> on_sound_parts_;
     std::function<void(base::instance_id from, const heard_limits&)>
         on_heard_limits_;
+    std::function<void(base::instance_id from, const service_permit_request&)>
+        on_permit_request_;
+    std::function<void(const permit_reply&)> on_permit_reply_;
     /// A gateway joined or left, began to drain, or is suspected or dead.
     std::function<void(const membership::member&)> on_member_;
 };
@@ -204,6 +233,11 @@
     /// Live gateways, including this one.
     std::vector<membership::member> live() const { return swim_.live(); }
 
+    /// The gateway that schedules and counts for a service: the one that all
+    /// gateways with the same view of the members compute.
+    base::instance_id owner_of(const base::service_name& service,
+                               const std::string& region) const;
+
     base::instance_id self() const { return swim_.self().instance_; }
 
 private:
--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -1,11 +1,14 @@
 #include "pimentoferry/gateway/plain_relay.hpp"
 
 #include "pimentoferry/base/boot_time.hpp"
+#include "pimentoferry/gateway/call_permits.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
 #include "pimentoferry/http/proxy.hpp"
 #include "pimentoferry/log/log.hpp"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 #include <set>
 #include <variant>
 
@@ -25,6 +28,10 @@
 
 constexpr base::milliseconds full_retry_after{300};
 constexpr base::milliseconds no_replica_retry_after{500};
+// Callers that were refused for the limits of replicas return over this part of
+// the time that they are told to wait, and over this time at least.
+constexpr double limited_retry_spread = 1;
+constexpr base::milliseconds least_limited_retry_spread{100};
 
 /// The result of one send.
 struct send_result {
@@ -93,6 +100,20 @@
     http::awaitable<void> run();
 
 private:
+    struct no_replica {};
+    /// All replicas announced limits that are used up.
+    struct limited_replicas {
+        base::milliseconds wait_{0};
+    };
+    using choice =
+        std::variant<routing::instance, no_replica, limited_replicas>;
+
+    http::awaitable<choice> choose();
+    http::awaitable<choice>
+    choose_limited(std::vector<const routing::instance*> limited);
+    std::vector<const routing::instance*>
+    untried_replicas(base::time_point now) const;
+    http::awaitable<void> refuse_limited(base::milliseconds wait);
     http::awaitable<send_result> send(routing::instance replica);
     bool may_send_again(const send_result& last) const;
     http::awaitable<void> respond(send_result last);
@@ -173,29 +194,136 @@
            possible_runs_ < call_.route_.max_attempts_;
 }
 
+std::vector<const routing::instance*>
+plain_call::untried_replicas(base::time_point now) const {
+    auto replicas = shared_.registry_.instances().usable(call_.service_, now);
+    std::erase_if(replicas, [this](const routing::instance* each) {
+        return each->stage_ == routing::engine_stage::prefill ||
+               tried_.contains(each->id_);
+    });
+    return replicas;
+}
+
+// Replicas without a limit take the calls that limited ones cannot. A limited
+// replica is used when the others are failing or full, and now and then to
+// learn whether its limit has ended.
+http::awaitable<plain_call::choice> plain_call::choose() {
+    const auto now = base::clock::now();
+    auto open = untried_replicas(now);
+    std::vector<const routing::instance*> limited;
+    std::ranges::copy_if(open, std::back_inserter(limited),
+                         [this](const routing::instance* each) {
+                             return shared_.allowances_.limited(each->id_);
+                         });
+    if (const auto* spare = shared_.permits_->take_spare(limited, now)) {
+        shared_.metrics_.count_limited(call_.service_.value_, "spare");
+        co_return *spare;
+    }
+    std::erase_if(open, [this](const routing::instance* each) {
+        return shared_.allowances_.limited(each->id_);
+    });
+    const auto* chosen = shared_.picker_.choose(
+        open, tried_, shared_.settings_.failure_domain_,
+        call_.route_.kind_ == routing::call_kind::idempotent, now);
+    if (limited.empty() ||
+        (chosen != nullptr && shared_.picker_.accepts(*chosen, open, now))) {
+        co_return chosen != nullptr ? choice{*chosen} : choice{no_replica{}};
+    }
+    // The table of instances may change during the wait for a permit.
+    const auto fallback =
+        chosen != nullptr ? std::optional{*chosen} : std::nullopt;
+    auto permitted = co_await choose_limited(std::move(limited));
+    const bool use_fallback =
+        fallback && !std::holds_alternative<routing::instance>(permitted);
+    co_return use_fallback ? choice{*fallback} : std::move(permitted);
+}
+
+http::awaitable<plain_call::choice>
+plain_call::choose_limited(std::vector<const routing::instance*> limited) {
+    const auto now = base::clock::now();
+    const auto healthy =
+        std::ranges::partition(limited, [&](const routing::instance* each) {
+            return shared_.picker_.accepts(*each, limited, now);
+        });
+    const auto healthy_count =
+        static_cast<std::size_t>(healthy.begin() - limited.begin());
+    if (healthy_count > 0) {
+        limited.resize(healthy_count);
+    }
+    limited.resize(std::min(limited.size(), requests::max_permit_candidates));
+    requests::permit_request request;
+    std::ranges::transform(limited, std::back_inserter(request.candidates_),
+                           &routing::instance::id_);
+    request.priority_ = call_.route_.priority_;
+    const auto objective = std::min(
+        call_.arrived_ + call_.route_.latency_objective_, call_.deadline_);
+    request.longest_wait_ = std::max(
+        std::chrono::duration_cast<base::milliseconds>(objective - now),
+        base::milliseconds{0});
+    auto cancel = call_.exchange_.caller_gone();
+    const auto decision = co_await shared_.permits_->acquire(
+        call_.service_, std::move(request), std::move(cancel));
+    const auto* grant = std::get_if<requests::permit_grant>(&decision);
+    const auto* replica = grant != nullptr
+                              ? shared_.registry_.instances().find_usable(
+                                    grant->replica_, base::clock::now())
+                              : nullptr;
+    const auto& service = call_.service_.value_;
+    shared_.metrics_.count_limited(service,
+                                   grant != nullptr ? "granted" : "refused");
+    log::log_info(
+        "permit",
+        {{"request", call_.request_.id_},
+         {"service", service},
+         {"replica", grant != nullptr ? grant->replica_.value_ : "none"},
+         {"ms", std::to_string(base::age_ms(now, base::clock::now()))}});
+    if (replica != nullptr) {
+        co_return *replica;
+    }
+    const auto* refused = std::get_if<requests::permit_refusal>(&decision);
+    co_return refused != nullptr ? choice{limited_replicas{refused->wait_}}
+                                 : choice{no_replica{}};
+}
+
+http::awaitable<void> plain_call::refuse_limited(base::milliseconds wait) {
+    const auto spread = std::max<base::milliseconds>(
+        std::chrono::duration_cast<base::milliseconds>(wait *
+                                                       limited_retry_spread),
+        least_limited_retry_spread);
+    base::refusal refusal{base::refusal_code::upstream_limited,
+                          base::ran_state::not_run,
+                          wait + std::chrono::duration_cast<base::milliseconds>(
+                                     spread * shared_.random_fraction()),
+                          "the replicas accept no more requests yet"};
+    co_await refuse(shared_, call_, std::move(refusal));
+}
+
 http::awaitable<void> plain_call::run() {
     auto& budget = shared_.retries(call_.service_);
     budget.note_request(call_.arrived_);
     send_result last;
     last.failure_ = http::call_failure{http::failure_kind::unreachable, false};
     while (true) {
+        const auto chosen = co_await choose();
         const auto now = base::clock::now();
-        auto candidates =
-            shared_.registry_.instances().usable(call_.service_, now);
-        std::erase_if(candidates, [](const routing::instance* each) {
-            return each->stage_ == routing::engine_stage::prefill;
-        });
-        const auto* chosen = shared_.picker_.choose(
-            candidates, tried_, shared_.settings_.failure_domain_,
-            call_.route_.kind_ == routing::call_kind::idempotent, now);
+        const bool caller_gone = call_.exchange_.caller_gone()->requested();
+        const auto* limited = std::get_if<limited_replicas>(&chosen);
+        if (limited != nullptr && possible_runs_ == 0 && !caller_gone) {
+            co_await refuse_limited(limited->wait_);
+            co_return;
+        }
+        const auto* replica = std::get_if<routing::instance>(&chosen);
         const bool is_retry = !tried_.empty();
-        if (chosen == nullptr || now >= call_.deadline_ ||
+        if (caller_gone) {
+            last.failure_ =
+                http::call_failure{http::failure_kind::cancelled, false};
+        }
+        if (replica == nullptr || caller_gone || now >= call_.deadline_ ||
             (is_retry && !budget.take(now))) {
             break;
         }
-        tried_.insert(chosen->id_);
-        const routing::instance replica = *chosen;
-        last = co_await send(replica);
+        tried_.insert(replica->id_);
+        last = co_await send(*replica);
         if (!may_send_again(last)) {
             break;
         }
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -9,6 +9,7 @@
 #include "pimentoferry/gateway/upstream_protocol.hpp"
 #include "pimentoferry/http/client.hpp"
 #include "pimentoferry/http/exchange.hpp"
+#include "pimentoferry/requests/allowance.hpp"
 #include "pimentoferry/requests/retry_budget.hpp"
 #include "pimentoferry/routing/replica_picker.hpp"
 #include "pimentoferry/store/availability.hpp"
@@ -34,6 +35,7 @@
 
 class crash_guard;
 class limit_guard;
+class call_permits;
 
 struct runtime {
     runtime(boost::asio::io_context& io,
@@ -64,9 +66,12 @@
     http::client client_;
     routing::replica_picker picker_;
     metrics metrics_;
+    /// Counts the requests to instances that announced a limit.
+    requests::allowance_table allowances_;
     stream_placement* streams_{nullptr};
     crash_guard* crashes_{nullptr};
     limit_guard* limits_{nullptr};
+    call_permits* permits_{nullptr};
     const store::availability* store_answers_{nullptr};
     bool draining_{false};
     std::uint32_t in_flight_{0};
--- a/pimentoferry/gateway/stage_orders.cpp
+++ b/pimentoferry/gateway/stage_orders.cpp
@@ -102,8 +102,13 @@
         learned ? scheduler->demand(now) : placement::stream_demand{};
     // The first plan corrects a split that nobody planned. Later ones tolerate
     // small differences.
+    const bool any_limited =
+        std::ranges::any_of(engines, [](const auto& engine) {
+            return engine.requests_per_s_.has_value();
+        });
     const auto target =
-        state.planned_before_
+        any_limited ? placement::plan_prefill_engines(demand, engines)
+        : state.planned_before_
             ? placement::plan_prefill_engines(demand, count, current)
             : placement::plan_prefill_engines(demand, count);
     auto changes = placement::stage_changes(engines, target);
@@ -134,7 +139,8 @@
                    {"prefill_ms", whole(demand.prefill_time_.count())},
                    {"answer_ms", whole(demand.answer_time_.count())},
                    {"stream_token_s", whole(demand.memory_token_ms_ / 1000)},
-                   {"prefill_shortfall", whole(demand.prefill_shortfall_)}});
+                   {"prefill_shortfall", whole(demand.prefill_shortfall_)},
+                   {"limited", any_limited ? "yes" : "no"}});
     return changes;
 }
 
--- a/pimentoferry/gateway/stream_call.hpp
+++ b/pimentoferry/gateway/stream_call.hpp
@@ -73,6 +73,7 @@
     request_placement(base::attempt_id attempt);
     /// Logs the figures on which a refusal rests.
     void log_no_room(const placement::stream_refusal& refused) const;
+    void count_limited(const placement::stream_decision& decision) const;
     http::awaitable<stream_outcome> run_attempt(placement::stream_grant grant,
                                                 placement_guard& guard);
     http::awaitable<std::variant<prefill_result, stream_outcome>>
--- a/pimentoferry/gateway/stream_placement.cpp
+++ b/pimentoferry/gateway/stream_placement.cpp
@@ -2,7 +2,6 @@
 
 #include "pimentoferry/base/overloaded.hpp"
 #include "pimentoferry/log/log.hpp"
-#include "pimentoferry/membership/ownership.hpp"
 
 #include <boost/asio/io_context.hpp>
 
@@ -57,11 +56,7 @@
 
 void stream_placement::update_owner(const base::service_name& service,
                                     service_state& state) {
-    const membership::cell_location cell{base::cell_name{service.value_},
-                                         region_};
-    const auto candidates =
-        membership::cell_candidates(cell, {cell}, peers_.live());
-    const auto owner = candidates.empty() ? peers_.self() : candidates.front();
+    const auto owner = peers_.owner_of(service, region_);
     if (owner == state.owner_) {
         return;
     }
@@ -358,6 +353,7 @@
         placement::stream_settings settings;
         settings.tokens_per_event_ = service.engine_->tokens_per_event_;
         state.scheduler_.configure(settings);
+        state.scheduler_.use_allowances(allowances_);
         deliver(state.scheduler_.set_engines(engines, now));
         update_owner(name, state);
     }
--- a/pimentoferry/gateway/stream_placement.hpp
+++ b/pimentoferry/gateway/stream_placement.hpp
@@ -43,9 +43,10 @@
     stream_placement(boost::asio::io_context& io,
                      peers& peer_gateways,
                      metrics& counters,
+                     requests::allowance_table& allowances,
                      std::string region)
         : io_(io), peers_(peer_gateways), counters_(counters),
-          region_(std::move(region)) {}
+          allowances_(allowances), region_(std::move(region)) {}
 
     /// A new id for an attempt of this gateway.
     base::attempt_id next_attempt();
@@ -142,6 +143,7 @@
     boost::asio::io_context& io_;
     peers& peers_;
     metrics& counters_;
+    requests::allowance_table& allowances_;
     std::string region_;
     std::uint64_t last_sequence_{0};
     std::map<base::service_name, service_state> services_;
--- a/pimentoferry/gateway/stream_placement_test.cpp
+++ b/pimentoferry/gateway/stream_placement_test.cpp
@@ -37,7 +37,8 @@
     config::gateway_settings settings_;
     metrics metrics_;
     peers peers_{io_, settings_, base::instance_id{1}, no_handlers()};
-    stream_placement placement_{io_, peers_, metrics_, "region"};
+    requests::allowance_table allowances_;
+    stream_placement placement_{io_, peers_, metrics_, allowances_, "region"};
     const base::service_name service_{"model"};
     const base::upstream_name left_{"left"};
     const base::upstream_name right_{"right"};
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -76,9 +76,27 @@
             std::get_if<placement::stream_refusal>(&decision)) {
         log_no_room(*refused);
     }
+    count_limited(decision);
     co_return decision;
 }
 
+void stream_call::count_limited(
+    const placement::stream_decision& decision) const {
+    const auto& service = call_.service_.value_;
+    const auto* refused = std::get_if<placement::stream_refusal>(&decision);
+    if (refused != nullptr) {
+        if (refused->reason_ == placement::refusal_reason::limited) {
+            shared_.metrics_.count_limited(service, "refused");
+        }
+        return;
+    }
+    const auto& grant = std::get<placement::stream_grant>(decision);
+    if (shared_.allowances_.limited(grant.prefill_) ||
+        shared_.allowances_.limited(grant.decode_)) {
+        shared_.metrics_.count_limited(service, "granted");
+    }
+}
+
 void stream_call::log_no_room(const placement::stream_refusal& refused) const {
     const auto& room = refused.room_;
     log::log_info(
@@ -89,6 +107,10 @@
          {"needed_decode_tokens", std::to_string(room.needed_decode_tokens_)},
          {"free_prefill_ms", std::to_string(room.free_prefill_.count())},
          {"needed_prefill_ms", std::to_string(room.needed_prefill_.count())},
+         {"withheld_decode_tokens",
+          std::to_string(room.withheld_decode_tokens_)},
+         {"withheld_prefill_ms",
+          std::to_string(room.withheld_prefill_.count())},
          {"queued", std::to_string(room.queued_)}});
 }
 
@@ -165,6 +187,9 @@
     if (refused.reason_ == reason::no_engine) {
         refusal.code_ = base::refusal_code::no_upstream;
         refusal.detail_ = "no engine serves";
+    } else if (refused.reason_ == reason::limited) {
+        refusal.code_ = base::refusal_code::upstream_limited;
+        refusal.detail_ = "the engines with room accept no more requests yet";
     } else if (refused.reason_ == reason::too_large) {
         refusal.retry_after_ = std::nullopt;
         refusal.detail_ = "the request exceeds the memory of every engine";
--- a/pimentoferry/placement/stage_plan.cpp
+++ b/pimentoferry/placement/stage_plan.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/placement/stage_plan.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <ranges>
 #include <tuple>
@@ -44,6 +45,26 @@
                     (engines - prefill) * decode_rate(demand));
 }
 
+/// Streams that the pools as they consist of `engines` can serve per ms.
+double throughput(const stream_demand& demand,
+                  const std::vector<planned_engine>& engines) {
+    constexpr double ms_per_s = 1000;
+    const double prefill_rate = 1 / demand.prefill_time_.count();
+    double prefill = -demand.prefill_shortfall_ * prefill_rate;
+    double decode = 0;
+    for (const auto& engine : engines) {
+        const double limit = engine.requests_per_s_.value_or(
+                                 std::numeric_limits<double>::infinity()) /
+                             ms_per_s;
+        if (engine.role_ == engine_role::prefill) {
+            prefill += std::min(limit, prefill_rate);
+        } else {
+            decode += std::min(limit, decode_rate(demand));
+        }
+    }
+    return std::min(prefill, decode);
+}
+
 } // namespace
 
 std::uint32_t plan_prefill_engines(const stream_demand& demand,
@@ -76,6 +97,40 @@
     return worthwhile ? best : current;
 }
 
+std::uint32_t plan_prefill_engines(const stream_demand& demand,
+                                   const std::vector<planned_engine>& engines) {
+    // A plan is made several times a second, and its work grows with the square
+    // of the number of engines for each split.
+    constexpr std::uint32_t most_changes = 4;
+    const auto count = static_cast<std::uint32_t>(engines.size());
+    const auto current = static_cast<std::uint32_t>(std::ranges::count(
+        engines, engine_role::prefill, &planned_engine::role_));
+    const auto unlimited_plan = plan_prefill_engines(demand, count, current);
+    if (!is_known(demand) || current == 0 || current >= count) {
+        return unlimited_plan;
+    }
+    const std::uint32_t minimum =
+        count >= min_engines_for_redundancy ? redundant_prefill_engines : 1;
+    const auto first = std::max(
+        minimum, current > most_changes ? current - most_changes : minimum);
+    const auto last = std::min(count - 1, current + most_changes);
+    auto best = current;
+    double best_throughput = throughput(demand, engines) * (1 + min_gain);
+    for (auto prefill = first; prefill <= last; ++prefill) {
+        auto changed = engines;
+        for (const auto& change : stage_changes(engines, prefill)) {
+            std::ranges::find(changed, change.engine_, &planned_engine::id_)
+                ->role_ = change.role_;
+        }
+        const double served = throughput(demand, changed);
+        if (served > best_throughput) {
+            best = prefill;
+            best_throughput = served;
+        }
+    }
+    return best;
+}
+
 std::optional<stage_change>
 next_stage_change(const std::vector<planned_engine>& engines,
                   std::uint32_t target_prefill) {
@@ -91,8 +146,10 @@
         domain_counts[engine.failure_domain_] += engine.role_ == from ? 1 : 0;
     }
     const planned_engine* best = nullptr;
-    const auto rank = [&domain_counts](const planned_engine& engine) {
-        return std::tuple{domain_counts[engine.failure_domain_],
+    const auto rank = [&domain_counts,
+                       to_decode](const planned_engine& engine) {
+        return std::tuple{engine.requests_per_s_.has_value() == to_decode,
+                          domain_counts[engine.failure_domain_],
                           -static_cast<std::int64_t>(engine.active_requests_)};
     };
     for (const auto& engine : engines) {
--- a/pimentoferry/placement/stage_plan.hpp
+++ b/pimentoferry/placement/stage_plan.hpp
@@ -43,6 +43,9 @@
     /// Streams and prompts in progress, which a change would delay.
     std::uint32_t active_requests_{0};
     bool responsive_{true}; ///< Otherwise it would not receive an order.
+    /// Requests a second that it announced to accept; unset: no limit. A limit
+    /// costs less at a decode engine, which is sent fewer requests.
+    std::optional<double> requests_per_s_;
 };
 
 struct stage_change {
@@ -63,11 +66,18 @@
                                    std::uint32_t engines,
                                    std::uint32_t current);
 
+/// As above, for engines of which some announced limits: what the pools can
+/// serve depends on which engines they consist of. Considers splits that differ
+/// from the current one by a few engines.
+std::uint32_t plan_prefill_engines(const stream_demand& demand,
+                                   const std::vector<planned_engine>& engines);
+
 /// Returns the next engine to change; none if the split is as planned. The
 /// engine is taken from the pool that is too large, in the failure domain that
 /// has most engines of that pool, so that each failure domain keeps both roles;
-/// among those it is the one with the least work. Unresponsive engines are left
-/// out.
+/// among those it is the one with the least work. Engines that announced a
+/// limit become decode engines first and prefill engines last. Unresponsive
+/// engines are left out.
 std::optional<stage_change>
 next_stage_change(const std::vector<planned_engine>& engines,
                   std::uint32_t target_prefill);
--- a/pimentoferry/placement/stage_plan_test.cpp
+++ b/pimentoferry/placement/stage_plan_test.cpp
@@ -23,7 +23,7 @@
                            const std::string& domain,
                            std::uint32_t active_requests) {
     return {base::upstream_name{id}, role, base::failure_domain{domain},
-            active_requests};
+            active_requests,         true, std::nullopt};
 }
 
 class stage_plan_test : public CppUnit::TestFixture {
@@ -34,6 +34,8 @@
     CPPUNIT_TEST(a_small_drift_keeps_the_split);
     CPPUNIT_TEST(the_least_busy_engine_of_the_largest_domain_changes);
     CPPUNIT_TEST(a_planned_split_needs_no_change);
+    CPPUNIT_TEST(limits_of_decode_engines_count_in_the_plan);
+    CPPUNIT_TEST(limited_prefill_engines_are_replaced);
     CPPUNIT_TEST(a_pool_of_any_size_is_changed_at_once);
     CPPUNIT_TEST(an_unresponsive_engine_is_not_changed);
     CPPUNIT_TEST(few_slots_need_more_decode_engines);
@@ -95,6 +97,42 @@
         CPPUNIT_ASSERT(!next_stage_change(engines, 1).has_value());
     }
 
+    /// Nine engines, of which the prefill engines are `limited_prefill` of
+    /// three and the decode engines `limited_decode` of six.
+    static std::vector<planned_engine>
+    partly_limited(double per_s, int limited_prefill, int limited_decode) {
+        std::vector<planned_engine> engines;
+        for (int i = 0; i < 9; ++i) {
+            const bool prefill = i < 3;
+            engines.push_back(make_engine(std::to_string(i),
+                                          prefill ? engine_role::prefill
+                                                  : engine_role::decode,
+                                          std::to_string(i % 3), 1));
+            const int number = prefill ? i : i - 3;
+            if (number < (prefill ? limited_prefill : limited_decode)) {
+                engines.back().requests_per_s_ = per_s;
+            }
+        }
+        return engines;
+    }
+
+    // Guards against decode engines that are given to prefill although the
+    // limits of the other decode engines are what binds.
+    void limits_of_decode_engines_count_in_the_plan() {
+        CPPUNIT_ASSERT(plan_prefill_engines(usual_demand(),
+                                            partly_limited(1.0, 2, 4)) <= 3);
+    }
+
+    void limited_prefill_engines_are_replaced() {
+        const auto engines = partly_limited(0.5, 3, 0);
+        CPPUNIT_ASSERT(plan_prefill_engines(usual_demand(), engines) > 3);
+        const auto change = next_stage_change(engines, 4);
+        CPPUNIT_ASSERT(change->role_ == engine_role::prefill);
+        // The limited engine becomes the decode engine.
+        const auto back = next_stage_change(partly_limited(0.5, 1, 0), 2);
+        CPPUNIT_ASSERT_EQUAL(std::string{"0"}, back->engine_.value_);
+    }
+
     // Guards against a split that follows its plan one engine at a time: with
     // 140 engines and 7 s a change that takes minutes.
     void a_pool_of_any_size_is_changed_at_once() {
--- a/pimentoferry/placement/stream_engines.cpp
+++ b/pimentoferry/placement/stream_engines.cpp
@@ -9,6 +9,7 @@
 #include <cmath>
 #include <cstddef>
 #include <iterator>
+#include <limits>
 #include <numeric>
 #include <set>
 #include <tuple>
@@ -115,7 +116,7 @@
         max_waiting_prompts, max_waiting_prompts * model_.mean_prompt_tokens());
     base::time_point best_end;
     for (auto& [id, state] : engines_) {
-        if (!state.serves(engine_role::prefill, now)) {
+        if (!state.serves(engine_role::prefill, now) || !may_be_sent(id, now)) {
             continue;
         }
         const auto wait = state.prefill_.wait(cost, now);
@@ -153,7 +154,7 @@
     std::uint64_t best_tie_rank = 0;
     const auto needed = model_.forecast_of(stream, now);
     for (auto& [id, state] : engines_) {
-        if (!state.serves(engine_role::decode, now) ||
+        if (!state.serves(engine_role::decode, now) || !may_be_sent(id, now) ||
             state.streams_.size() >= state.engine_.slots_ ||
             (limit.no_prefills_running_ && state.prefill_.prompts() > 0)) {
             continue;
@@ -179,6 +180,26 @@
     return best;
 }
 
+bool stream_scheduler::may_be_sent(const base::upstream_name& engine,
+                                   base::time_point now) const {
+    return allowances_ == nullptr || allowances_->available(engine, now);
+}
+
+void stream_scheduler::count_request(const base::upstream_name& engine,
+                                     base::time_point now) {
+    if (allowances_ != nullptr) {
+        allowances_->take(engine, now);
+    }
+}
+
+double stream_scheduler::requests_until(const base::upstream_name& engine,
+                                        base::time_point until,
+                                        base::time_point now) const {
+    return allowances_ == nullptr
+               ? std::numeric_limits<double>::infinity()
+               : std::max(0.0, allowances_->expected(engine, until, now));
+}
+
 bool stream_scheduler::has_engine(engine_role role) const {
     return std::ranges::any_of(engines_, [role](const auto& entry) {
         return entry.second.engine_.role_ == role;
@@ -210,20 +231,43 @@
     return room;
 }
 
+double stream_scheduler::withheld_decode_tokens_at(base::time_point at,
+                                                   base::time_point now) const {
+    double withheld = 0;
+    for (const auto& [id, state] : engines_) {
+        const double requests = requests_until(id, at, now);
+        if (!std::isfinite(requests) ||
+            !state.serves(engine_role::decode, at)) {
+            continue;
+        }
+        double free = static_cast<double>(state.engine_.kv_tokens_) *
+                          settings_.memory_share_ -
+                      unexplained_tokens(state, now);
+        for (const auto attempt : state.streams_) {
+            free -= model_.expected_tokens(streams_.at(attempt), now, at).mean_;
+        }
+        withheld +=
+            std::max(0.0, free - requests * model_.mean_prompt_tokens());
+    }
+    return withheld;
+}
+
 base::time_point
 stream_scheduler::latest_prefill_end(const stream_request& request,
                                      base::time_point latest_start) const {
     return latest_start + model_.prefill_time(request.prompt_tokens_);
 }
 
-fractional_ms
+stream_scheduler::prefill_time
 stream_scheduler::free_prefill_time_until(base::time_point end,
                                           base::time_point now) const {
     if (!has_engine(engine_role::prefill)) {
         // The decode engines prefill, which their memory limits first.
-        return unlimited_prefill_time;
+        return {unlimited_prefill_time, {}};
     }
-    fractional_ms total{0};
+    prefill_time total;
+    const auto prompt_time =
+        model_.cost().time_of(1, model_.mean_prompt_tokens());
     for (const auto& [id, state] : engines_) {
         if (!state.serves(engine_role::prefill, end)) {
             continue;
@@ -231,12 +275,44 @@
         const auto free_at =
             std::max({now + state.prefill_.wait(model_.cost(), now),
                       state.failed_until_, state.changing_until_});
-        const fractional_ms free = std::max(end, free_at) - free_at;
-        total += free * state.prefill_.speed(now);
+        const fractional_ms free =
+            (std::max(end, free_at) - free_at) * state.prefill_.speed(now);
+        const fractional_ms usable =
+            std::min(free, prompt_time * requests_until(id, end, now));
+        total.free_ += usable;
+        total.withheld_ += free - usable;
     }
     return total;
 }
 
+base::milliseconds
+stream_scheduler::allowance_wait(const room_report& room) const {
+    constexpr base::milliseconds longest_wait{30'000};
+    double decodes_per_s = 0;
+    double prefills_per_s = 0;
+    for (const auto& [id, state] : engines_) {
+        const double rate = allowances_->rate(id).value_or(0);
+        (state.engine_.role_ == engine_role::decode ? decodes_per_s
+                                                    : prefills_per_s) += rate;
+    }
+    const auto wait = [&](double missing, double per_request, double per_s) {
+        constexpr double ms_per_s = 1000;
+        const double requests = std::max(0.0, missing) / per_request;
+        return base::milliseconds{static_cast<std::int64_t>(
+            std::min(requests * ms_per_s / std::max(per_s, 0.001),
+                     static_cast<double>(longest_wait.count())))};
+    };
+    const auto prompt_time =
+        model_.cost().time_of(1, model_.mean_prompt_tokens());
+    return std::max(
+        wait(static_cast<double>(room.needed_decode_tokens_ -
+                                 room.free_decode_tokens_),
+             model_.mean_prompt_tokens(), decodes_per_s),
+        wait(static_cast<double>(
+                 (room.needed_prefill_ - room.free_prefill_).count()),
+             prompt_time.count(), prefills_per_s));
+}
+
 void stream_scheduler::engine_failed(const base::upstream_name& engine,
                                      base::time_point now) {
     const auto found = engines_.find(engine);
@@ -344,15 +420,18 @@
 stream_scheduler::planned_engines(base::time_point now) const {
     std::vector<planned_engine> planned;
     std::ranges::transform(
-        engines_, std::back_inserter(planned), [now](const auto& entry) {
+        engines_, std::back_inserter(planned), [this, now](const auto& entry) {
             const auto& state = entry.second;
             const bool changing = state.changing_until_ > now;
             return planned_engine{
-                entry.first, changing ? state.next_role_ : state.engine_.role_,
+                entry.first,
+                changing ? state.next_role_ : state.engine_.role_,
                 state.engine_.failure_domain_,
                 static_cast<std::uint32_t>(state.streams_.size()) +
                     state.prefill_.prompts(),
-                state.failed_until_ <= now};
+                state.failed_until_ <= now,
+                allowances_ != nullptr ? allowances_->rate(entry.first)
+                                       : std::nullopt};
         });
     return planned;
 }
--- a/pimentoferry/placement/stream_messages.hpp
+++ b/pimentoferry/placement/stream_messages.hpp
@@ -58,6 +58,7 @@
     no_room,   ///< No memory is expected in time.
     no_engine, ///< There is no decode engine.
     too_large, ///< The request exceeds the memory of every engine.
+    limited,   ///< The engines with room announced limits that are used up.
 };
 
 /// What the owner expected when it refused a request for lack of room.
@@ -70,6 +71,10 @@
     base::milliseconds free_prefill_{0};
     base::milliseconds needed_prefill_{0};
     std::uint32_t queued_{0}; ///< Requests in both queues.
+    /// What is free besides, at engines that have announced a limit and may not
+    /// be sent the requests that would use it.
+    std::int64_t withheld_decode_tokens_{0};
+    base::milliseconds withheld_prefill_{0};
 
     /// Whether both resources suffice.
     bool sufficient() const {
@@ -77,10 +82,19 @@
                free_prefill_ >= needed_prefill_;
     }
 
+    /// Whether both resources would suffice without the limits of engines.
+    bool limits_bind() const {
+        return !sufficient() &&
+               free_decode_tokens_ + withheld_decode_tokens_ >=
+                   needed_decode_tokens_ &&
+               free_prefill_ + withheld_prefill_ >= needed_prefill_;
+    }
+
     template <class Self>
     static auto fields(Self& self) {
         return std::tie(self.free_decode_tokens_, self.needed_decode_tokens_,
-                        self.free_prefill_, self.needed_prefill_, self.queued_);
+                        self.free_prefill_, self.needed_prefill_, self.queued_,
+                        self.withheld_decode_tokens_, self.withheld_prefill_);
     }
 };
 
--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -67,8 +67,10 @@
     }
     if (prefill != nullptr) {
         stream.prefill_ = prefill->engine_.id_;
+        count_request(stream.prefill_, now);
     }
     stream.decode_ = decode->engine_.id_;
+    count_request(stream.decode_, now);
     stream_grant grant{request.attempt_, stream.prefill_, stream.decode_};
     add_stream(request.attempt_, std::move(stream), now);
     return grant;
@@ -110,11 +112,15 @@
         return std::chrono::duration_cast<base::milliseconds>(time);
     };
     room_report room;
-    room.free_decode_tokens_ =
-        static_cast<std::int64_t>(free_decode_tokens_at(start, now));
+    const double withheld_tokens = withheld_decode_tokens_at(start, now);
+    room.withheld_decode_tokens_ = static_cast<std::int64_t>(withheld_tokens);
+    room.free_decode_tokens_ = static_cast<std::int64_t>(
+        free_decode_tokens_at(start, now) - withheld_tokens);
     room.needed_decode_tokens_ = static_cast<std::int64_t>(needed_tokens);
-    room.free_prefill_ = whole_ms(
-        free_prefill_time_until(latest_prefill_end(request, start), now));
+    const auto prefill =
+        free_prefill_time_until(latest_prefill_end(request, start), now);
+    room.free_prefill_ = whole_ms(prefill.free_);
+    room.withheld_prefill_ = whole_ms(prefill.withheld_);
     room.needed_prefill_ = whole_ms(needed_prefill);
     room.queued_ =
         static_cast<std::uint32_t>(queue_.size() + late_queue_.size());
@@ -149,6 +155,10 @@
     if (!fits_any_engine(request)) {
         return {request.attempt_, refusal_reason::too_large, {}, {}};
     }
+    if (room.limits_bind()) {
+        return {request.attempt_, refusal_reason::limited,
+                std::max(retry_after(request), allowance_wait(room)), room};
+    }
     return {request.attempt_, refusal_reason::no_room, retry_after(request),
             room};
 }
@@ -328,6 +338,7 @@
             attempt, refusal_reason::no_room, rejected_retry_after, {}}};
     }
     stream.decode_ = decode->engine_.id_;
+    count_request(stream.decode_, now);
     stream_grant grant{attempt, stream.prefill_, stream.decode_};
     add_stream(attempt, std::move(stream), now);
     return {grant};
--- a/pimentoferry/placement/stream_scheduler.hpp
+++ b/pimentoferry/placement/stream_scheduler.hpp
@@ -25,6 +25,10 @@
 ///     perform(scheduler.ended(attempt, events, now));
 ///     perform(scheduler.tick(now));   // about every 20 ms
 ///
+/// An engine that has announced a limit is granted only as many prefills and
+/// decodes as its allowance lets through; its remaining memory and time do not
+/// count as free.
+///
 /// A scheduler has no sockets, threads or clock and is not thread-safe; its
 /// caller passes the current time, which must never decrease.
 #ifndef PIMENTOFERRY_PLACEMENT_STREAM_SCHEDULER_HPP
@@ -38,6 +42,7 @@
 #include "pimentoferry/placement/stream_messages.hpp"
 #include "pimentoferry/placement/stream_model.hpp"
 #include "pimentoferry/placement/stream_queue.hpp"
+#include "pimentoferry/requests/allowance.hpp"
 
 #include <cstdint>
 #include <map>
@@ -94,6 +99,12 @@
 
     void configure(const stream_settings& settings);
 
+    /// Counts grants in `allowances`, which must outlive the scheduler. Engines
+    /// are not limited without this call.
+    void use_allowances(requests::allowance_table& allowances) {
+        allowances_ = &allowances;
+    }
+
     /// Replaces the set of engines. A stream on a removed engine stays recorded
     /// until it ends, and is assigned to the engine again if that is added
     /// again before.
@@ -216,18 +227,34 @@
                                           base::time_point expires_at,
                                           double reserve,
                                           base::time_point now);
+    bool may_be_sent(const base::upstream_name& engine,
+                     base::time_point now) const;
+    void count_request(const base::upstream_name& engine, base::time_point now);
+    /// Requests that the engine may be sent until `until`.
+    double requests_until(const base::upstream_name& engine,
+                          base::time_point until,
+                          base::time_point now) const;
     bool has_engine(engine_role role) const;
     bool fits_any_engine(const stream_request& request) const;
     double free_decode_tokens_at(base::time_point at,
                                  base::time_point now) const;
+    /// Free decode memory that the limits of engines keep from being used.
+    double withheld_decode_tokens_at(base::time_point at,
+                                     base::time_point now) const;
     /// Latest end of the prefill of a request whose prefill has to start by
     /// `latest_start`.
     base::time_point latest_prefill_end(const stream_request& request,
                                         base::time_point latest_start) const;
     /// Time until `end` that the prefill engines have for further prompts, as
     /// the time that engines of usual speed would need for the same prompts.
-    fractional_ms free_prefill_time_until(base::time_point end,
-                                          base::time_point now) const;
+    struct prefill_time {
+        fractional_ms free_{0};
+        fractional_ms withheld_{0}; ///< By the limits of engines.
+    };
+    prefill_time free_prefill_time_until(base::time_point end,
+                                         base::time_point now) const;
+    /// How long the limits of engines take to let through what is missing.
+    base::milliseconds allowance_wait(const room_report& room) const;
     room_report room_in_time(const queued_request& queued,
                              base::time_point now) const;
     room_report room_when_late(const queued_request& queued,
@@ -262,6 +289,7 @@
     stream_queue queue_;      ///< Can still meet their deadlines.
     stream_queue late_queue_; ///< Will miss their deadlines.
     refused_prompts refused_;
+    requests::allowance_table* allowances_{nullptr};
 };
 
 } // namespace pimentoferry::placement
--- a/pimentoferry/routing/replica_picker.cpp
+++ b/pimentoferry/routing/replica_picker.cpp
@@ -68,20 +68,37 @@
     return stats.in_flight_ + domain + full + tie_break(random_);
 }
 
-const instance*
-replica_picker::choose(const std::vector<const instance*>& candidates,
-                       const std::set<base::upstream_name>& tried,
-                       const base::failure_domain& own_domain,
-                       bool may_repeat,
-                       base::time_point now) {
-    // Response times are compared with that of the fastest replica.
+// Response times are compared with that of the fastest replica.
+double replica_picker::fastest_mean_ms(
+    const std::vector<const instance*>& candidates) const {
     double fastest_ms = 0;
     for (const auto* each : candidates) {
-        const auto mean = records_[each->id_].mean_ms_;
+        const auto found = records_.find(each->id_);
+        const double mean =
+            found != records_.end() ? found->second.mean_ms_ : 0;
         if (mean > 0 && (fastest_ms == 0 || mean < fastest_ms)) {
             fastest_ms = mean;
         }
     }
+    return fastest_ms;
+}
+
+bool replica_picker::accepts(const instance& chosen,
+                             const std::vector<const instance*>& candidates,
+                             base::time_point now) const {
+    const auto found = records_.find(chosen.id_);
+    const bool full =
+        found != records_.end() && found->second.full_until_ > now;
+    return !full && is_healthy(chosen, fastest_mean_ms(candidates), now);
+}
+
+const instance*
+replica_picker::choose(const std::vector<const instance*>& candidates,
+                       const std::set<base::upstream_name>& tried,
+                       const base::failure_domain& own_domain,
+                       bool may_repeat,
+                       base::time_point now) {
+    const double fastest_ms = fastest_mean_ms(candidates);
     const instance* best = nullptr;
     const instance* unhealthy = nullptr;
     double best_cost = 0;
--- a/pimentoferry/routing/replica_picker.hpp
+++ b/pimentoferry/routing/replica_picker.hpp
@@ -45,6 +45,12 @@
                            bool may_repeat,
                            base::time_point now);
 
+    /// Whether `chosen`, out of `candidates`, is expected to serve a call: it
+    /// is healthy and has not rejected a call as full just now.
+    bool accepts(const instance& chosen,
+                 const std::vector<const instance*>& candidates,
+                 base::time_point now) const;
+
     /// Records that a call was sent to the replica.
     void started(const base::upstream_name& id);
     /// Records the result of a started call and its duration.
@@ -72,6 +78,8 @@
         base::time_point next_probe_; ///< Of an unhealthy replica.
     };
 
+    double
+    fastest_mean_ms(const std::vector<const instance*>& candidates) const;
     bool is_healthy(const instance& candidate,
                     double fastest_ms,
                     base::time_point now) const;
--- a/tests/process/announced_limit_test.cpp
+++ b/tests/process/announced_limit_test.cpp
@@ -2,6 +2,7 @@
 // many requests a second they accept. Checks what arrives at the replicas,
 // which is what the limit is about, and what callers receive.
 
+#include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -36,6 +37,7 @@
     CPPUNIT_TEST_SUITE(announced_limit_process_test);
     CPPUNIT_TEST(limited_replicas_get_no_more_calls_than_they_announce);
     CPPUNIT_TEST(calls_go_to_replicas_without_a_limit);
+    CPPUNIT_TEST(limit_that_one_gateway_heard_is_known_to_all);
     CPPUNIT_TEST(limited_engines_get_no_more_streams_than_they_announce);
     CPPUNIT_TEST(limit_holds_while_gateways_are_killed_and_stopped);
     CPPUNIT_TEST(replica_that_has_recovered_gets_its_share_again);
@@ -151,6 +153,26 @@
         CPPUNIT_ASSERT(counts.contains(status_ok));
     }
 
+    // Guards against limits that are lost between gateways.
+    void limit_that_one_gateway_heard_is_known_to_all() {
+        start({.gateways_ = 3, .plain_replicas_ = 1});
+        set_limits("", {"2"});
+        for (int i = 0; i < 3; ++i) {
+            system_->call(0, "/book/1", "request-" + std::to_string(i));
+        }
+        const std::string line =
+            "event=announced_limit instance=" + system_->replicas()[0].id_ +
+            " change=begun requests_per_s=2 ";
+        for (std::size_t i = 0; i < 3; ++i) {
+            CPPUNIT_ASSERT(wait_for(
+                [&] {
+                    return system_->gateway_log(i).find(line) !=
+                           std::string::npos;
+                },
+                500ms));
+        }
+    }
+
     // Guards against a scheduler that places streams by memory alone.
     void limited_engines_get_no_more_streams_than_they_announce() {
         start({.gateways_ = 3, .decode_engines_ = 2});
