Treat a resumed stream without any event or marked end as broken

What callers saw: a stream that broke off and was resumed ended as complete before its last event, if the next engine closed its connection before its first event and its answer had neither a length nor chunks.

Cause: a resumed answer may have nothing left to send, so one without events counted as complete; an answer that ends with its connection looks the same when its engine ends. Change: such an end has to be marked.

Test: empty_answer_of_the_next_engine_does_not_end_a_stream failed before (the caller got ten of twenty events and the end of the stream) and passes.

--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -211,8 +211,9 @@
             }
             // An answer that ends with its connection looks like this when the
             // engine crashes as it begins. One that is resumed may have nothing
-            // left to send.
-            if (events.events() == 0 && !last_event_sent_) {
+            // left to send, but has to say so.
+            if (events.events() == 0 &&
+                (!last_event_sent_ || !answer.end_is_marked())) {
                 co_return stream_broken{"the answer has no event", false, true};
             }
             guard.complete(static_cast<std::uint32_t>(events.events()));
--- a/pimentoferry/http/client.cpp
+++ b/pimentoferry/http/client.cpp
@@ -25,6 +25,10 @@
     return call_->head();
 }
 
+bool open_answer::end_is_marked() const {
+    return call_->end_is_marked();
+}
+
 awaitable<std::variant<std::string, body_end, call_failure>>
 open_answer::read() {
     return call_->read(false);
--- a/pimentoferry/http/client.hpp
+++ b/pimentoferry/http/client.hpp
@@ -103,6 +103,10 @@
 
     const response_head& head() const;
 
+    /// Whether the end of the body is marked by a length or a last chunk. If
+    /// not, the body ends with the connection, also when the upstream crashes.
+    bool end_is_marked() const;
+
     /// Returns the next bytes of the body as soon as any are received.
     awaitable<std::variant<std::string, body_end, call_failure>> read();
 
--- a/pimentoferry/http/upstream_call.cpp
+++ b/pimentoferry/http/upstream_call.cpp
@@ -238,6 +238,7 @@
                                             into(error));
     if (!error) {
         const auto& message = parser_->get();
+        end_is_marked_ = !parser_->need_eof();
         head_.status_ = static_cast<int>(message.result_int());
         for (const auto& f : message) {
             head_.fields_.push_back(
--- a/pimentoferry/http/upstream_call.hpp
+++ b/pimentoferry/http/upstream_call.hpp
@@ -32,6 +32,7 @@
     awaitable<std::optional<call_failure>> start(const request& call);
 
     const response_head& head() const { return head_; }
+    bool end_is_marked() const { return end_is_marked_; }
     /// Returns the next bytes of the body. Limited by the deadline of the call
     /// or else by the gap timeout.
     awaitable<std::variant<std::string, body_end, call_failure>>
@@ -66,6 +67,7 @@
     boost::beast::flat_buffer buffer_{max_buffered_input_bytes};
     std::optional<parser> parser_; ///< Of the current response.
     response_head head_;
+    bool end_is_marked_{true};
     bool sent_{false};
     bool finished_{false};
     /// A response to another call was received on this connection.
--- a/tests/process/faulty_replica_test.cpp
+++ b/tests/process/faulty_replica_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(rejection_without_id_does_not_move_a_running_stream);
     CPPUNIT_TEST(repeated_rejection_of_the_same_stream_is_not_believed);
     CPPUNIT_TEST(error_of_the_next_engine_does_not_enter_a_stream);
+    CPPUNIT_TEST(empty_answer_of_the_next_engine_does_not_end_a_stream);
     CPPUNIT_TEST(head_that_stops_midway_is_no_answer);
     CPPUNIT_TEST_SUITE_END();
 
