Name other limited replicas in each request for a permit

A call names at most eight replicas to the owner of its service. All gateways named the first eight by id, so with more limited replicas the allowances of the others were used by nobody; callers would have been refused beside them.

--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -253,6 +253,10 @@
     if (healthy_count > 0) {
         limited.resize(healthy_count);
     }
+    // Of many limited replicas, each call names others.
+    const auto first = static_cast<std::ptrdiff_t>(
+        shared_.random_fraction() * static_cast<double>(limited.size()));
+    std::ranges::rotate(limited, limited.begin() + first);
     limited.resize(std::min(limited.size(), requests::max_permit_candidates));
     requests::permit_request request;
     std::ranges::transform(limited, std::back_inserter(request.candidates_),
