Log which calls lose their answers to a replica that has crashed

The lines could not tell a crash from an answer that was broken off, nor what the calls have in common.

event=answer_lost names the state of the replica and a keyed fingerprint of method, host, target, caller and body. engine_check is renamed to upstream_check, because replicas of plain services are asked, too. No logic changes.

--- a/pimentoferry/gateway/crash_guard.cpp
+++ b/pimentoferry/gateway/crash_guard.cpp
@@ -55,8 +55,9 @@
 
 crash_guard::crash_guard(peers& peer_gateways,
                          store::http_store& store,
-                         metrics& counters)
-    : peers_(peer_gateways), counters_(counters), record_(store),
+                         metrics& counters,
+                         const wire::fleet_key& key)
+    : peers_(peer_gateways), counters_(counters), record_(store), key_(key),
       marks_(guard_limits()) {}
 
 std::size_t crash_guard::writers_before_this_one() const {
--- a/pimentoferry/gateway/crash_guard.hpp
+++ b/pimentoferry/gateway/crash_guard.hpp
@@ -13,12 +13,15 @@
 
 #include "pimentoferry/base/ids.hpp"
 #include "pimentoferry/base/time.hpp"
+#include "pimentoferry/gateway/call_fingerprint.hpp"
 #include "pimentoferry/gateway/crash_record.hpp"
 #include "pimentoferry/gateway/metrics.hpp"
 #include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/gateway/upstream_protocol.hpp"
 #include "pimentoferry/requests/prompt_quarantine.hpp"
+#include "pimentoferry/wire/fleet_key.hpp"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,9 +30,17 @@
 
 class crash_guard {
 public:
+    /// `key` is that of the fleet, so that all gateways compute the same
+    /// fingerprints.
     crash_guard(peers& peer_gateways,
                 store::http_store& store,
-                metrics& counters);
+                metrics& counters,
+                const wire::fleet_key& key);
+
+    /// See `call_fingerprint`.
+    std::uint64_t fingerprint_of(const http::request& call) const {
+        return call_fingerprint(call, key_);
+    }
 
     /// How long a request is refused because of a part of its prompt; unset if
     /// it is not.
@@ -70,6 +81,7 @@
     peers& peers_;
     metrics& counters_;
     crash_record record_;
+    wire::fleet_key key_;
     requests::prompt_quarantine marks_;
     base::time_point next_exchange_;
 };
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -138,6 +138,14 @@
     int exit_code_{exit_ok};
 };
 
+/// A key that cannot be parsed ends the process when the peer address is
+/// opened.
+wire::fleet_key fleet_key_of(const config::gateway_settings& settings) {
+    const auto parsed = wire::parse_fleet_key(settings.fleet_key_);
+    const auto* key = std::get_if<wire::fleet_key>(&parsed);
+    return key != nullptr ? *key : wire::fleet_key{};
+}
+
 store::http_store_options
 store_options(const config::gateway_settings& settings, const ports& adapter) {
     store::http_store_options options;
@@ -170,8 +178,8 @@
       peers_(io_, settings, self, make_peer_handlers()),
       placement_(
           io_, peers_, shared_.metrics_, shared_.allowances_, settings.region_),
-      crashes_(peers_, store_, shared_.metrics_), limits_(peers_, shared_),
-      permits_(peers_, shared_, limits_),
+      crashes_(peers_, store_, shared_.metrics_, fleet_key_of(settings)),
+      limits_(peers_, shared_), permits_(peers_, shared_, limits_),
       orders_(shared_, store_, base::to_hex(self.value_)),
       signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_) {
     shared_.streams_ = &placement_;
--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -1,8 +1,11 @@
 #include "pimentoferry/gateway/plain_relay.hpp"
 
 #include "pimentoferry/base/boot_time.hpp"
+#include "pimentoferry/base/hash.hpp"
 #include "pimentoferry/gateway/call_permits.hpp"
+#include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
+#include "pimentoferry/gateway/upstream_check.hpp"
 #include "pimentoferry/http/proxy.hpp"
 #include "pimentoferry/log/log.hpp"
 
@@ -53,6 +56,11 @@
     bool cancelled() const {
         return failure_ && failure_->kind_ == http::failure_kind::cancelled;
     }
+    /// The connection ended while the replica had the call.
+    bool answer_lost() const {
+        return failure_ && failure_->sent_ &&
+               failure_->kind_ == http::failure_kind::broken;
+    }
 };
 
 routing::call_result result_of(const send_result& outcome) {
@@ -115,6 +123,7 @@
     untried_replicas(base::time_point now) const;
     http::awaitable<void> refuse_limited(base::milliseconds wait);
     http::awaitable<send_result> send(routing::instance replica);
+    http::awaitable<void> examine_lost_answer(routing::instance replica);
     bool may_send_again(const send_result& last) const;
     http::awaitable<void> respond(send_result last);
 
@@ -180,6 +189,18 @@
     co_return outcome;
 }
 
+// The replica crashed, or broke off this answer alone.
+http::awaitable<void>
+plain_call::examine_lost_answer(routing::instance replica) {
+    const auto state = co_await check_upstream(shared_, replica);
+    const auto fingerprint =
+        shared_.crashes_->fingerprint_of(call_.exchange_.call());
+    log::log_warn("answer_lost", {{"request", call_.request_.id_},
+                                  {"instance", replica.id_.value_},
+                                  {"upstream", std::string{to_string(state)}},
+                                  {"call", base::to_hex(fingerprint)}});
+}
+
 bool plain_call::may_send_again(const send_result& last) const {
     if (last.cancelled() || tried_.size() >= max_sends) {
         return false;
@@ -331,6 +352,9 @@
         }
         tried_.insert(replica->id_);
         last = co_await send(*replica);
+        if (last.answer_lost()) {
+            co_await examine_lost_answer(*replica);
+        }
         if (!may_send_again(last)) {
             break;
         }
--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -2,9 +2,9 @@
 
 #include "pimentoferry/base/boot_time.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
-#include "pimentoferry/gateway/engine_check.hpp"
 #include "pimentoferry/gateway/event_splitter.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
+#include "pimentoferry/gateway/upstream_check.hpp"
 #include "pimentoferry/http/proxy.hpp"
 #include "pimentoferry/log/log.hpp"
 
@@ -427,16 +427,16 @@
 http::awaitable<void>
 stream_call::examine_lost_answer(const base::upstream_name& engine) {
     const auto found = find_engine(engine);
-    auto state = engine_state::gone;
+    auto state = upstream_state::gone;
     if (found) {
-        state = co_await check_engine(shared_, *found);
+        state = co_await check_upstream(shared_, *found);
     }
     log::log_warn("answer_lost_at_begin",
                   {{"request", call_.request_.id_},
                    {"instance", engine.value_},
                    {"engine", std::string{to_string(state)}},
                    {"prompt_parts", parts_text(call_.request_)}});
-    if (state == engine_state::gone) {
+    if (state == upstream_state::gone) {
         shared_.crashes_->engine_crashed(call_.request_, engine,
                                          base::clock::now());
         shared_.streams_->engine_failed(call_.service_, engine);
--- a/pimentoferry/gateway/engine_check.cpp
+++ b/pimentoferry/gateway/upstream_check.cpp
@@ -1,4 +1,4 @@
-#include "pimentoferry/gateway/engine_check.hpp"
+#include "pimentoferry/gateway/upstream_check.hpp"
 
 #include <variant>
 
@@ -12,38 +12,38 @@
 
 } // namespace
 
-std::string_view to_string(engine_state state) {
+std::string_view to_string(upstream_state state) {
     switch (state) {
-    case engine_state::running:
+    case upstream_state::running:
         return "running";
-    case engine_state::gone:
+    case upstream_state::gone:
         return "gone";
-    case engine_state::silent:
+    case upstream_state::silent:
         return "silent";
     }
     return "unknown";
 }
 
-http::awaitable<engine_state> check_engine(runtime& shared,
-                                           routing::instance engine) {
+http::awaitable<upstream_state> check_upstream(runtime& shared,
+                                               routing::instance upstream) {
     http::call_options options;
     options.deadline_ = base::clock::now() + check_timeout;
     options.connect_timeout_ = check_timeout;
     options.body_limit_bytes_ = report_body_limit_bytes;
     // A pooled connection may be one that the crash has closed.
     options.fresh_connection_ = true;
-    auto request = shared.protocol_.report_call_(engine.id_);
+    auto request = shared.protocol_.report_call_(upstream.id_);
     const auto result = co_await shared.client_.call(
-        engine.address_, std::move(request), std::move(options));
-    auto state = engine_state::running;
+        upstream.address_, std::move(request), std::move(options));
+    auto state = upstream_state::running;
     if (const auto* failure = std::get_if<http::call_failure>(&result)) {
         state = failure->kind_ == http::failure_kind::refused
-                    ? engine_state::gone
-                    : engine_state::silent;
+                    ? upstream_state::gone
+                    : upstream_state::silent;
     } else if (std::get<http::response>(result).status_ == status_misdirected) {
-        state = engine_state::gone;
+        state = upstream_state::gone;
     }
-    shared.metrics_.count_send("engine_check", to_string(state));
+    shared.metrics_.count_send("upstream_check", to_string(state));
     co_return state;
 }
 
