Quarantine calls that crash the replicas of plain services

Cause: crashes were counted by request or by replica, and only streams have parts by which different requests are recognised. Now a call without a prompt has one part, a keyed fingerprint of method, host, target, caller and body, and is handled by the quarantine of prompt parts: an answer that breaks off is followed by a question to the replica, two crashes refuse the call at all gateways, one request of the fleet is tried after a quarantine. Two crashes within 100 ms are two if the second run began after the first.

--- a/pimentoferry/gateway/crash_guard.cpp
+++ b/pimentoferry/gateway/crash_guard.cpp
@@ -27,12 +27,6 @@
     return limits;
 }
 
-requests::prompt_parts parts_of(const caller_request& request) {
-    return request.prompt_ ? requests::prompt_parts{request.prompt_->parts_,
-                                                    request.prompt_->id_}
-                           : requests::prompt_parts{};
-}
-
 blamed_parts to_message(const std::vector<requests::crash_mark>& marks) {
     blamed_parts message;
     std::ranges::transform(
@@ -45,9 +39,15 @@
 
 } // namespace
 
-std::string parts_text(const caller_request& request) {
+requests::prompt_parts parts_of(const caller_request& request) {
+    return request.prompt_ ? requests::prompt_parts{request.prompt_->parts_,
+                                                    request.prompt_->id_}
+                           : requests::prompt_parts{};
+}
+
+std::string shared_parts_text(const requests::prompt_parts& parts) {
     std::string text;
-    for (const auto part : parts_of(request).shared_) {
+    for (const auto part : parts.shared_) {
         text += (text.empty() ? "" : ",") + base::to_hex(part);
     }
     return text.empty() ? "none" : text;
@@ -72,19 +72,26 @@
 }
 
 std::optional<base::milliseconds>
-crash_guard::refused_for(const caller_request& request,
+crash_guard::refused_for(const requests::prompt_parts& parts,
                          base::time_point now) const {
-    return marks_.refused_for(parts_of(request), now);
+    return marks_.refused_for(parts, now);
 }
 
 std::optional<base::milliseconds>
-crash_guard::admit(const caller_request& request, base::time_point now) {
-    return marks_.admit(parts_of(request), now);
+crash_guard::admit(const requests::prompt_parts& parts, base::time_point now) {
+    auto admitted = marks_.admit(parts, now);
+    if (!admitted.tried_.empty()) {
+        for (const auto part : admitted.tried_) {
+            log::log_info("part_tried", {{"part", base::to_hex(part)}});
+        }
+        peers_.send_to_all(tried_parts{std::move(admitted.tried_)});
+    }
+    return admitted.refused_for_;
 }
 
-bool crash_guard::is_suspect(const caller_request& request,
+bool crash_guard::is_suspect(const requests::prompt_parts& parts,
                              base::time_point now) const {
-    return marks_.is_suspect(parts_of(request), now);
+    return marks_.is_suspect(parts, now);
 }
 
 void crash_guard::log_mark(const requests::crash_mark& mark,
@@ -96,14 +103,17 @@
                    {"told_by", std::string{told_by}}});
 }
 
-void crash_guard::engine_crashed(const caller_request& request,
-                                 const base::upstream_name& engine,
-                                 base::time_point now) {
-    const auto raised = marks_.record_crash(parts_of(request), now);
-    log::log_warn("engine_crashed_at_begin",
-                  {{"request", request.id_},
-                   {"instance", engine.value_},
-                   {"prompt_parts", parts_text(request)},
+void crash_guard::upstream_crashed(const std::string& request,
+                                   const requests::prompt_parts& parts,
+                                   const base::upstream_name& upstream,
+                                   base::time_point run_began) {
+    const auto raised =
+        marks_.record_crash(parts, base::clock::now(), run_began);
+    log::log_warn("upstream_crashed",
+                  {{"request", request},
+                   {"instance", upstream.value_},
+                   {"shared_parts", shared_parts_text(parts)},
+                   {"own_part", base::to_hex(parts.own_)},
                    {"marks", std::to_string(raised.size())}});
     for (const auto& mark : raised) {
         log_mark(mark, "own_request");
@@ -113,15 +123,15 @@
     }
 }
 
-void crash_guard::answer_began(const caller_request& request,
-                               base::time_point now) {
-    const auto cleared = marks_.record_begin(parts_of(request), now);
+void crash_guard::answer_began(const std::string& request,
+                               const requests::prompt_parts& parts) {
+    const auto cleared = marks_.record_begin(parts, base::clock::now());
     if (cleared.empty()) {
         return;
     }
     for (const auto part : cleared) {
         log::log_info("part_cleared",
-                      {{"part", base::to_hex(part)}, {"request", request.id_}});
+                      {{"part", base::to_hex(part)}, {"request", request}});
     }
     peers_.send_to_all(sound_parts{cleared});
 }
@@ -173,6 +183,13 @@
     });
 }
 
+void crash_guard::receive(const tried_parts& message) {
+    const auto now = base::clock::now();
+    std::ranges::for_each(message.parts_, [&](std::uint64_t part) {
+        marks_.merge_trial(part, now);
+    });
+}
+
 void crash_guard::tick(const store::mirror& replica, base::time_point now) {
     if (now < next_exchange_) {
         return;
--- a/pimentoferry/gateway/crash_guard.hpp
+++ b/pimentoferry/gateway/crash_guard.hpp
@@ -1,4 +1,5 @@
-/// Shares among the gateways which parts of prompts crash engines.
+/// Shares among the gateways which requests crash the upstreams that run them:
+/// parts of prompts, and fingerprints of calls without a prompt.
 ///
 /// A mark is sent to all gateways when it is set or raised, and one of the
 /// others receives all marks every 500 ms, so that gateways that were cut off
@@ -37,34 +38,43 @@
                 metrics& counters,
                 const wire::fleet_key& key);
 
-    /// See `call_fingerprint`.
-    std::uint64_t fingerprint_of(const http::request& call) const {
-        return call_fingerprint(call, key_);
+    /// What a call without a prompt is recognised by, see `call_fingerprint`.
+    requests::prompt_parts parts_of(const http::request& call) const {
+        return {{}, call_fingerprint(call, key_)};
     }
 
-    /// How long a request is refused because of a part of its prompt; unset if
-    /// it is not.
-    std::optional<base::milliseconds> refused_for(const caller_request& request,
-                                                  base::time_point now) const;
+    /// Whether any request is blamed, so that parts have to be known.
+    bool any_marks() const { return marks_.any_marks(); }
+
+    /// How long a request is refused because of one of its parts; unset if it
+    /// is not.
+    std::optional<base::milliseconds>
+    refused_for(const requests::prompt_parts& parts,
+                base::time_point now) const;
 
     /// As `refused_for`, for a new request, see `prompt_quarantine::admit`.
-    std::optional<base::milliseconds> admit(const caller_request& request,
+    std::optional<base::milliseconds> admit(const requests::prompt_parts& parts,
                                             base::time_point now);
 
     /// Whether a part of the request was blamed for a crash, so that another
     /// send may cost another engine.
-    bool is_suspect(const caller_request& request, base::time_point now) const;
+    bool is_suspect(const requests::prompt_parts& parts,
+                    base::time_point now) const;
 
-    /// The engine crashed as it began to answer the request.
-    void engine_crashed(const caller_request& request,
-                        const base::upstream_name& engine,
-                        base::time_point now);
+    /// An upstream crashed as it began to answer the request, which was sent to
+    /// it at `run_began`.
+    void upstream_crashed(const std::string& request,
+                          const requests::prompt_parts& parts,
+                          const base::upstream_name& upstream,
+                          base::time_point run_began);
 
-    /// The first event of the answer to the request arrived.
-    void answer_began(const caller_request& request, base::time_point now);
+    /// The answer to the request, or the first event of it, arrived.
+    void answer_began(const std::string& request,
+                      const requests::prompt_parts& parts);
 
     void receive(base::instance_id from, const blamed_parts& message);
     void receive(const sound_parts& message);
+    void receive(const tried_parts& message);
 
     /// Takes over the record of the store.
     void receive(const store::item& record);
@@ -86,8 +96,11 @@
     base::time_point next_exchange_;
 };
 
-/// The parts of a prompt as the caller names them, for log lines.
-std::string parts_text(const caller_request& request);
+/// The parts of the prompt of a stream.
+requests::prompt_parts parts_of(const caller_request& request);
+
+/// The parts that other requests may have, for log lines.
+std::string shared_parts_text(const requests::prompt_parts& parts);
 
 } // namespace pimentoferry::gateway
 
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -211,6 +211,9 @@
     handlers.on_sound_parts_ = [this](const sound_parts& message) {
         crashes_.receive(message);
     };
+    handlers.on_tried_parts_ = [this](const tried_parts& message) {
+        crashes_.receive(message);
+    };
     handlers.on_heard_limits_ = [this](base::instance_id from,
                                        const heard_limits& message) {
         limits_.receive(from, message);
--- a/pimentoferry/gateway/peers.cpp
+++ b/pimentoferry/gateway/peers.cpp
@@ -266,7 +266,8 @@
             [&](const service_permit_request& m) {
                 handlers_.on_permit_request_(from, m);
             },
-            [&](const permit_reply& m) { handlers_.on_permit_reply_(m); }},
+            [&](const permit_reply& m) { handlers_.on_permit_reply_(m); },
+            [&](const tried_parts& m) { handlers_.on_tried_parts_(m); }},
         received.message_);
 }
 
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -111,6 +111,15 @@
     }
 };
 
+/// Parts that the sender tries with one request after their quarantine.
+struct tried_parts {
+    std::vector<std::uint64_t> parts_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.parts_);
+    }
+};
+
 /// See `routing::announced_limit`. Times are ages.
 struct heard_limit {
     base::upstream_name instance_;
@@ -168,7 +177,8 @@
                                   sound_parts,
                                   heard_limits,
                                   service_permit_request,
-                                  permit_reply>;
+                                  permit_reply,
+                                  tried_parts>;
 
 struct peer_handlers {
     /// Returns the changes in this gateway's replica after `since`.
@@ -180,6 +190,7 @@
     std::function<void(base::instance_id from, const blamed_parts&)>
         on_blamed_parts_;
     std::function<void(const sound_parts&)> on_sound_parts_;
+    std::function<void(const tried_parts&)> on_tried_parts_;
     std::function<void(base::instance_id from, const heard_limits&)>
         on_heard_limits_;
     std::function<void(base::instance_id from, const service_permit_request&)>
--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -123,7 +123,11 @@
     untried_replicas(base::time_point now) const;
     http::awaitable<void> refuse_limited(base::milliseconds wait);
     http::awaitable<send_result> send(routing::instance replica);
-    http::awaitable<void> examine_lost_answer(routing::instance replica);
+    http::awaitable<void> examine_lost_answer(routing::instance replica,
+                                              base::time_point sent_at);
+    /// What the call is recognised by if it crashes replicas.
+    const requests::prompt_parts& crash_parts();
+    std::optional<base::milliseconds> quarantined_for();
     bool may_send_again(const send_result& last) const;
     http::awaitable<void> respond(send_result last);
 
@@ -131,6 +135,8 @@
     routed_call& call_;
     std::set<base::upstream_name> tried_;
     std::uint32_t possible_runs_{0}; ///< Sends that may have run.
+    /// Unset until needed: it costs a hash of the whole body.
+    std::optional<requests::prompt_parts> crash_parts_;
 };
 
 http::awaitable<send_result> plain_call::send(routing::instance replica) {
@@ -189,16 +195,39 @@
     co_return outcome;
 }
 
+const requests::prompt_parts& plain_call::crash_parts() {
+    if (!crash_parts_) {
+        crash_parts_ = shared_.crashes_->parts_of(call_.exchange_.call());
+    }
+    return *crash_parts_;
+}
+
 // The replica crashed, or broke off this answer alone.
 http::awaitable<void>
-plain_call::examine_lost_answer(routing::instance replica) {
+plain_call::examine_lost_answer(routing::instance replica,
+                                base::time_point sent_at) {
     const auto state = co_await check_upstream(shared_, replica);
-    const auto fingerprint =
-        shared_.crashes_->fingerprint_of(call_.exchange_.call());
-    log::log_warn("answer_lost", {{"request", call_.request_.id_},
-                                  {"instance", replica.id_.value_},
-                                  {"upstream", std::string{to_string(state)}},
-                                  {"call", base::to_hex(fingerprint)}});
+    log::log_warn("answer_lost",
+                  {{"request", call_.request_.id_},
+                   {"instance", replica.id_.value_},
+                   {"upstream", std::string{to_string(state)}},
+                   {"own_part", base::to_hex(crash_parts().own_)}});
+    if (state == upstream_state::gone) {
+        shared_.crashes_->upstream_crashed(call_.request_.id_, crash_parts(),
+                                           replica.id_, sent_at);
+    }
+}
+
+// For a call that is sent for the first time, and for one that is sent again:
+// its own run, or one elsewhere, may have crashed a replica meanwhile.
+std::optional<base::milliseconds> plain_call::quarantined_for() {
+    auto& crashes = *shared_.crashes_;
+    if (!crashes.any_marks()) {
+        return std::nullopt;
+    }
+    return tried_.empty()
+               ? crashes.admit(crash_parts(), call_.arrived_)
+               : crashes.refused_for(crash_parts(), base::clock::now());
 }
 
 bool plain_call::may_send_again(const send_result& last) const {
@@ -332,6 +361,13 @@
     send_result last;
     last.failure_ = http::call_failure{http::failure_kind::unreachable, false};
     while (true) {
+        if (const auto left = quarantined_for()) {
+            if (possible_runs_ == 0) {
+                co_await refuse_quarantined(shared_, call_, *left);
+                co_return;
+            }
+            break;
+        }
         const auto chosen = co_await choose();
         const auto now = base::clock::now();
         const bool caller_gone = call_.exchange_.caller_gone()->requested();
@@ -353,7 +389,10 @@
         tried_.insert(replica->id_);
         last = co_await send(*replica);
         if (last.answer_lost()) {
-            co_await examine_lost_answer(*replica);
+            co_await examine_lost_answer(*replica, now);
+        } else if (last.is_of_replica() && !last.not_run() &&
+                   shared_.crashes_->any_marks()) {
+            shared_.crashes_->answer_began(call_.request_.id_, crash_parts());
         }
         if (!may_send_again(last)) {
             break;
--- a/pimentoferry/gateway/runtime.cpp
+++ b/pimentoferry/gateway/runtime.cpp
@@ -8,6 +8,15 @@
 
 namespace pimentoferry::gateway {
 
+namespace {
+
+// After the end of a quarantine one request is tried first; the callers that
+// were refused come back later than that, and not all at once.
+constexpr base::milliseconds quarantine_retry_margin{5000};
+constexpr base::milliseconds quarantine_retry_spread{5000};
+
+} // namespace
+
 requests::retry_limits retry_share(const config::retry_settings& fleet,
                                    std::uint32_t gateways) {
     constexpr double used_share = 0.5;
@@ -118,4 +127,16 @@
     record_end(shared, call, "refused", answer.status_);
 }
 
+http::awaitable<void> refuse_quarantined(runtime& shared,
+                                         const routed_call& call,
+                                         base::milliseconds left) {
+    const auto spread = std::chrono::duration_cast<base::milliseconds>(
+        quarantine_retry_spread * shared.random_fraction());
+    base::refusal refusal{base::refusal_code::quarantined,
+                          base::ran_state::not_run,
+                          left + quarantine_retry_margin + spread,
+                          "requests like this one have crashed upstreams"};
+    co_await refuse(shared, call, std::move(refusal));
+}
+
 } // namespace pimentoferry::gateway
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -106,6 +106,12 @@
 http::awaitable<void>
 refuse(runtime& shared, const routed_call& call, base::refusal refusal);
 
+/// Refuses a request that has crashed upstreams, see `crash_guard`. `left`: the
+/// rest of its quarantine.
+http::awaitable<void> refuse_quarantined(runtime& shared,
+                                         const routed_call& call,
+                                         base::milliseconds left);
+
 /// Logs and counts the end of a request.
 void record_end(runtime& shared,
                 const routed_call& call,
--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/gateway/stream_call.hpp"
 
 #include "pimentoferry/base/boot_time.hpp"
+#include "pimentoferry/base/hash.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/event_splitter.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
@@ -231,7 +232,8 @@
         }
         if (std::exchange(first, false)) {
             shared_.streams_->decode_started(attempt);
-            shared_.crashes_->answer_began(call_.request_, base::clock::now());
+            shared_.crashes_->answer_began(call_.request_.id_,
+                                           parts_of(call_.request_));
             if (!any_event_sent_) {
                 shared_.metrics_.observe_first_event(
                     std::chrono::duration_cast<base::milliseconds>(
@@ -257,6 +259,7 @@
     const auto began = base::clock::now();
     const auto sent_at = base::boot_now();
     decode_engine_ = engine.id_;
+    decode_sent_at_ = began;
     const auto options = send_options_for(engine.id_);
     auto request =
         source ? shared_.protocol_.decode_call_(call_.exchange_.call(), *source,
@@ -431,20 +434,22 @@
     if (found) {
         state = co_await check_upstream(shared_, *found);
     }
-    log::log_warn("answer_lost_at_begin",
-                  {{"request", call_.request_.id_},
-                   {"instance", engine.value_},
-                   {"engine", std::string{to_string(state)}},
-                   {"prompt_parts", parts_text(call_.request_)}});
+    const auto parts = parts_of(call_.request_);
+    log::log_warn("answer_lost", {{"request", call_.request_.id_},
+                                  {"instance", engine.value_},
+                                  {"upstream", std::string{to_string(state)}},
+                                  {"shared_parts", shared_parts_text(parts)},
+                                  {"own_part", base::to_hex(parts.own_)}});
     if (state == upstream_state::gone) {
-        shared_.crashes_->engine_crashed(call_.request_, engine,
-                                         base::clock::now());
+        shared_.crashes_->upstream_crashed(call_.request_.id_, parts, engine,
+                                           decode_sent_at_);
         shared_.streams_->engine_failed(call_.service_, engine);
     }
 }
 
 std::optional<base::milliseconds> stream_call::quarantined_for() const {
-    return shared_.crashes_->refused_for(call_.request_, base::clock::now());
+    return shared_.crashes_->refused_for(parts_of(call_.request_),
+                                         base::clock::now());
 }
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/gateway/stream_call.hpp
+++ b/pimentoferry/gateway/stream_call.hpp
@@ -92,7 +92,6 @@
     void release_prefill_result(const kv_source& source,
                                 const base::upstream_name& engine);
     http::awaitable<void> finish(stream_outcome outcome);
-    http::awaitable<void> refuse_quarantined(base::milliseconds left);
     http::awaitable<void>
     refuse_placement(const placement::stream_refusal& refused);
     http::awaitable<void>
@@ -118,6 +117,7 @@
     std::set<base::upstream_name> sent_to_;
     /// Where the last decode was sent.
     base::upstream_name decode_engine_;
+    base::time_point decode_sent_at_;
 };
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -16,11 +16,6 @@
 constexpr std::uint32_t max_placements = 3;
 
 constexpr base::milliseconds no_engine_retry_after{1500};
-// After the end of a quarantine one request is tried first; the callers that
-// were refused come back later than that, and not all at once.
-constexpr base::milliseconds quarantine_retry_margin{5000};
-constexpr base::milliseconds quarantine_retry_spread{5000};
-
 // Allows for the delivery to the caller and for the error of the prefill
 // estimate.
 constexpr base::milliseconds patience_margin{400};
@@ -122,7 +117,8 @@
            call_.route_.resumable_ &&
            possible_runs_ < call_.route_.max_attempts_ &&
            (any_event_sent_ ||
-            !shared_.crashes_->is_suspect(call_.request_, base::clock::now()));
+            !shared_.crashes_->is_suspect(parts_of(call_.request_),
+                                          base::clock::now()));
 }
 
 http::awaitable<void> stream_call::run() {
@@ -134,10 +130,11 @@
         const bool is_retry = i > 0;
         const auto quarantined =
             is_retry ? quarantined_for()
-                     : shared_.crashes_->admit(call_.request_, call_.arrived_);
+                     : shared_.crashes_->admit(parts_of(call_.request_),
+                                               call_.arrived_);
         if (quarantined) {
             if (!call_.exchange_.begun() && possible_runs_ == 0) {
-                co_await refuse_quarantined(*quarantined);
+                co_await refuse_quarantined(shared_, call_, *quarantined);
                 co_return;
             }
             break;
@@ -168,16 +165,6 @@
     co_await finish(std::move(outcome));
 }
 
-http::awaitable<void> stream_call::refuse_quarantined(base::milliseconds left) {
-    const auto spread = std::chrono::duration_cast<base::milliseconds>(
-        quarantine_retry_spread * shared_.random_fraction());
-    base::refusal refusal{base::refusal_code::quarantined,
-                          base::ran_state::not_run,
-                          left + quarantine_retry_margin + spread,
-                          "a part of the prompt has crashed engines"};
-    co_await refuse(shared_, call_, std::move(refusal));
-}
-
 http::awaitable<void>
 stream_call::refuse_placement(const placement::stream_refusal& refused) {
     using reason = placement::refusal_reason;
--- a/pimentoferry/gateway/upstream_check.cpp
+++ b/pimentoferry/gateway/upstream_check.cpp
@@ -1,14 +1,44 @@
 #include "pimentoferry/gateway/upstream_check.hpp"
 
+#include "pimentoferry/http/error_token.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <optional>
 #include <variant>
 
 namespace pimentoferry::gateway {
 
+namespace asio = boost::asio;
+
 namespace {
 
 constexpr base::milliseconds check_timeout{300};
 constexpr std::size_t report_body_limit_bytes = std::size_t{256} << 10;
 constexpr int status_misdirected = 421;
+// A process that is ending accepts a connection and closes it.
+constexpr base::milliseconds recheck_pause{20};
+
+/// What the result of a call for a report shows; unset if the upstream closed
+/// the connection without an answer.
+std::optional<upstream_state>
+state_after(const std::variant<http::response, http::call_failure>& result) {
+    const auto* failure = std::get_if<http::call_failure>(&result);
+    if (failure == nullptr) {
+        return std::get<http::response>(result).status_ == status_misdirected
+                   ? upstream_state::gone
+                   : upstream_state::running;
+    }
+    switch (failure->kind_) {
+    case http::failure_kind::refused:
+        return upstream_state::gone;
+    case http::failure_kind::broken:
+        return std::nullopt;
+    default:
+        return upstream_state::silent;
+    }
+}
 
 } // namespace
 
@@ -32,19 +62,24 @@
     options.body_limit_bytes_ = report_body_limit_bytes;
     // A pooled connection may be one that the crash has closed.
     options.fresh_connection_ = true;
-    auto request = shared.protocol_.report_call_(upstream.id_);
-    const auto result = co_await shared.client_.call(
-        upstream.address_, std::move(request), std::move(options));
-    auto state = upstream_state::running;
-    if (const auto* failure = std::get_if<http::call_failure>(&result)) {
-        state = failure->kind_ == http::failure_kind::refused
-                    ? upstream_state::gone
-                    : upstream_state::silent;
-    } else if (std::get<http::response>(result).status_ == status_misdirected) {
-        state = upstream_state::gone;
+    std::optional<upstream_state> state;
+    while (!state) {
+        auto request = shared.protocol_.report_call_(upstream.id_);
+        auto call_options = options;
+        const auto result = co_await shared.client_.call(
+            upstream.address_, std::move(request), std::move(call_options));
+        state = state_after(result);
+        if (!state && base::clock::now() + recheck_pause >= options.deadline_) {
+            state = upstream_state::silent;
+        }
+        if (!state) {
+            asio::steady_timer pause{shared.io_, recheck_pause};
+            boost::system::error_code ignored;
+            co_await pause.async_wait(http::internal::into(ignored));
+        }
     }
-    shared.metrics_.count_send("upstream_check", to_string(state));
-    co_return state;
+    shared.metrics_.count_send("upstream_check", to_string(*state));
+    co_return *state;
 }
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/requests/prompt_quarantine.cpp
+++ b/pimentoferry/requests/prompt_quarantine.cpp
@@ -33,10 +33,13 @@
             now - *found->second.doubted_at_ < min_crash_distance);
 }
 
-bool prompt_quarantine::marked_just_now(std::uint64_t part,
-                                        base::time_point now) const {
-    const auto mark = marks_.find_mark(part, now);
-    return mark && marks_.age(*mark) < min_crash_distance;
+// A run that began after the last crash cannot have been part of it.
+bool prompt_quarantine::counted_already(std::uint64_t part,
+                                        base::time_point now,
+                                        base::time_point run_began) const {
+    const auto raised_at = marks_.raised_at(part, now);
+    return raised_at && now - *raised_at < min_crash_distance &&
+           run_began < *raised_at;
 }
 
 std::optional<base::milliseconds>
@@ -55,28 +58,37 @@
     return longest.count() > 0 ? std::optional{longest} : std::nullopt;
 }
 
-std::optional<base::milliseconds>
-prompt_quarantine::admit(const prompt_parts& prompt, base::time_point now) {
+admission prompt_quarantine::admit(const prompt_parts& prompt,
+                                   base::time_point now) {
     if (const auto left = refused_for(prompt, now)) {
-        return left;
+        return {left, {}};
     }
     std::erase_if(trials_, [now](const auto& trial) {
         return now - trial.second >= max_trial_time;
     });
+    auto candidates = prompt.shared_;
+    candidates.push_back(prompt.own_);
     std::vector<std::uint64_t> tried;
     std::ranges::copy_if(
-        prompt.shared_, std::back_inserter(tried),
+        candidates, std::back_inserter(tried),
         [&](std::uint64_t part) { return marks_.was_quarantined(part, now); });
     for (const auto part : tried) {
         if (const auto trial = trials_.find(part); trial != trials_.end()) {
-            return std::chrono::ceil<base::milliseconds>(trial->second +
-                                                         max_trial_time - now);
+            return {std::chrono::ceil<base::milliseconds>(trial->second +
+                                                          max_trial_time - now),
+                    {}};
         }
     }
     for (const auto part : tried) {
         trials_[part] = now;
     }
-    return std::nullopt;
+    return {std::nullopt, std::move(tried)};
+}
+
+void prompt_quarantine::merge_trial(std::uint64_t part, base::time_point now) {
+    if (marks_.was_quarantined(part, now)) {
+        trials_[part] = now;
+    }
 }
 
 bool prompt_quarantine::is_refused(std::uint64_t part,
@@ -107,10 +119,11 @@
 
 std::vector<crash_mark>
 prompt_quarantine::record_crash(const prompt_parts& prompt,
-                                base::time_point now) {
+                                base::time_point now,
+                                base::time_point run_began) {
     std::vector<crash_candidate> candidates;
     const auto blame = [&](std::uint64_t part) {
-        if (!marked_just_now(part, now)) {
+        if (!counted_already(part, now, run_began)) {
             candidates.push_back({part, false});
         }
     };
@@ -159,7 +172,11 @@
         remember_begin(part, now);
         clear(part);
     }
-    clear(prompt.own_);
+    // Remembered to refute the mark if a gateway sends it once more.
+    if (marks_.status_of(prompt.own_, now) != crash_status::clear) {
+        remember_begin(prompt.own_, now);
+        clear(prompt.own_);
+    }
     return cleared;
 }
 
--- a/pimentoferry/requests/prompt_quarantine.hpp
+++ b/pimentoferry/requests/prompt_quarantine.hpp
@@ -15,12 +15,14 @@
 /// their marks above the others.
 ///
 /// The part that belongs to one request alone is blamed if all others are
-/// sound: it recognises a request that its caller sends again.
+/// sound: it recognises a request that its caller sends again. A call without a
+/// prompt has this part alone, its fingerprint.
 ///
 ///     prompt_quarantine guard{quarantine_limits{}};
 ///     publish(guard.record_crash(prompt, now));
 ///     publish(guard.record_begin(prompt, now));
-///     if (const auto left = guard.refused_for(prompt, now)) { /* refuse */ }
+///     const auto admitted = guard.admit(prompt, now);
+///     if (admitted.refused_for_) { /* refuse */ }
 #ifndef PIMENTOFERRY_REQUESTS_PROMPT_QUARANTINE_HPP
 #define PIMENTOFERRY_REQUESTS_PROMPT_QUARANTINE_HPP
 
@@ -41,6 +43,14 @@
     std::uint64_t own_{0};              ///< Of this request; 0: unknown.
 };
 
+struct admission {
+    /// How long requests like this one are refused; unset if it is admitted.
+    std::optional<base::milliseconds> refused_for_;
+    /// Parts that are tried with this request after their quarantine, for the
+    /// other gateways.
+    std::vector<std::uint64_t> tried_;
+};
+
 /// What became of the mark of another gateway.
 enum class merge_result : std::uint8_t {
     changed,
@@ -60,16 +70,21 @@
 
     /// As `refused_for`, for a new request. After a quarantine one request at a
     /// time is admitted, until an answer begins or another crash comes.
-    std::optional<base::milliseconds> admit(const prompt_parts& prompt,
-                                            base::time_point now);
+    admission admit(const prompt_parts& prompt, base::time_point now);
+
+    /// Another gateway tries a part after its quarantine.
+    void merge_trial(std::uint64_t part, base::time_point now);
 
     /// Whether a part that other requests may have was blamed for a crash.
     bool is_suspect(const prompt_parts& prompt, base::time_point now) const;
 
-    /// An engine crashed as it began to answer. Returns the marks that were set
-    /// or raised, for the other gateways.
-    std::vector<crash_mark> record_crash(const prompt_parts& prompt,
-                                         base::time_point now);
+    /// An upstream crashed as it began to answer a request that was sent at
+    /// `run_began`, if that is known. Returns the marks that were set or
+    /// raised, for the other gateways.
+    std::vector<crash_mark>
+    record_crash(const prompt_parts& prompt,
+                 base::time_point now,
+                 base::time_point run_began = base::time_point::min());
 
     /// An answer began. Returns the marked parts that this proves sound, for
     /// the other gateways.
@@ -81,6 +96,9 @@
     /// Another gateway saw an answer begin with the part.
     void merge_sound(std::uint64_t part, base::time_point now);
 
+    /// Whether any part has a mark.
+    bool any_marks() const { return marks_.size() > 0; }
+
     bool is_quarantined(std::uint64_t part, base::time_point now) const {
         return marks_.status_of(part, now) == crash_status::quarantined;
     }
@@ -101,7 +119,9 @@
                     const std::vector<crash_mark>& marks,
                     base::time_point now) const;
     bool is_sound(std::uint64_t part, base::time_point now) const;
-    bool marked_just_now(std::uint64_t part, base::time_point now) const;
+    bool counted_already(std::uint64_t part,
+                         base::time_point now,
+                         base::time_point run_began) const;
     void remember_begin(std::uint64_t part, base::time_point now);
 
     quarantine marks_;
--- a/pimentoferry/requests/prompt_quarantine_test.cpp
+++ b/pimentoferry/requests/prompt_quarantine_test.cpp
@@ -28,6 +28,10 @@
     CPPUNIT_TEST(refusal_ends_when_the_part_comes_no_more);
     CPPUNIT_TEST(one_request_is_tried_after_a_quarantine);
     CPPUNIT_TEST(forgets_the_oldest_parts);
+    CPPUNIT_TEST(call_is_refused_after_two_crashes);
+    CPPUNIT_TEST(call_that_was_sent_again_counts_each_crash);
+    CPPUNIT_TEST(one_call_of_the_fleet_is_tried_after_a_quarantine);
+    CPPUNIT_TEST(call_that_was_answered_is_not_blamed_by_old_marks);
     CPPUNIT_TEST_SUITE_END();
 
     base::time_point now_{std::chrono::hours{1}};
@@ -53,6 +57,71 @@
         return guard_.refused_for(request(std::move(shared)), now_).has_value();
     }
 
+    // A call without a prompt has its fingerprint alone.
+    const prompt_parts call_{{}, deadly};
+
+    bool call_refused() { return guard_.refused_for(call_, now_).has_value(); }
+
+    void crash_call() {
+        now_ += seconds{1};
+        guard_.record_crash(call_, now_);
+    }
+
+    // Guards against a call that crashes one replica after the other.
+    void call_is_refused_after_two_crashes() {
+        crash_call();
+        CPPUNIT_ASSERT(!call_refused());
+        crash_call();
+        CPPUNIT_ASSERT(call_refused());
+        CPPUNIT_ASSERT(!guard_.refused_for({{}, rare}, now_));
+    }
+
+    // Guards against two crashes that count as one because the call was sent
+    // again at once.
+    void call_that_was_sent_again_counts_each_crash() {
+        guard_.record_crash(call_, now_, now_ - milliseconds{50});
+        // Another run that broke off in the same crash.
+        guard_.record_crash(call_, now_ + milliseconds{5},
+                            now_ - milliseconds{50});
+        now_ += milliseconds{60};
+        CPPUNIT_ASSERT(!call_refused());
+        guard_.record_crash(call_, now_, now_ - milliseconds{55});
+        CPPUNIT_ASSERT(call_refused());
+    }
+
+    // Guards against a trial at each gateway when a quarantine ends.
+    void one_call_of_the_fleet_is_tried_after_a_quarantine() {
+        crash_call();
+        crash_call();
+        now_ += seconds{21};
+        prompt_quarantine other = guard_;
+        const auto tried = guard_.admit(call_, now_);
+        CPPUNIT_ASSERT(!tried.refused_for_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, tried.tried_.size());
+        CPPUNIT_ASSERT(guard_.admit(call_, now_).refused_for_);
+        other.merge_trial(tried.tried_.front(), now_);
+        CPPUNIT_ASSERT(other.admit(call_, now_).refused_for_);
+        CPPUNIT_ASSERT(!other.admit({{}, rare}, now_).refused_for_);
+        // A trial without an end does not last for ever.
+        CPPUNIT_ASSERT(!other.admit(call_, now_ + seconds{4}).refused_for_);
+    }
+
+    // Guards against a quarantine that returns from a gateway that has not
+    // heard of its end.
+    void call_that_was_answered_is_not_blamed_by_old_marks() {
+        crash_call();
+        crash_call();
+        const auto old = guard_.marks(now_);
+        now_ += seconds{21};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                             guard_.record_begin(call_, now_).size());
+        CPPUNIT_ASSERT(
+            merge_result::refuted ==
+            guard_.merge({deadly, old.front().crashes_, milliseconds{100}},
+                         now_));
+        CPPUNIT_ASSERT(!call_refused());
+    }
+
     // Guards against a part that crashes one engine after the other.
     void part_is_refused_after_two_crashes_of_different_requests() {
         sound({common});
@@ -188,14 +257,14 @@
         crash({deadly});
         crash({deadly});
         now_ += seconds{20};
-        CPPUNIT_ASSERT(!guard_.admit(request({deadly}), now_));
-        CPPUNIT_ASSERT(guard_.admit(request({deadly}), now_).has_value());
-        CPPUNIT_ASSERT(!guard_.admit(request({common}), now_));
+        CPPUNIT_ASSERT(!guard_.admit(request({deadly}), now_).refused_for_);
+        CPPUNIT_ASSERT(guard_.admit(request({deadly}), now_).refused_for_);
+        CPPUNIT_ASSERT(!guard_.admit(request({common}), now_).refused_for_);
         now_ += seconds{3};
-        CPPUNIT_ASSERT(!guard_.admit(request({deadly}), now_));
+        CPPUNIT_ASSERT(!guard_.admit(request({deadly}), now_).refused_for_);
         sound({deadly});
-        CPPUNIT_ASSERT(!guard_.admit(request({deadly}), now_));
-        CPPUNIT_ASSERT(!guard_.admit(request({deadly}), now_));
+        CPPUNIT_ASSERT(!guard_.admit(request({deadly}), now_).refused_for_);
+        CPPUNIT_ASSERT(!guard_.admit(request({deadly}), now_).refused_for_);
     }
 
     // Guards against memory that grows with the prompts of callers.
--- a/pimentoferry/requests/quarantine.cpp
+++ b/pimentoferry/requests/quarantine.cpp
@@ -107,6 +107,7 @@
         ++raised.crashes_;
     }
     base::milliseconds left = limits_.mark_lifetime_;
+    raised.raised_at_ = now;
     raised.expires_ = now + left;
     if (raised.crashes_ >= crashes_to_quarantine) {
         left = quarantine_time(raised.crashes_);
@@ -135,6 +136,12 @@
     return crash_mark{fingerprint, found->crashes_, time_left(end, now)};
 }
 
+std::optional<base::time_point>
+quarantine::raised_at(std::uint64_t fingerprint, base::time_point now) const {
+    const mark* found = find(fingerprint, now);
+    return found != nullptr ? std::optional{found->raised_at_} : std::nullopt;
+}
+
 std::vector<crash_mark> quarantine::marks(base::time_point now) const {
     std::vector<crash_mark> found;
     for (const auto& [fingerprint, value] : marks_) {
@@ -168,7 +175,10 @@
     if (existing != nullptr && existing->crashes_ >= received.crashes_) {
         return false;
     }
-    mark merged{received.crashes_, {}, now + limits_.mark_lifetime_};
+    mark merged{received.crashes_,
+                now - age(received),
+                {},
+                now + limits_.mark_lifetime_};
     if (received.crashes_ >= crashes_to_quarantine) {
         // Bounded, because the settings of the sender may differ.
         merged.quarantined_until_ =
--- a/pimentoferry/requests/quarantine.hpp
+++ b/pimentoferry/requests/quarantine.hpp
@@ -86,6 +86,11 @@
     /// The marks that are in force, with what remains of each.
     std::vector<crash_mark> marks(base::time_point now) const;
 
+    /// When the crash was recorded that set or raised the mark of a
+    /// fingerprint; unset without a mark.
+    std::optional<base::time_point> raised_at(std::uint64_t fingerprint,
+                                              base::time_point now) const;
+
     /// Time since the crash that set or raised a mark.
     base::milliseconds age(const crash_mark& mark) const;
 
@@ -101,6 +106,7 @@
 private:
     struct mark {
         std::uint8_t crashes_{0};
+        base::time_point raised_at_;
         base::time_point quarantined_until_;
         /// A mark outlasts its quarantine by the mark lifetime, so that a
         /// further crash doubles the quarantine.
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -71,6 +71,8 @@
     CPPUNIT_TEST(removed_replica_gets_no_calls_from_a_restarted_gateway);
     CPPUNIT_TEST(removed_replica_gets_no_calls_from_a_gateway_without_store);
     CPPUNIT_TEST(prompt_part_that_crashes_engines_is_refused_everywhere);
+    CPPUNIT_TEST(call_that_crashes_replicas_is_refused_everywhere);
+    CPPUNIT_TEST(replica_that_breaks_answers_off_blames_no_call);
     CPPUNIT_TEST(all_gateways_recover_after_all_are_killed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -507,6 +509,53 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, crashed_engines());
     }
 
+    void check_call_that_crashes(const std::string& deadly,
+                                 const std::string& sound) {
+        system_.emplace(gateway_fleet_options{.plain_replicas_ = 6});
+        CPPUNIT_ASSERT(system_->start());
+        set_on_all_replicas(R"({"crash_on":"dead"})");
+        const auto status = [this](std::size_t gateway,
+                                   const std::string& path) {
+            return system_->call(gateway, path, next_id()).status_;
+        };
+        for (std::size_t i = 0; i < 8; ++i) {
+            status(i % 2, deadly);
+            std::this_thread::sleep_for(150ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, crashed_engines());
+        for (std::size_t i = 0; i < 2; ++i) {
+            CPPUNIT_ASSERT_EQUAL(status_unavailable, status(i, deadly));
+            CPPUNIT_ASSERT_EQUAL(status_ok, status(i, sound));
+        }
+        system_->gateway(0).signal(SIGKILL);
+        system_->gateway(0).wait(2s);
+        system_->restart_gateway(0);
+        CPPUNIT_ASSERT(wait_for([this] { return system_->is_ready(0); }, 4s));
+        // Peers and the store tell a gateway that starts.
+        std::this_thread::sleep_for(1000ms);
+        CPPUNIT_ASSERT_EQUAL(status_unavailable, status(0, deadly));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, crashed_engines());
+    }
+
+    // Guards against a call that comes again with new ids and crashes one
+    // replica after the other.
+    void call_that_crashes_replicas_is_refused_everywhere() {
+        check_call_that_crashes("/book/dead", "/book/1");
+        check_call_that_crashes("/read/dead", "/read/1");
+    }
+
+    // Guards against a refusal of sound calls because a faulty replica, which
+    // goes on running, lost their answers.
+    void replica_that_breaks_answers_off_blames_no_call() {
+        for (int i = 0; i < 4; ++i) {
+            set_on_all_replicas(R"({"lose_next":1})");
+            system_->call(i % 2, "/book/same", next_id());
+        }
+        set_on_all_replicas(R"({"lose_next":0})");
+        CPPUNIT_ASSERT_EQUAL(status_ok,
+                             system_->call(0, "/book/same", next_id()).status_);
+    }
+
     // Guards against required state that exists only in the processes.
     void all_gateways_recover_after_all_are_killed() {
         for (std::size_t i = 0; i < system_->gateway_count(); ++i) {
