Order the store's data by era and revision

Cause: revisions are given out again after a restore, and replicas, watches, deltas between gateways, expected revisions, leases and fencing numbers compared them across it. The store says its era in each answer; positions are now (era, revision), and what an earlier era says is dropped. What the gateway has acted upon outlasts the copy: the configuration's version, drains and removals of instances. Registrations are written again, claims end, and fencing numbers have the era above the revision.

--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -92,6 +92,7 @@
                                      http::handler handle);
     void on_changes(const std::vector<store::mirror_change>& changes,
                     std::string_view origin);
+    void on_store_restored();
     void update_seeds();
     void apply_limits();
 
@@ -163,13 +164,15 @@
       shared_(
           io_, settings, adapter.upstreams_, adapter.registry_, self.value_),
       store_(io_, store_options(settings, adapter)),
-      follower_(io_,
-                store_,
-                shared_.metrics_,
-                {"", watch_wait, self.value_},
-                [this](const auto& changes, std::string_view origin) {
-                    on_changes(changes, origin);
-                }),
+      follower_(
+          io_,
+          store_,
+          shared_.metrics_,
+          {"", watch_wait, self.value_},
+          [this](const auto& changes, std::string_view origin) {
+              on_changes(changes, origin);
+          },
+          [this] { on_store_restored(); }),
       registration_(io_,
                     store_,
                     shared_.metrics_,
@@ -191,7 +194,7 @@
 
 peer_handlers gateway_process::make_peer_handlers() {
     peer_handlers handlers;
-    handlers.read_replica_ = [this](store::revision since) {
+    handlers.read_replica_ = [this](store::position since) {
         return follower_.update_since(since, base::clock::now());
     };
     handlers.merge_replica_ = [this](const replica_update& update) {
@@ -294,8 +297,9 @@
 void gateway_process::on_changes(
     const std::vector<store::mirror_change>& changes, std::string_view origin) {
     const auto now = base::clock::now();
-    shared_.registry_.set_store_return(follower_.availability().returned_at());
-    const change_origin received{origin, &follower_.availability()};
+    shared_.registry_.set_store_return(follower_.store_returned_at());
+    const change_origin received{origin, origin == "copy",
+                                 &follower_.availability()};
     bool configuration_changed = false;
     bool instances_changed = false;
     for (const auto& change : changes) {
@@ -319,6 +323,11 @@
     }
 }
 
+void gateway_process::on_store_restored() {
+    registration_.forget();
+    orders_.forget_claims();
+}
+
 void gateway_process::update_seeds() {
     auto seeds = shared_.settings_.peers_;
     std::ranges::copy(registered_gateways(follower_.replica()),
@@ -553,7 +562,7 @@
 
 void gateway_process::tick() {
     const auto now = base::clock::now();
-    shared_.registry_.set_store_return(follower_.availability().returned_at());
+    shared_.registry_.set_store_return(follower_.store_returned_at());
     if (shared_.registry_.expire(now)) {
         placement_.set_engines(shared_.registry_, now);
     }
@@ -562,7 +571,7 @@
         peers_.update_self(false, routes ? routes->version() : 0,
                            shared_.in_flight_, now);
     }
-    peers_.tick(follower_.replica().at(), now);
+    peers_.tick(follower_.replica().current(), now);
     placement_.tick(now);
     crashes_.tick(follower_.replica(), now);
     limits_.tick(now);
--- a/pimentoferry/gateway/peers.cpp
+++ b/pimentoferry/gateway/peers.cpp
@@ -93,7 +93,7 @@
     return std::nullopt;
 }
 
-void peers::tick(store::revision replica_at, base::time_point now) {
+void peers::tick(store::position replica_at, base::time_point now) {
     handle(membership::tick{}, now);
     if (now >= next_compare_) {
         next_compare_ = now + compare_interval;
@@ -101,7 +101,7 @@
     }
 }
 
-void peers::compare_replicas(store::revision replica_at) {
+void peers::compare_replicas(store::position replica_at) {
     std::vector<base::instance_id> targets;
     const auto add_random = [&](const std::vector<base::instance_id>& from) {
         std::vector<base::instance_id> candidates = from;
@@ -241,12 +241,12 @@
             },
             [&](const replica_position& m) {
                 auto update = handlers_.read_replica_(m.at_);
-                if (update.current_ || update.delta_.to_ > m.at_) {
+                if (update.current_ || update.delta_.end() > m.at_) {
                     if (update.delta_.bytes() >= large_update_bytes) {
                         log::log_info(
                             "large_update_sent",
                             {{"to", base::to_hex(from.value_)},
-                             {"since", std::to_string(m.at_)},
+                             {"since", std::to_string(m.at_.at_)},
                              {"revision", std::to_string(update.delta_.to_)},
                              {"bytes", std::to_string(update.delta_.bytes())}});
                     }
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -2,9 +2,9 @@
 /// them about the store's data and about streams.
 ///
 /// Membership follows `membership::swim`. The local replicas of the store's
-/// data are compared with a few peers at a time: a gateway sends the revision
-/// up to which its replica is complete, and a peer with a later revision sends
-/// the difference. Only a few gateways watch the store, see `watches_store`;
+/// data are compared with a few peers at a time: a gateway sends the position
+/// up to which its replica is complete, and a peer with a later one sends the
+/// difference. Only a few gateways watch the store, see `watches_store`;
 /// the others query those. A gateway that cannot reach the store receives
 /// changes in the same way.
 ///
@@ -39,7 +39,7 @@
 
 /// The sender's replica of the store is complete up to this revision.
 struct replica_position {
-    store::revision at_{0};
+    store::position at_;
     template <class Self>
     static auto fields(Self& self) {
         return std::tie(self.at_);
@@ -182,7 +182,7 @@
 
 struct peer_handlers {
     /// Returns the changes in this gateway's replica after `since`.
-    std::function<replica_update(store::revision since)> read_replica_;
+    std::function<replica_update(store::position since)> read_replica_;
     std::function<void(const replica_update&)> merge_replica_;
     std::function<void(base::instance_id from, service_stream_message)>
         on_stream_message_;
@@ -214,9 +214,9 @@
     /// Whether this gateway is one of the few that watch the store.
     bool watches_store() const;
 
-    /// Must be called about every 100 ms. `replica_at` is the revision up to
+    /// Must be called about every 100 ms. `replica_at` is the position up to
     /// which this gateway's replica of the store is complete.
-    void tick(store::revision replica_at, base::time_point now);
+    void tick(store::position replica_at, base::time_point now);
 
     /// Sets the addresses at which other gateways may be found.
     void set_seeds(const std::vector<base::endpoint>& seeds,
@@ -255,7 +255,7 @@
     void receive(wire::envelope<peer_message> received);
     void handle(const membership::event& event, base::time_point now);
     void perform(const membership::send_message& action);
-    void compare_replicas(store::revision replica_at);
+    void compare_replicas(store::position replica_at);
     std::vector<base::instance_id> watchers() const;
     std::vector<base::instance_id> others() const;
 
--- a/pimentoferry/gateway/registration.cpp
+++ b/pimentoferry/gateway/registration.cpp
@@ -121,22 +121,33 @@
 }
 
 http::awaitable<void> registration::run() {
-    bool registered = false;
     while (!withdrawn_) {
-        if (!registered && !is_selected_()) {
-            // This gateway may be selected later, when membership changes.
-        } else if (registered) {
-            registered = co_await renew();
-        } else {
-            registered = co_await register_once();
+        const auto forgotten = forgotten_;
+        bool done = registered_;
+        // This gateway may be selected later, when membership changes.
+        if (!registered_ && is_selected_()) {
+            done = co_await register_once();
+        } else if (registered_ && base::clock::now() >= next_renewal_) {
+            done = co_await renew();
+            next_renewal_ = base::clock::now() + renewal_interval;
         }
-        asio::steady_timer pause{io_, registered ? renewal_interval
-                                                 : retry_interval};
+        if (done && !registered_) {
+            next_renewal_ = base::clock::now() + renewal_interval;
+        }
+        registered_ = done && forgotten == forgotten_;
+        asio::steady_timer pause{io_, retry_interval};
         boost::system::error_code ignored;
         co_await pause.async_wait(http::internal::into(ignored));
     }
 }
 
+void registration::forget() {
+    ++forgotten_;
+    registered_ = false;
+    lease_ = {};
+    key_revision_ = 0;
+}
+
 void registration::withdraw() {
     withdrawn_ = true;
     if (lease_ != store::lease_id{}) {
--- a/pimentoferry/gateway/registration.hpp
+++ b/pimentoferry/gateway/registration.hpp
@@ -41,6 +41,10 @@
     /// renews the lease, until `withdraw`.
     void start(std::function<bool()> is_selected);
 
+    /// The store has come back from an older copy, so the key and the lease may
+    /// be missing or belong to others. Registers again.
+    void forget();
+
     /// Revokes the lease, so that the store removes the key.
     void withdraw();
 
@@ -59,6 +63,10 @@
     std::function<bool()> is_selected_;
     store::lease_id lease_;
     store::revision key_revision_{0}; ///< Last one that the store reported.
+    bool registered_{false};
+    base::time_point next_renewal_;
+    /// Counts calls to `forget`, for calls that are in progress meanwhile.
+    std::uint32_t forgotten_{0};
     bool withdrawn_{false};
 };
 
--- a/pimentoferry/gateway/registry.cpp
+++ b/pimentoferry/gateway/registry.cpp
@@ -45,7 +45,9 @@
 }
 
 registry_change registry::apply_instance(std::string_view id,
-                                         const store::item& item) {
+                                         const store::item& item,
+                                         const change_origin& origin,
+                                         base::time_point now) {
     auto read = codec_.read_instance_(id, item.value_);
     if (const auto* failure = std::get_if<unreadable>(&read)) {
         log::log_warn("registration_unreadable",
@@ -63,7 +65,17 @@
                    {"state", instance.draining_ ? "draining" : "ready"},
                    {"stage", stage_text(instance)},
                    {"revision", std::to_string(item.revision_)}});
-    instances_.put(std::move(instance));
+    const auto id_put = instance.id_;
+    const auto result = origin.from_copy_
+                            ? instances_.put_from_copy(std::move(instance), now)
+                            : instances_.put(std::move(instance));
+    if (result != routing::put_result::taken) {
+        log::log_warn("instance_outdated",
+                      {{"instance", id_put.value_},
+                       {"reason", std::string{to_string(result)}},
+                       {"received_by", std::string{origin.received_by_}},
+                       {"revision", std::to_string(item.revision_)}});
+    }
     return registry_change::instances;
 }
 
@@ -83,7 +95,7 @@
         if (item.key_.starts_with(codec_.instance_prefix_)) {
             return apply_instance(std::string_view{item.key_}.substr(
                                       codec_.instance_prefix_.size()),
-                                  item);
+                                  item, origin, now);
         }
         return registry_change::nothing;
     }
--- a/pimentoferry/gateway/registry.hpp
+++ b/pimentoferry/gateway/registry.hpp
@@ -8,9 +8,11 @@
 ///     registry.routes();     // null before the first configuration
 ///     registry.instances();
 ///
-/// A configuration takes effect only if its version is higher than that of the
-/// one in force. When a value cannot be decoded, the configuration in force
-/// stays, and an instance is not used.
+/// What the gateway has acted upon stays true when the store comes back from an
+/// older copy: a configuration takes effect only if its version is higher than
+/// that of the one in force, and `routing::instance_table` keeps which
+/// instances drain or are gone. When a value cannot be decoded, the
+/// configuration in force stays, and an instance is not used.
 #ifndef PIMENTOFERRY_GATEWAY_REGISTRY_HPP
 #define PIMENTOFERRY_GATEWAY_REGISTRY_HPP
 
@@ -36,7 +38,10 @@
 
 /// How a change reached the gateway, for log lines.
 struct change_origin {
-    std::string_view received_by_; ///< "list", "watch" or "peer".
+    std::string_view received_by_; ///< "list", "watch", "peer" or "copy".
+    /// The change follows from the store's return from an older copy, so it may
+    /// show what was known to be over.
+    bool from_copy_{false};
     const store::availability* store_answers_{nullptr};
 };
 
@@ -69,7 +74,9 @@
 private:
     registry_change apply_configuration(const store::item& item);
     registry_change apply_instance(std::string_view id,
-                                   const store::item& item);
+                                   const store::item& item,
+                                   const change_origin& origin,
+                                   base::time_point now);
 
     registry_codec codec_;
     std::shared_ptr<const routing::route_table> routes_;
--- a/pimentoferry/gateway/stage_orders.cpp
+++ b/pimentoferry/gateway/stage_orders.cpp
@@ -152,6 +152,15 @@
     return *state.claim_;
 }
 
+void stage_orders::forget_claims() {
+    const auto now = base::boot_now();
+    for (auto& [service, state] : services_) {
+        if (state.claim_) {
+            state.claim_->forget(now);
+        }
+    }
+}
+
 void stage_orders::release() {
     for (auto& [service, state] : services_) {
         if (!state.claim_) {
--- a/pimentoferry/gateway/stage_orders.hpp
+++ b/pimentoferry/gateway/stage_orders.hpp
@@ -31,6 +31,9 @@
 
     void start();
 
+    /// The store has come back from an older copy, which may lack the claims.
+    void forget_claims();
+
     /// Releases the claims at shutdown, so that other gateways may give orders.
     void release();
 
--- a/pimentoferry/orders/order_claim.cpp
+++ b/pimentoferry/orders/order_claim.cpp
@@ -10,6 +10,13 @@
 // later, the next conditional write fails with a conflict.
 constexpr base::milliseconds write_timeout{1500};
 
+/// More revisions than a store gives out in an era.
+constexpr std::uint64_t revisions_per_era = std::uint64_t{1} << 40U;
+
+std::uint64_t number_of(store::era era, store::revision revision) {
+    return era * revisions_per_era + revision;
+}
+
 } // namespace
 
 std::optional<std::uint64_t>
@@ -50,7 +57,8 @@
     if (written == nullptr) {
         return {};
     }
-    const bool absent_before = key_revision_ == 0;
+    const bool absent_before =
+        key_revision_ == 0 && now >= missing_key_doubted_until_;
     const bool owned_before = own_revision_ && *own_revision_ == key_revision_;
     key_revision_ = written->revision_;
     own_revision_ = written->revision_;
@@ -58,7 +66,7 @@
     if (absent_before || (owned_before && exclusive_) || waited) {
         exclusive_ = true;
         wait_until_.reset();
-        number_ = written->revision_;
+        number_ = number_of(result.era_.value_or(0), written->revision_);
         valid_until_ = pending_since_ + claim_validity;
     } else {
         exclusive_ = false;
@@ -67,6 +75,16 @@
     return {};
 }
 
+void order_claim::forget(base::time_point now) {
+    pending_.reset();
+    key_revision_ = 0;
+    own_revision_.reset();
+    exclusive_ = false;
+    number_.reset();
+    wait_until_.reset();
+    missing_key_doubted_until_ = now + takeover_wait;
+}
+
 std::vector<store::operation> order_claim::release(base::time_point now) {
     constexpr auto distance = takeover_wait - claim_validity;
     const bool recent = last_order_ && now - *last_order_ < distance;
--- a/pimentoferry/orders/order_claim.hpp
+++ b/pimentoferry/orders/order_claim.hpp
@@ -9,6 +9,11 @@
 /// `holder_distance` has passed since the other's last possible order, and then
 /// claims the key again.
 ///
+/// Revisions are given out again after the store has come back from an older
+/// copy, so the fencing number has the era of the store in its upper part. A
+/// key that is missing shortly after that may be one that the copy lacks, so it
+/// is claimed like one that another process holds.
+///
 ///     order_claim claim{"orders/chat", "gateway-1"};
 ///     submit(claim.acquire(now));  // repeatedly, while orders may be needed
 ///     submit(claim.handle(result, now));
@@ -64,6 +69,9 @@
     /// over by then.
     bool exclusive() const { return exclusive_; }
 
+    /// The store has come back from an older copy: ends the claim.
+    void forget(base::time_point now);
+
     /// Ends the claim; no order may be sent afterwards. Deletes the key, so
     /// that a successor doesn't have to wait, unless an order was sent
     /// recently.
@@ -87,6 +95,8 @@
     std::optional<store::revision>
         own_revision_; ///< Revision of the last write of this process.
     std::optional<base::time_point> wait_until_;
+    /// Until then a missing key does not show that nobody has a claim.
+    base::time_point missing_key_doubted_until_{base::time_point::min()};
     std::optional<std::uint64_t> number_;
     std::optional<base::time_point> last_order_;
     base::time_point valid_until_;
--- a/pimentoferry/orders/order_claim_test.cpp
+++ b/pimentoferry/orders/order_claim_test.cpp
@@ -14,6 +14,7 @@
 struct fake_store {
     store::revision revision_{0};
     store::revision last_revision_{10};
+    store::era era_{0};
 
     store::result apply(const store::operation& operation) {
         if (const auto* erase =
@@ -26,13 +27,15 @@
             return {operation.token_, store::conflict{revision_}};
         }
         revision_ = ++last_revision_;
-        return {operation.token_, store::written{revision_}};
+        return {operation.token_, store::written{revision_}, era_};
     }
 };
 
 class order_claim_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(order_claim_test);
     CPPUNIT_TEST(first_claim_is_valid_immediately);
+    CPPUNIT_TEST(fencing_numbers_rise_when_revisions_go_back);
+    CPPUNIT_TEST(missing_key_after_a_restore_is_taken_over);
     CPPUNIT_TEST(claim_expires_without_an_event);
     CPPUNIT_TEST(takeover_waits_until_the_other_claim_expires);
     CPPUNIT_TEST(renewal_needs_no_wait);
@@ -55,6 +58,40 @@
         CPPUNIT_ASSERT(claim.fencing_number({}) == key.revision_);
     }
 
+    // Guards against a second holder with the same or a lower fencing number
+    // after the store has come back from an older copy.
+    void fencing_numbers_rise_when_revisions_go_back() {
+        fake_store key{.era_ = 1};
+        order_claim first{"orders/a", "one"};
+        order_claim second{"orders/a", "two"};
+        base::time_point now{};
+        claim_once(first, key, now);
+        const auto before = first.fencing_number(now);
+        key = fake_store{0, 2, 2};
+        first.forget(now);
+        CPPUNIT_ASSERT(!first.fencing_number(now));
+        while (!second.fencing_number(now)) {
+            now += milliseconds{100};
+            claim_once(second, key, now);
+        }
+        CPPUNIT_ASSERT(second.fencing_number(now) > before);
+    }
+
+    // Guards against orders of a new holder while one whose key the copy lacks
+    // has just given its last.
+    void missing_key_after_a_restore_is_taken_over() {
+        fake_store key;
+        order_claim claim{"orders/a", "one"};
+        base::time_point now{};
+        claim.forget(now);
+        const auto begin = now;
+        while (!claim.fencing_number(now)) {
+            now += milliseconds{100};
+            claim_once(claim, key, now);
+        }
+        CPPUNIT_ASSERT(now - begin >= claim_validity + holder_distance);
+    }
+
     // Guards against orders from a process that was paused after its claim.
     void claim_expires_without_an_event() {
         fake_store key;
--- a/pimentoferry/routing/instance_table.cpp
+++ b/pimentoferry/routing/instance_table.cpp
@@ -5,10 +5,77 @@
 
 namespace pimentoferry::routing {
 
-void instance_table::put(instance registered) {
+namespace {
+
+// Removed instances that are remembered, and for how long: a copy of the
+// source's data is some seconds old, or minutes at most.
+constexpr std::size_t max_gone = 1024;
+constexpr base::milliseconds gone_memory{600'000};
+// The source removes entries of dead instances within this time after its
+// return: three intervals of their registrations, and the time until the
+// removal is known.
+constexpr base::milliseconds dead_entry_lifetime{5000};
+
+} // namespace
+
+std::string_view to_string(put_result result) {
+    switch (result) {
+    case put_result::taken:
+        return "taken";
+    case put_result::drains_already:
+        return "drains_already";
+    case put_result::earlier_run:
+        return "earlier_run";
+    case put_result::gone_already:
+        return "gone_already";
+    }
+    return "unknown";
+}
+
+put_result instance_table::put(instance registered) {
+    const auto found = records_.find(registered.id_);
+    auto result = put_result::taken;
+    if (found != records_.end() && registered.started_at_ms_ != 0) {
+        const auto& known = found->second.instance_;
+        if (known.started_at_ms_ > registered.started_at_ms_) {
+            return put_result::earlier_run;
+        }
+        const bool same_run = known.started_at_ms_ == registered.started_at_ms_;
+        if (same_run && known.draining_ && !registered.draining_) {
+            registered.draining_ = true;
+            result = put_result::drains_already;
+        }
+    }
+    gone_.erase(registered.id_);
+    auto id = registered.id_;
+    records_.insert_or_assign(std::move(id), record{std::move(registered)});
+    return result;
+}
+
+put_result instance_table::put_from_copy(instance registered,
+                                         base::time_point now) {
+    const auto gone = gone_.find(registered.id_);
+    const bool was_removed =
+        gone != gone_.end() && now - gone->second.removed_at_ < gone_memory &&
+        registered.started_at_ms_ <= gone->second.started_at_ms_;
+    if (!was_removed) {
+        return put(std::move(registered));
+    }
     auto id = registered.id_;
-    records_.insert_or_assign(std::move(id),
-                              record{std::move(registered), false});
+    records_.insert_or_assign(
+        std::move(id),
+        record{std::move(registered), false, now + dead_entry_lifetime});
+    return put_result::gone_already;
+}
+
+void instance_table::remember_gone(const instance& removed,
+                                   base::time_point now) {
+    if (gone_.size() >= max_gone && !gone_.contains(removed.id_)) {
+        gone_.erase(std::ranges::min_element(gone_, {}, [](const auto& entry) {
+            return entry.second.removed_at_;
+        }));
+    }
+    gone_[removed.id_] = {removed.started_at_ms_, now};
 }
 
 void instance_table::remove(const base::upstream_name& id,
@@ -20,6 +87,7 @@
     // A draining instance has announced that it leaves and does not register
     // again.
     if (now >= lapsed_kept_until_ || found->second.instance_.draining_) {
+        remember_gone(found->second.instance_, now);
         records_.erase(found);
     } else {
         found->second.lapsed_ = true;
@@ -41,7 +109,7 @@
 bool instance_table::is_usable(const record& entry,
                                base::time_point now) const {
     const bool expired = entry.lapsed_ && now >= lapsed_kept_until_;
-    return !entry.instance_.draining_ && !expired;
+    return !entry.instance_.draining_ && !expired && now >= entry.unused_until_;
 }
 
 std::vector<const instance*>
@@ -66,7 +134,12 @@
 
 bool instance_table::expire(base::time_point now) {
     return std::erase_if(records_, [&](const auto& entry) {
-               return entry.second.lapsed_ && now >= lapsed_kept_until_;
+               const bool expired =
+                   entry.second.lapsed_ && now >= lapsed_kept_until_;
+               if (expired) {
+                   remember_gone(entry.second.instance_, now);
+               }
+               return expired;
            }) > 0;
 }
 
--- a/pimentoferry/routing/instance_table.hpp
+++ b/pimentoferry/routing/instance_table.hpp
@@ -14,6 +14,12 @@
 ///     instances.remove(id, now);
 ///     for (const auto* each : instances.usable(service, now)) { ... }
 ///
+/// The source may come back from an older copy of its data. What an instance
+/// has said in one run is not taken back by an older registration of that run:
+/// one that drains goes on draining, an earlier run does not replace a later
+/// one, and one that is gone is used again only after it has registered anew or
+/// its entry has outlasted the time in which those of dead instances expire.
+///
 /// The returned pointers are valid until the table is changed.
 #ifndef PIMENTOFERRY_ROUTING_INSTANCE_TABLE_HPP
 #define PIMENTOFERRY_ROUTING_INSTANCE_TABLE_HPP
@@ -25,6 +31,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pimentoferry::routing {
@@ -48,10 +55,23 @@
     friend bool operator==(const instance&, const instance&) = default;
 };
 
+/// What became of a registration.
+enum class put_result : std::uint8_t {
+    taken,
+    drains_already, ///< It drains, whatever the registration says.
+    earlier_run,    ///< A later run of the instance is known; not taken.
+    gone_already,   ///< It was removed; not used for now.
+};
+
+std::string_view to_string(put_result result);
+
 class instance_table {
 public:
     /// Adds or replaces a registration.
-    void put(instance registered);
+    put_result put(instance registered);
+
+    /// As `put`, for a registration in an older copy of the source's data.
+    put_result put_from_copy(instance registered, base::time_point now);
 
     /// Removals before `until` may be lapses; the removed instances are used
     /// until then. A time in the past ends the use of all of them.
@@ -88,11 +108,21 @@
     struct record {
         instance instance_;
         bool lapsed_{false};
+        /// Not used before, unless it registers again.
+        base::time_point unused_until_{base::time_point::min()};
+    };
+    /// An instance that was removed.
+    struct gone_run {
+        std::uint64_t started_at_ms_{0};
+        base::time_point removed_at_;
     };
 
     bool is_usable(const record& entry, base::time_point now) const;
 
+    void remember_gone(const instance& removed, base::time_point now);
+
     std::map<base::upstream_name, record> records_;
+    std::map<base::upstream_name, gone_run> gone_;
     base::time_point lapsed_kept_until_{base::time_point::min()};
 };
 
--- a/pimentoferry/routing/instance_table_test.cpp
+++ b/pimentoferry/routing/instance_table_test.cpp
@@ -23,11 +23,59 @@
     CPPUNIT_TEST(an_expired_registration_is_kept_for_a_while);
     CPPUNIT_TEST(a_draining_instance_is_removed_at_once);
     CPPUNIT_TEST(retain_removes_instances_that_are_not_listed);
+    CPPUNIT_TEST(a_draining_instance_is_not_taken_back_by_an_old_entry);
+    CPPUNIT_TEST(an_earlier_run_does_not_replace_a_later_one);
+    CPPUNIT_TEST(a_removed_instance_is_not_used_by_an_old_entry);
     CPPUNIT_TEST_SUITE_END();
 
     instance_table table_;
     base::time_point now_{};
 
+    static instance make_run(std::uint64_t started_at_ms, bool draining) {
+        auto made = make_instance("a", draining);
+        made.started_at_ms_ = started_at_ms;
+        return made;
+    }
+
+    // Guards against requests to an instance that leaves, after the source has
+    // come back from a copy in which it does not.
+    void a_draining_instance_is_not_taken_back_by_an_old_entry() {
+        table_.put(make_run(7, true));
+        CPPUNIT_ASSERT(put_result::drains_already ==
+                       table_.put_from_copy(make_run(7, false), now_));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+        CPPUNIT_ASSERT(put_result::taken == table_.put(make_run(8, false)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+    }
+
+    void an_earlier_run_does_not_replace_a_later_one() {
+        table_.put(make_run(8, false));
+        CPPUNIT_ASSERT(put_result::earlier_run ==
+                       table_.put_from_copy(make_run(7, true), now_));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+    }
+
+    // Guards against requests to an instance that has left, until its old entry
+    // expires.
+    void a_removed_instance_is_not_used_by_an_old_entry() {
+        const base::upstream_name id{"a"};
+        table_.put(make_run(7, false));
+        table_.remove(id, now_);
+        CPPUNIT_ASSERT(put_result::gone_already ==
+                       table_.put_from_copy(make_run(7, false), now_));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+        // It lives if it registers again, or if its entry does not expire.
+        auto other = table_;
+        other.put(make_run(7, false));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other.usable(desk, now_).size());
+        now_ += base::milliseconds{6000};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+        table_.remove(id, now_);
+        CPPUNIT_ASSERT(put_result::taken ==
+                       table_.put_from_copy(make_run(9, false), now_));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+    }
+
     std::size_t usable() const { return table_.usable(desk, now_).size(); }
 
     void a_draining_instance_gets_no_new_requests() {
--- a/pimentoferry/store/http_codec.cpp
+++ b/pimentoferry/store/http_codec.cpp
@@ -123,6 +123,11 @@
 
 namespace internal {
 
+std::optional<era> parse_era(std::string_view text) {
+    const auto number = parse_number(text);
+    return number && *number > 0 ? number : std::nullopt;
+}
+
 bool is_write(const request& operation) {
     return !std::holds_alternative<get>(operation) &&
            !std::holds_alternative<list>(operation) &&
--- a/pimentoferry/store/http_codec.hpp
+++ b/pimentoferry/store/http_codec.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,7 @@
     int status_{0};
     std::string revision_; ///< Header `X-Revision`; empty when absent.
     std::string body_;
+    std::optional<era> era_{}; ///< Unset if absent or not a number.
 };
 
 struct store_codec {
@@ -32,6 +34,9 @@
     /// A response that does not match the operation decodes to `unavailable`,
     /// because it does not show whether the operation took effect.
     std::function<outcome(const request&, const http_answer&)> decode_;
+    /// Header with the era of the store, a decimal number. Empty for a store
+    /// that never loses what it has acknowledged.
+    std::string era_field_{};
 };
 
 store_codec product_codec();
@@ -42,6 +47,9 @@
 
 namespace internal {
 
+/// Unset if the text is not a decimal number above 0.
+std::optional<era> parse_era(std::string_view text);
+
 /// Whether the operation may change the store's data or leases.
 bool is_write(const request& operation);
 
--- a/pimentoferry/store/http_store.cpp
+++ b/pimentoferry/store/http_store.cpp
@@ -65,7 +65,9 @@
 
     void submit(pending_operation pending);
     void start(pending_operation pending);
-    void complete(const pending_operation& pending, const outcome& outcome);
+    void complete(const pending_operation& pending,
+                  const outcome& outcome,
+                  std::optional<era> answered_in);
     asio::awaitable<void> execute(pending_operation pending);
     asio::awaitable<std::optional<http_answer>> exchange(connection& conn,
                                                          const http_call& call);
@@ -85,7 +87,7 @@
     if (queue_.size() >= options_.max_queued_) {
         asio::post(io_,
                    [self = shared_from_this(), pending = std::move(pending)] {
-                       self->complete(pending, unavailable{});
+                       self->complete(pending, unavailable{}, std::nullopt);
                    });
         return;
     }
@@ -118,7 +120,8 @@
 }
 
 void http_store_state::complete(const pending_operation& pending,
-                                const outcome& outcome) {
+                                const outcome& outcome,
+                                std::optional<era> answered_in) {
     if (closed_) {
         return;
     }
@@ -128,7 +131,7 @@
     if (std::holds_alternative<conflict>(outcome)) {
         ++stats_.conflicts_;
     }
-    pending.handler_({pending.operation_.token_, outcome});
+    pending.handler_({pending.operation_.token_, outcome, answered_in});
 }
 
 std::unique_ptr<connection> http_store_state::take_idle_connection() {
@@ -177,6 +180,10 @@
     http_answer response{static_cast<int>(message.result_int()),
                          std::string{message["X-Revision"]},
                          std::move(message.body())};
+    if (!options_.codec_.era_field_.empty()) {
+        const auto text = message[options_.codec_.era_field_];
+        response.era_ = internal::parse_era({text.data(), text.size()});
+    }
     if (!message.keep_alive()) {
         conn.stream_.close();
     }
@@ -212,9 +219,11 @@
         conn->stream_.expires_never();
         idle_connections_.push_back(std::move(conn));
     }
-    complete(pending, response ? options_.codec_.decode_(
-                                     pending.operation_.request_, *response)
-                               : outcome{unavailable{}});
+    complete(pending,
+             response ? options_.codec_.decode_(pending.operation_.request_,
+                                                *response)
+                      : outcome{unavailable{}},
+             response ? response->era_ : std::nullopt);
 }
 
 } // namespace internal
--- a/pimentoferry/store/http_store_test.cpp
+++ b/pimentoferry/store/http_store_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(encodes_the_expected_revision_and_lease);
     CPPUNIT_TEST(decodes_an_invalid_response_as_unavailable);
     CPPUNIT_TEST(decodes_a_conflict_with_its_revision);
+    CPPUNIT_TEST(an_era_that_is_no_number_is_not_taken);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -37,6 +38,14 @@
                              to_http(put{"a", "v", 7, lease_id{3}}).target_);
     }
 
+    void an_era_that_is_no_number_is_not_taken() {
+        CPPUNIT_ASSERT(internal::parse_era("7") == era{7});
+        for (const auto* text : {"", "0", "-1", "+3", "2.0", "2,3", "seven",
+                                 " 7 ", "0x7", "18446744073709551616"}) {
+            CPPUNIT_ASSERT(!internal::parse_era(text));
+        }
+    }
+
     // Guards against taking the response of a proxy or of a faulty store as
     // success.
     void decodes_an_invalid_response_as_unavailable() {
--- a/pimentoferry/store/mirror.cpp
+++ b/pimentoferry/store/mirror.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <numeric>
 #include <set>
+#include <utility>
 
 namespace pimentoferry::store {
 
@@ -71,8 +72,39 @@
     }
 }
 
-std::vector<mirror_change> mirror::replace(const std::vector<item>& items,
-                                           revision at) {
+std::vector<mirror_change> mirror::restore(const std::vector<item>& items,
+                                           position copy) {
+    const auto before = std::exchange(items_, {});
+    removed_.clear();
+    removals_complete_after_ = copy.at_;
+    era_ = copy.era_;
+    at_ = copy.at_;
+    std::vector<mirror_change> changes;
+    for (const auto& each : items) {
+        items_.insert_or_assign(each.key_, each);
+    }
+    for (const auto& [key, old] : before) {
+        if (!items_.contains(key)) {
+            changes.emplace_back(item_removed{key});
+        }
+    }
+    for (const auto& [key, each] : items_) {
+        const auto old = before.find(key);
+        if (old == before.end() || old->second.value_ != each.value_) {
+            changes.emplace_back(item_written{each});
+        }
+    }
+    return changes;
+}
+
+std::vector<mirror_change>
+mirror::replace(const std::vector<item>& items, revision at, era of) {
+    if (of < era_) {
+        return {};
+    }
+    if (of > era_) {
+        return restore(items, {of, at});
+    }
     std::vector<mirror_change> changes;
     std::set<std::string> listed_keys;
     for (const auto& each : items) {
@@ -97,6 +129,16 @@
     return changes;
 }
 
+void mirror::forget_revisions(era actual) {
+    for (auto& [key, each] : items_) {
+        each.revision_ = 0;
+    }
+    removed_.clear();
+    removals_complete_after_ = 0;
+    era_ = actual;
+    at_ = 0;
+}
+
 std::vector<mirror_change> mirror::apply(const changed& changes) {
     std::vector<mirror_change> applied;
     std::ranges::for_each(changes.written_,
@@ -109,19 +151,25 @@
 }
 
 std::vector<mirror_change> mirror::merge(const mirror_delta& delta) {
-    if (delta.to_ <= at_ || delta.from_ > at_) {
+    const bool same_era = delta.era_ == era_;
+    if (delta.end() <= current() || (same_era && delta.from_ > at_) ||
+        (!same_era && delta.from_ != 0)) {
         return {};
     }
     if (delta.from_ == 0) {
-        return replace(delta.written_, delta.to_);
+        return replace(delta.written_, delta.to_, delta.era_);
     }
     return apply({delta.written_, delta.removed_, delta.to_});
 }
 
-mirror_delta mirror::since(revision peer_revision) const {
-    const bool complete =
-        peer_revision == 0 || peer_revision < removals_complete_after_;
-    mirror_delta delta{complete ? 0 : peer_revision, at_, {}, {}};
+mirror_delta mirror::since(position of_peer) const {
+    if (of_peer.era_ > era_) {
+        return {};
+    }
+    const auto peer_revision = of_peer.at_;
+    const bool complete = of_peer.era_ < era_ || peer_revision == 0 ||
+                          peer_revision < removals_complete_after_;
+    mirror_delta delta{complete ? 0 : peer_revision, at_, {}, {}, era_};
     for (const auto& [key, stored_item] : items_) {
         if (complete || stored_item.revision_ > peer_revision) {
             delta.written_.push_back(stored_item);
--- a/pimentoferry/store/mirror.hpp
+++ b/pimentoferry/store/mirror.hpp
@@ -2,14 +2,18 @@
 ///
 /// The replica is filled from a complete listing and then updated by watches.
 /// It can also be updated from the replica of a peer, for an instance that the
-/// store does not serve. Replicas are ordered by the store revision up to which
-/// they are complete: of two replicas, the one with the higher revision is more
-/// recent.
+/// store does not serve. Replicas are ordered by the position of the store up
+/// to which they are complete: of two replicas, the one of the later era is
+/// more recent, and in one era the one with the higher revision.
+///
+/// After the store has come back from an older copy, the replica becomes that
+/// copy, with whatever the copy has lost. What has to outlast it is kept by the
+/// owners of the data, such as `gateway::registry`.
 ///
 ///     mirror replica;
-///     replica.replace(items, at);              // a complete listing
-///     replica.apply(changed);                  // the result of a watch
-///     auto delta = replica.since(peer.at());   // for a peer that is behind
+///     replica.replace(items, at, era);             // a complete listing
+///     replica.apply(changed);                      // the result of a watch
+///     auto delta = replica.since(peer.current()); // for a peer that is behind
 ///     peer.merge(delta);
 ///
 /// `replace`, `apply` and `merge` return the keys whose value changed or that
@@ -47,42 +51,58 @@
     revision to_{0};
     std::vector<item> written_;
     std::vector<key_revision> removed_;
+    era era_{0};
+
+    /// The position of a replica that has this delta.
+    position end() const { return {era_, to_}; }
 
     /// Size of the keys and values, which is about that of the message.
     std::size_t bytes() const;
 
     template <class Self>
     static auto fields(Self& self) {
-        return std::tie(self.from_, self.to_, self.written_, self.removed_);
+        return std::tie(self.from_, self.to_, self.written_, self.removed_,
+                        self.era_);
     }
 };
 
 class mirror {
 public:
     /// Replaces the contents by a complete listing, except for items that are
-    /// newer here. `at` is the store revision of the listing's first page.
-    std::vector<mirror_change> replace(const std::vector<item>& items,
-                                       revision at);
+    /// newer here. `at` is the store revision of the listing's first page. A
+    /// listing of an earlier era is ignored; one of a later era replaces
+    /// everything.
+    std::vector<mirror_change>
+    replace(const std::vector<item>& items, revision at, era of = 0);
+
+    /// The revisions known here turned out to be those of another era: the next
+    /// listing in `actual` replaces all items.
+    void forget_revisions(era actual);
 
     /// Applies the changes that a watch returned.
     std::vector<mirror_change> apply(const changed& changes);
 
     /// Applies the delta of a peer. A delta is ignored if it starts after this
     /// replica's revision, because changes in between would be missed, or if it
-    /// ends at or before it.
+    /// ends at or before it. One of another era is ignored unless it is
+    /// complete and the era later.
     std::vector<mirror_change> merge(const mirror_delta& delta);
 
-    /// Returns the delta for a peer whose replica is complete up to
-    /// `peer_revision`.
-    mirror_delta since(revision peer_revision) const;
+    /// Returns the delta for a peer whose replica is complete up to `of_peer`.
+    /// Empty for a peer in a later era.
+    mirror_delta since(position of_peer) const;
 
     /// Returns the store revision up to which this replica is complete; 0
     /// before the first listing.
     revision at() const { return at_; }
 
+    position current() const { return {era_, at_}; }
+
     const std::map<std::string, item>& items() const { return items_; }
 
 private:
+    std::vector<mirror_change> restore(const std::vector<item>& items,
+                                       position copy);
     void write(const item& update, std::vector<mirror_change>& changes);
     void remove(const std::string& key,
                 revision at,
@@ -94,6 +114,7 @@
     std::map<std::string, revision> removed_;
     /// Removals up to this revision may be missing from `removed_`.
     revision removals_complete_after_{0};
+    era era_{0};
     revision at_{0};
 };
 
--- a/pimentoferry/store/mirror_test.cpp
+++ b/pimentoferry/store/mirror_test.cpp
@@ -24,8 +24,52 @@
     CPPUNIT_TEST(ignores_an_older_replica);
     CPPUNIT_TEST(a_delta_after_a_listing_removes_items);
     CPPUNIT_TEST(sends_all_items_after_many_removals);
+    CPPUNIT_TEST(a_listing_of_a_later_era_replaces_items_with_higher_revisions);
+    CPPUNIT_TEST(changes_of_an_earlier_era_are_ignored);
+    CPPUNIT_TEST(a_peer_in_an_earlier_era_is_sent_all_items);
     CPPUNIT_TEST_SUITE_END();
 
+    // Guards against a restored store whose items are dropped because their
+    // revisions are lower than those before.
+    void a_listing_of_a_later_era_replaces_items_with_higher_revisions() {
+        mirror replica;
+        replica.replace({{"config", "12", 22}, {"s/1", "x", 23}}, 23, 1);
+        const auto changes =
+            replica.replace({{"config", "9", 15}, {"s/2", "y", 16}}, 16, 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, changes.size());
+        CPPUNIT_ASSERT((position{2, 16}) == replica.current());
+        replica.apply(written("config", "13", 17));
+        CPPUNIT_ASSERT_EQUAL(std::string{"13"},
+                             replica.items().at("config").value_);
+        CPPUNIT_ASSERT(!replica.items().contains("s/1"));
+    }
+
+    // Guards against a peer that has not heard of the restore and has higher
+    // revisions.
+    void changes_of_an_earlier_era_are_ignored() {
+        mirror ahead;
+        mirror behind;
+        ahead.replace({{"config", "9", 15}}, 16, 2);
+        behind.replace({{"config", "12", 22}}, 23, 1);
+        CPPUNIT_ASSERT(ahead.replace({{"config", "12", 22}}, 23, 1).empty());
+        CPPUNIT_ASSERT(ahead.merge(behind.since({1, 3})).empty());
+        CPPUNIT_ASSERT(ahead.merge(behind.since({})).empty());
+        CPPUNIT_ASSERT_EQUAL(revision{0}, behind.since(ahead.current()).to_);
+        CPPUNIT_ASSERT_EQUAL(std::string{"9"},
+                             ahead.items().at("config").value_);
+    }
+
+    void a_peer_in_an_earlier_era_is_sent_all_items() {
+        mirror ahead;
+        mirror behind;
+        behind.replace({{"config", "12", 22}, {"s/1", "x", 23}}, 23, 1);
+        ahead.replace({{"config", "9", 15}}, 16, 2);
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t{2}, behind.merge(ahead.since(behind.current())).size());
+        CPPUNIT_ASSERT(behind.items() == ahead.items());
+        CPPUNIT_ASSERT(behind.current() == ahead.current());
+    }
+
     // A watch may return an event again. Guards against an instance that
     // reappears after its removal.
     void ignores_a_repeated_watch_event() {
@@ -68,11 +112,11 @@
         mirror ahead;
         mirror behind;
         ahead.replace({{"config", "7", 3}, {"s/1", "x", 4}}, 4);
-        behind.merge(ahead.since(behind.at()));
+        behind.merge(ahead.since(behind.current()));
         CPPUNIT_ASSERT_EQUAL(revision{4}, behind.at());
         ahead.apply(written("config", "8", 5));
         ahead.apply(removed("s/1", 6));
-        const auto delta = ahead.since(behind.at());
+        const auto delta = ahead.since(behind.current());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, delta.written_.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, behind.merge(delta).size());
         CPPUNIT_ASSERT(behind.items() == ahead.items());
@@ -99,9 +143,9 @@
         mirror ahead;
         mirror behind;
         ahead.replace({{"a", "1", 2}, {"b", "1", 3}}, 3);
-        behind.merge(ahead.since(0));
+        behind.merge(ahead.since({}));
         ahead.replace({{"b", "1", 3}}, 7);
-        behind.merge(ahead.since(behind.at()));
+        behind.merge(ahead.since(behind.current()));
         CPPUNIT_ASSERT(behind.items() == ahead.items());
     }
 
@@ -113,8 +157,8 @@
             const auto key = "k" + std::to_string(at);
             ahead.apply(removed(key, at));
         }
-        CPPUNIT_ASSERT_EQUAL(revision{0}, ahead.since(2).from_);
-        const auto recent = ahead.since(removals - 10);
+        CPPUNIT_ASSERT_EQUAL(revision{0}, ahead.since({0, 2}).from_);
+        const auto recent = ahead.since({0, removals - 10});
         CPPUNIT_ASSERT_EQUAL(revision{removals - 10}, recent.from_);
         CPPUNIT_ASSERT_EQUAL(std::size_t{9}, recent.removed_.size());
     }
--- a/pimentoferry/store/operations.hpp
+++ b/pimentoferry/store/operations.hpp
@@ -15,6 +15,7 @@
 #include "pimentoferry/base/ids.hpp"
 #include "pimentoferry/base/time.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,10 +28,26 @@
 /// Counter of the whole store that increases with each write. As the revision
 /// of a key, 0 means that the key is absent.
 using revision = std::uint64_t;
+/// Counts how often the store came back from an older copy of its data; 0: not
+/// known. Revisions are given out again after that, so they are ordered only
+/// within an era.
+using era = std::uint64_t;
 using lease_id = base::strong_id<struct lease_tag>;
 /// Chosen by the sender to match a result to its operation.
 using token = base::strong_id<struct token_tag>;
 
+/// A state of the store. Positions are ordered.
+struct position {
+    era era_{0};
+    revision at_{0};
+
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.era_, self.at_);
+    }
+    friend auto operator<=>(const position&, const position&) = default;
+};
+
 struct get {
     std::string key_;
 };
@@ -191,6 +208,8 @@
 struct result {
     token token_;
     outcome outcome_;
+    /// The era of the store that answered; unset if it did not say.
+    std::optional<era> era_{};
 };
 
 } // namespace pimentoferry::store
--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -44,9 +44,32 @@
     if (bool_or(switches, "forget_history", false)) {
         compacted_revision_ = data_.last_revision();
     }
+    era_ = text_or(switches, "era", era_);
+    if (bool_or(switches, "checkpoint", false)) {
+        checkpoint_ = data_;
+    }
+    if (bool_or(switches, "restore", false)) {
+        restore();
+    }
     wake_watches();
 }
 
+void platform_store::restore() {
+    data_ = checkpoint_;
+    data_.drop_leases();
+    compacted_revision_ = data_.last_revision();
+    era_ = std::to_string(to_number(era_) + 1);
+}
+
+net::awaitable<void>
+platform_store::reply(exchange& call, unsigned status, json body) {
+    headers fields;
+    if (!era_.empty()) {
+        fields.emplace_back("Store-Era", era_);
+    }
+    co_await call.reply(status, std::move(body), std::move(fields));
+}
+
 void platform_store::wake_watches() {
     std::ranges::for_each(watches_, [](auto* timer) { timer->cancel(); });
 }
@@ -85,7 +108,7 @@
     if (call.path() == "/control") {
         apply(call.body_json());
         auto body = revision_body("store_revision");
-        co_await call.reply(200, std::move(body));
+        co_await reply(call, 200, std::move(body));
         co_return;
     }
     if (mode_ == "slow") {
@@ -95,7 +118,7 @@
         co_await hang(call);
     } else if (mode_ == "declining") {
         auto body = empty_object();
-        co_await call.reply(503, std::move(body));
+        co_await reply(call, 503, std::move(body));
     } else {
         co_await serve(call);
     }
@@ -127,7 +150,7 @@
     const auto key = call.query("key");
     const bool exists = revision_of(key) != 0;
     auto body = item(key);
-    co_await call.reply(exists ? 200 : 404, std::move(body));
+    co_await reply(call, exists ? 200 : 404, std::move(body));
 }
 
 net::awaitable<void> platform_store::read_range(exchange& call) {
@@ -142,7 +165,7 @@
     json body{json::object{{"items", json{std::move(items)}},
                            {"truncated", json{false}},
                            {"store_revision", json{data_.last_revision()}}}};
-    co_await call.reply(200, std::move(body));
+    co_await reply(call, 200, std::move(body));
 }
 
 net::awaitable<void> platform_store::watch(exchange& call) {
@@ -150,21 +173,26 @@
     const revision after = to_number(call.query("after"));
     const auto deadline =
         steady::now() + milliseconds{to_number(call.query("wait_ms"))};
-    if (after < compacted_revision_) {
+    if (after < compacted_revision_ || after > data_.last_revision()) {
         auto body = empty_object();
-        co_await call.reply(410, std::move(body));
+        co_await reply(call, 410, std::move(body));
         co_return;
     }
     net::steady_timer timer{call.executor()};
     watches_.insert(&timer);
     auto changes = data_.changes(prefix, after, steady::now());
     while (changes.empty() && steady::now() < deadline && mode_ != "down" &&
-           !call.peer_closed()) {
+           after <= data_.last_revision() && !call.peer_closed()) {
         co_await wait_until(
             timer, std::min(deadline, steady::now() + lease_poll_interval));
         changes = data_.changes(prefix, after, steady::now());
     }
     watches_.erase(&timer);
+    if (after > data_.last_revision()) {
+        auto body = empty_object();
+        co_await reply(call, 410, std::move(body));
+        co_return;
+    }
     json::array events;
     for (const auto& change : changes) {
         events.push_back(
@@ -176,7 +204,7 @@
     }
     json body{json::object{{"events", json{std::move(events)}},
                            {"store_revision", json{data_.last_revision()}}}};
-    co_await call.reply(200, std::move(body));
+    co_await reply(call, 200, std::move(body));
 }
 
 net::awaitable<void> platform_store::transact(exchange& call) {
@@ -192,7 +220,7 @@
             conditions, std::back_inserter(items),
             [this](const json& row) { return item(text_or(row, "key", "")); });
         json body{json::object{{"items", json{std::move(items)}}}};
-        co_await call.reply(412, std::move(body));
+        co_await reply(call, 412, std::move(body));
         co_return;
     }
     const auto writes = array_of(request, "writes");
@@ -203,7 +231,7 @@
     });
     if (!leased) {
         auto body = empty_object();
-        co_await call.reply(404, std::move(body));
+        co_await reply(call, 404, std::move(body));
         co_return;
     }
     for (const auto& row : writes) {
@@ -221,7 +249,7 @@
         co_return;
     }
     auto body = revision_body("revision");
-    co_await call.reply(200, std::move(body));
+    co_await reply(call, 200, std::move(body));
 }
 
 net::awaitable<void> platform_store::handle_lease(exchange& call) {
@@ -244,7 +272,7 @@
     } else {
         co_return;
     }
-    co_await call.reply(status, std::move(body));
+    co_await reply(call, status, std::move(body));
 }
 
 } // namespace pimentoferry::standins
--- a/standins/platform_store.hpp
+++ b/standins/platform_store.hpp
@@ -12,6 +12,9 @@
 /// * `put`: an object of keys and values, written unconditionally.
 /// * `remove`: an array of keys, removed unconditionally.
 /// * `forget_history`: watches from an earlier revision are answered 410.
+/// * `era`: the text of the header `Store-Era` in all answers; empty: none.
+/// * `checkpoint`: keeps a copy of the data. `restore`: the data is that copy
+///   again, without leases, and the era rises by one.
 ///
 /// `/control` works in every mode and answers with the current revision.
 #ifndef PIMENTOFERRY_STANDINS_PLATFORM_STORE_HPP
@@ -41,6 +44,8 @@
     net::awaitable<void> transact(exchange& call);
     net::awaitable<void> handle_lease(exchange& call);
     net::awaitable<void> hang(exchange& call);
+    void restore();
+    net::awaitable<void> reply(exchange& call, unsigned status, json body);
     json item(const std::string& key);
     json revision_body(const char* name) const;
     revision revision_of(const std::string& key);
@@ -50,6 +55,8 @@
 
     /// Values are stored as received, encoded as base64.
     store_data data_;
+    store_data checkpoint_;
+    std::string era_;
     revision compacted_revision_{0}; ///< Changes up to it are unavailable.
     std::set<net::steady_timer*> watches_;
     std::string mode_{"up"};
--- a/standins/store_data.cpp
+++ b/standins/store_data.cpp
@@ -99,6 +99,12 @@
     return true;
 }
 
+void store_data::drop_leases() {
+    leases_.clear();
+    std::erase_if(values_,
+                  [](const auto& entry) { return entry.second.lease_ != 0; });
+}
+
 bool store_data::remove_lease_keys(lease_number number) {
     bool removed = false;
     for (auto at = values_.begin(); at != values_.end();) {
--- a/standins/store_data.hpp
+++ b/standins/store_data.hpp
@@ -77,6 +77,9 @@
     /// Ends the lease and deletes its keys. Returns false when it is unknown.
     bool revoke(lease_number lease, time_point now);
 
+    /// Forgets all leases with their keys, as a copy without them does.
+    void drop_leases();
+
     /// Removes expired leases and their keys; returns true when a key was
     /// deleted.
     bool expire(time_point now);
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -203,6 +203,10 @@
 
 void gateway_fleet::start_replica(platform_replica_process& replica) {
     replica.id_ = "i-" + std::to_string(++replicas_started_);
+    replica.started_at_ms_ =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count();
     replica.log_ = path("replica-" + replica.id_ + ".log");
     Json::Value switches;
     switches["id"] = replica.id_;
@@ -227,6 +231,7 @@
     entry["zone"] = "north";
     entry["state"] = state;
     entry["slots"] = 64;
+    entry["born"] = static_cast<Json::Int64>(replica.started_at_ms_);
     if (!replica.stage_.empty()) {
         entry["stage"] = replica.stage_;
     }
--- a/tests/process/gateway_fleet.hpp
+++ b/tests/process/gateway_fleet.hpp
@@ -40,6 +40,7 @@
     child_process process_;
     std::string id_;
     std::string stage_; ///< Empty for a plain replica.
+    std::int64_t started_at_ms_{0};
     std::uint16_t port_{0};
     /// The port in its registration; differs from `port_` behind a proxy.
     std::uint16_t registered_port_{0};
