Refuse requests that cannot end before a draining gateway does

It happens here: a booking whose body arrived 1.5 s after SIGTERM was passed on and cut off at the limit of the drain. Now a request that is complete only after SIGTERM is refused as not run, with 503, if its deadline is later than the end of the process; its caller can use another gateway at once. The handling of callers' requests moves from gateway.cpp to caller_service, and runtime::ends_at_ takes the place of the flag draining_.

--- /dev/null
+++ b/pimentoferry/gateway/caller_service.cpp
@@ -0,0 +1,97 @@
+#include "pimentoferry/gateway/caller_service.hpp"
+
+#include "pimentoferry/gateway/plain_relay.hpp"
+#include "pimentoferry/gateway/stream_relay.hpp"
+#include "pimentoferry/log/log.hpp"
+
+#include <algorithm>
+#include <variant>
+
+namespace pimentoferry::gateway {
+
+namespace {
+
+constexpr base::milliseconds no_configuration_retry_after{500};
+
+} // namespace
+
+http::awaitable<void> caller_service::refuse_unrouted(http::exchange& exchange,
+                                                      std::string request,
+                                                      base::refusal refusal) {
+    shared_.metrics_.count_refusal(to_string(refusal.code_));
+    const auto routes = shared_.registry_.routes();
+    log::log_info(
+        "refuse",
+        {{"request", request},
+         {"code", std::string{to_string(refusal.code_)}},
+         {"ran", std::string{to_string(refusal.ran_)}},
+         {"configuration", routes ? std::to_string(routes->version()) : "none"},
+         {"detail", refusal.detail_}});
+    const auto answer = shared_.protocol_.write_refusal_(refusal);
+    co_await exchange.respond(answer);
+}
+
+http::awaitable<void> caller_service::serve(http::exchange& exchange) {
+    const auto arrived = base::clock::now();
+    auto read = shared_.protocol_.read_request_(exchange.call());
+    if (const auto* malformed = std::get_if<malformed_request>(&read)) {
+        base::refusal refusal{base::refusal_code::malformed_request,
+                              base::ran_state::not_run, std::nullopt,
+                              malformed->detail_};
+        std::string no_request_id = "none";
+        co_await refuse_unrouted(exchange, std::move(no_request_id),
+                                 std::move(refusal));
+        co_return;
+    }
+    ++shared_.in_flight_;
+    auto request = std::get<caller_request>(std::move(read));
+    co_await route(exchange, std::move(request), arrived);
+    --shared_.in_flight_;
+}
+
+http::awaitable<void> caller_service::route(http::exchange& exchange,
+                                            caller_request request,
+                                            base::time_point arrived) {
+    const auto routes = shared_.registry_.routes();
+    if (!routes) {
+        base::refusal refusal{
+            base::refusal_code::no_configuration, base::ran_state::not_run,
+            no_configuration_retry_after, "no configuration is known yet"};
+        co_await refuse_unrouted(exchange, request.id_, std::move(refusal));
+        co_return;
+    }
+    const auto* matched_route = routes->find(request.host_, request.path_);
+    if (matched_route == nullptr) {
+        base::refusal refusal{base::refusal_code::unknown_call,
+                              base::ran_state::not_run, std::nullopt,
+                              "no route has this host and path"};
+        co_await refuse_unrouted(exchange, request.id_, std::move(refusal));
+        co_return;
+    }
+    const auto& name =
+        routing::choose_service(*matched_route, shared_.random_fraction());
+    const auto* service = routes->find_service(name);
+    const auto deadline =
+        arrived + std::min(request.patience_, matched_route->timeout_);
+    // It would be cut off when the process ends; another gateway can serve it.
+    if (shared_.ends_at_ && deadline > *shared_.ends_at_) {
+        base::refusal refusal{base::refusal_code::draining,
+                              base::ran_state::not_run, base::milliseconds{0},
+                              "the gateway stops before the deadline"};
+        co_await refuse_unrouted(exchange, request.id_, std::move(refusal));
+        co_return;
+    }
+    const bool is_engine_stream =
+        service != nullptr && service->engine_ &&
+        matched_route->kind_ == routing::call_kind::stream;
+    routed_call call{
+        exchange, std::move(request), routes, *matched_route, name, arrived,
+        deadline};
+    if (is_engine_stream) {
+        co_await relay_stream(shared_, std::move(call));
+    } else {
+        co_await relay_plain(shared_, std::move(call));
+    }
+}
+
+} // namespace pimentoferry::gateway
--- /dev/null
+++ b/pimentoferry/gateway/caller_service.hpp
@@ -0,0 +1,32 @@
+/// Serves the requests of callers: finds the route of each, and relays it or
+/// refuses it.
+#ifndef PIMENTOFERRY_GATEWAY_CALLER_SERVICE_HPP
+#define PIMENTOFERRY_GATEWAY_CALLER_SERVICE_HPP
+
+#include "pimentoferry/gateway/runtime.hpp"
+
+#include <string>
+
+namespace pimentoferry::gateway {
+
+class caller_service {
+public:
+    explicit caller_service(runtime& shared) : shared_(shared) {}
+
+    http::awaitable<void> serve(http::exchange& exchange);
+
+private:
+    http::awaitable<void> route(http::exchange& exchange,
+                                caller_request request,
+                                base::time_point arrived);
+    /// Refuses a request that has no route yet.
+    http::awaitable<void> refuse_unrouted(http::exchange& exchange,
+                                          std::string request,
+                                          base::refusal refusal);
+
+    runtime& shared_;
+};
+
+} // namespace pimentoferry::gateway
+
+#endif
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -2,16 +2,15 @@
 
 #include "pimentoferry/config/parse.hpp"
 #include "pimentoferry/gateway/call_permits.hpp"
+#include "pimentoferry/gateway/caller_service.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/directory.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
 #include "pimentoferry/gateway/peers.hpp"
-#include "pimentoferry/gateway/plain_relay.hpp"
 #include "pimentoferry/gateway/registration.hpp"
 #include "pimentoferry/gateway/runtime.hpp"
 #include "pimentoferry/gateway/stage_orders.hpp"
 #include "pimentoferry/gateway/store_follower.hpp"
-#include "pimentoferry/gateway/stream_relay.hpp"
 #include "pimentoferry/http/error_token.hpp"
 #include "pimentoferry/http/server.hpp"
 #include "pimentoferry/log/log.hpp"
@@ -54,7 +53,6 @@
 constexpr base::milliseconds exit_margin{700};
 // Idle time before the exit, so that peers and callers learn of the shutdown.
 constexpr base::milliseconds idle_time_before_exit{300};
-constexpr base::milliseconds no_configuration_retry_after{500};
 // For the body of a request; the timeout of its head is configured.
 constexpr base::milliseconds body_timeout{10'000};
 
@@ -96,17 +94,9 @@
     void update_seeds();
     void apply_limits();
 
-    http::awaitable<void> serve_caller(http::exchange& exchange);
-    http::awaitable<void> route(http::exchange& exchange,
-                                caller_request request,
-                                base::time_point arrived);
     http::awaitable<void> serve_directory(http::exchange& exchange);
     http::awaitable<void> serve_readiness(http::exchange& exchange);
     http::awaitable<void> serve_metrics(http::exchange& exchange);
-    http::awaitable<void> refuse_unrouted(http::exchange& exchange,
-                                          std::string request,
-                                          base::refusal refusal);
-
     void await_signals();
     void on_signal(int number);
     void reload();
@@ -128,6 +118,7 @@
     limit_guard limits_;
     call_permits permits_;
     stage_orders orders_;
+    caller_service caller_service_;
     asio::signal_set signals_;
     asio::steady_timer timer_;
     std::optional<http::server> callers_;
@@ -184,7 +175,8 @@
       crashes_(peers_, store_, shared_.metrics_, fleet_key_of(settings)),
       limits_(peers_, shared_), permits_(peers_, shared_, limits_),
       orders_(shared_, store_, base::to_hex(self.value_)),
-      signals_(io_, SIGTERM, SIGINT, SIGHUP), timer_(io_) {
+      caller_service_(shared_), signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      timer_(io_) {
     shared_.streams_ = &placement_;
     shared_.crashes_ = &crashes_;
     shared_.limits_ = &limits_;
@@ -252,7 +244,7 @@
 bool gateway_process::listen() {
     const auto& settings = shared_.settings_;
     callers_ = open(settings.traffic_address_,
-                    [this](auto& call) { return serve_caller(call); });
+                    [this](auto& call) { return caller_service_.serve(call); });
     directory_ = open(settings.directory_address_,
                       [this](auto& call) { return serve_directory(call); });
     readiness_ = open(settings.readiness_address_,
@@ -349,77 +341,6 @@
         static_cast<double>(shared_.registry_.routes()->version()));
 }
 
-http::awaitable<void> gateway_process::refuse_unrouted(http::exchange& exchange,
-                                                       std::string request,
-                                                       base::refusal refusal) {
-    shared_.metrics_.count_refusal(to_string(refusal.code_));
-    const auto routes = shared_.registry_.routes();
-    log::log_info(
-        "refuse",
-        {{"request", request},
-         {"code", std::string{to_string(refusal.code_)}},
-         {"ran", std::string{to_string(refusal.ran_)}},
-         {"configuration", routes ? std::to_string(routes->version()) : "none"},
-         {"detail", refusal.detail_}});
-    const auto answer = adapter_.upstreams_.write_refusal_(refusal);
-    co_await exchange.respond(answer);
-}
-
-http::awaitable<void> gateway_process::serve_caller(http::exchange& exchange) {
-    const auto arrived = base::clock::now();
-    auto read = adapter_.upstreams_.read_request_(exchange.call());
-    if (const auto* malformed = std::get_if<malformed_request>(&read)) {
-        base::refusal refusal{base::refusal_code::malformed_request,
-                              base::ran_state::not_run, std::nullopt,
-                              malformed->detail_};
-        std::string no_request_id = "none";
-        co_await refuse_unrouted(exchange, std::move(no_request_id),
-                                 std::move(refusal));
-        co_return;
-    }
-    ++shared_.in_flight_;
-    auto request = std::get<caller_request>(std::move(read));
-    co_await route(exchange, std::move(request), arrived);
-    --shared_.in_flight_;
-}
-
-http::awaitable<void> gateway_process::route(http::exchange& exchange,
-                                             caller_request request,
-                                             base::time_point arrived) {
-    const auto routes = shared_.registry_.routes();
-    if (!routes) {
-        base::refusal refusal{
-            base::refusal_code::no_configuration, base::ran_state::not_run,
-            no_configuration_retry_after, "no configuration is known yet"};
-        co_await refuse_unrouted(exchange, request.id_, std::move(refusal));
-        co_return;
-    }
-    const auto* matched_route = routes->find(request.host_, request.path_);
-    if (matched_route == nullptr) {
-        base::refusal refusal{base::refusal_code::unknown_call,
-                              base::ran_state::not_run, std::nullopt,
-                              "no route has this host and path"};
-        co_await refuse_unrouted(exchange, request.id_, std::move(refusal));
-        co_return;
-    }
-    const auto& name =
-        routing::choose_service(*matched_route, shared_.random_fraction());
-    const auto* service = routes->find_service(name);
-    const auto deadline =
-        arrived + std::min(request.patience_, matched_route->timeout_);
-    const bool is_engine_stream =
-        service != nullptr && service->engine_ &&
-        matched_route->kind_ == routing::call_kind::stream;
-    routed_call call{
-        exchange, std::move(request), routes, *matched_route, name, arrived,
-        deadline};
-    if (is_engine_stream) {
-        co_await relay_stream(shared_, std::move(call));
-    } else {
-        co_await relay_plain(shared_, std::move(call));
-    }
-}
-
 http::awaitable<void>
 gateway_process::serve_directory(http::exchange& exchange) {
     const auto query = adapter_.directory_.read_query_(exchange.call());
@@ -441,7 +362,7 @@
     const bool is_query =
         adapter_.directory_.is_readiness_query_(exchange.call());
     const bool ready =
-        shared_.registry_.routes() != nullptr && !shared_.draining_;
+        shared_.registry_.routes() != nullptr && !shared_.ends_at_;
     constexpr int status_ready = 200;
     constexpr int status_not_ready = 503;
     constexpr int status_unknown = 404;
@@ -519,7 +440,9 @@
         return;
     }
     drain_began_ = base::clock::now();
-    shared_.draining_ = true;
+    const auto limit = std::chrono::duration_cast<base::milliseconds>(
+        shared_.settings_.drain_limit_);
+    shared_.ends_at_ = *drain_began_ + limit - exit_margin;
     log::log_info("drain", {{"in_flight", std::to_string(shared_.in_flight_)}});
     peers_.update_self(true, 0, shared_.in_flight_, *drain_began_);
     registration_.withdraw();
@@ -528,9 +451,6 @@
 }
 
 void gateway_process::stop_when_idle(base::time_point now) {
-    const auto limit = std::chrono::duration_cast<base::milliseconds>(
-                           shared_.settings_.drain_limit_) -
-                       exit_margin;
     const bool busy =
         shared_.in_flight_ > 0 || callers_->connection_count() > 0;
     if (busy) {
@@ -540,7 +460,7 @@
     }
     const bool idle =
         idle_since_ && now - *idle_since_ >= idle_time_before_exit;
-    if (idle || now - *drain_began_ >= limit) {
+    if (idle || now >= *shared_.ends_at_) {
         if (!idle) {
             log::log_warn("drain_limit",
                           {{"in_flight", std::to_string(shared_.in_flight_)}});
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -73,7 +74,8 @@
     limit_guard* limits_{nullptr};
     call_permits* permits_{nullptr};
     const store::availability* store_answers_{nullptr};
-    bool draining_{false};
+    /// When the process ends at the latest; unset unless it drains.
+    std::optional<base::time_point> ends_at_;
     std::uint32_t in_flight_{0};
 
 private:
--- a/pimentoferry/gateway/stage_orders.cpp
+++ b/pimentoferry/gateway/stage_orders.cpp
@@ -54,7 +54,7 @@
 }
 
 http::awaitable<void> stage_orders::run() {
-    while (!shared_.draining_) {
+    while (!shared_.ends_at_) {
         asio::steady_timer pause{shared_.io_, review_interval};
         boost::system::error_code ignored;
         co_await pause.async_wait(http::internal::into(ignored));
