Answer requests that were received when their connection is stopped

Callers lost a request at a planned stop: it was handled, and its connection was closed as idle, because it had been received and its reader had not resumed. Stopping cancels the wait for input now and leaves the connection open, so what was received is answered, with Connection: close.

--- a/pimentoferry/http/connection.cpp
+++ b/pimentoferry/http/connection.cpp
@@ -91,7 +91,9 @@
 void connection::stop() {
     stopping_ = true;
     if (idle_) {
-        close();
+        // Input may have been received that the reader has not seen yet, so
+        // only the wait for input is ended here.
+        stream_.cancel();
     }
 }
 
--- a/pimentoferry/http/server_test.cpp
+++ b/pimentoferry/http/server_test.cpp
@@ -6,6 +6,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
+#include <optional>
+#include <thread>
 
 namespace pimentoferry::http {
 namespace {
@@ -48,6 +50,7 @@
     CPPUNIT_TEST(slow_caller_applies_backpressure);
     CPPUNIT_TEST(incomplete_stream_has_no_last_chunk);
     CPPUNIT_TEST(failing_handler_results_in_status_500);
+    CPPUNIT_TEST(request_that_arrives_with_the_stop_is_answered);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -214,6 +217,33 @@
         CPPUNIT_ASSERT(!contains(text, "0\r\n\r\n"));
     }
 
+    // Guards against a request that is handled although its connection was
+    // closed as idle: it was received, but its reader had not resumed.
+    void request_that_arrives_with_the_stop_is_answered() {
+        constexpr int most_steps = 12;
+        for (int steps = 0; steps < most_steps; ++steps) {
+            std::atomic<bool> handled{false};
+            std::optional<running_server> server;
+            server.emplace([&](exchange& call) -> awaitable<void> {
+                handled = handled || call.call().body_ == "second";
+                const auto answer = json_response(200, call.call().body_);
+                co_await call.respond(answer);
+                if (call.call().body_ == "first") {
+                    // The second request arrives meanwhile.
+                    std::this_thread::sleep_for(base::milliseconds{50});
+                    server->stop_after(steps);
+                }
+            });
+            raw_connection caller{server->address()};
+            caller.send(post("first"));
+            caller.receive(1);
+            std::this_thread::sleep_for(base::milliseconds{10});
+            caller.send(post("second"));
+            const bool answered = contains(caller.receive_all(), "second");
+            CPPUNIT_ASSERT_EQUAL(handled.load(), answered);
+        }
+    }
+
     void failing_handler_results_in_status_500() {
         running_server server{[](exchange&) -> awaitable<void> {
             throw std::runtime_error{"fault in a handler"};
--- a/pimentoferry/http/test_support.hpp
+++ b/pimentoferry/http/test_support.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -38,6 +39,17 @@
 
     const base::endpoint& address() const { return address_; }
 
+    /// Stops the server after `steps` other completions. To be called on the
+    /// thread of the server, by a handler.
+    void stop_after(int steps) {
+        if (steps == 0) {
+            server_->stop();
+        } else {
+            boost::asio::post(context_,
+                              [this, steps] { stop_after(steps - 1); });
+        }
+    }
+
 private:
     boost::asio::io_context context_;
     std::optional<server> server_;
