Send no calls to replicas that refuse connections

A refused connection now keeps calls away for a pause that grows from 250 ms to 2 s, the first gateway to notice tells the others, and callers are refused at once if all replicas refuse.

--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -178,6 +178,7 @@
       caller_service_(shared_), signals_(io_, SIGTERM, SIGINT, SIGHUP),
       timer_(io_) {
     shared_.streams_ = &placement_;
+    shared_.peers_ = &peers_;
     shared_.crashes_ = &crashes_;
     shared_.limits_ = &limits_;
     shared_.permits_ = &permits_;
@@ -209,6 +210,10 @@
     handlers.on_tried_parts_ = [this](const tried_parts& message) {
         crashes_.receive(message);
     };
+    handlers.on_refusing_instance_ = [this](const refusing_instance& message) {
+        shared_.picker_.connection_refused(message.instance_,
+                                           base::clock::now());
+    };
     handlers.on_heard_limits_ = [this](base::instance_id from,
                                        const heard_limits& message) {
         limits_.receive(from, message);
--- a/pimentoferry/gateway/peers.cpp
+++ b/pimentoferry/gateway/peers.cpp
@@ -267,7 +267,10 @@
                 handlers_.on_permit_request_(from, m);
             },
             [&](const permit_reply& m) { handlers_.on_permit_reply_(m); },
-            [&](const tried_parts& m) { handlers_.on_tried_parts_(m); }},
+            [&](const tried_parts& m) { handlers_.on_tried_parts_(m); },
+            [&](const refusing_instance& m) {
+                handlers_.on_refusing_instance_(m);
+            }},
         received.message_);
 }
 
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -120,6 +120,15 @@
     }
 };
 
+/// The instance refused a connection, so nothing listens at its address.
+struct refusing_instance {
+    base::upstream_name instance_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.instance_);
+    }
+};
+
 /// See `routing::announced_limit`. Times are ages.
 struct heard_limit {
     base::upstream_name instance_;
@@ -178,7 +187,8 @@
                                   heard_limits,
                                   service_permit_request,
                                   permit_reply,
-                                  tried_parts>;
+                                  tried_parts,
+                                  refusing_instance>;
 
 struct peer_handlers {
     /// Returns the changes in this gateway's replica after `since`.
@@ -191,6 +201,7 @@
         on_blamed_parts_;
     std::function<void(const sound_parts&)> on_sound_parts_;
     std::function<void(const tried_parts&)> on_tried_parts_;
+    std::function<void(const refusing_instance&)> on_refusing_instance_;
     std::function<void(base::instance_id from, const heard_limits&)>
         on_heard_limits_;
     std::function<void(base::instance_id from, const service_permit_request&)>
--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -5,6 +5,7 @@
 #include "pimentoferry/gateway/call_permits.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
+#include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/gateway/upstream_check.hpp"
 #include "pimentoferry/http/proxy.hpp"
 #include "pimentoferry/log/log.hpp"
@@ -56,6 +57,9 @@
     bool cancelled() const {
         return failure_ && failure_->kind_ == http::failure_kind::cancelled;
     }
+    bool connection_refused() const {
+        return failure_ && failure_->kind_ == http::failure_kind::refused;
+    }
     /// The connection ended while the replica had the call.
     bool answer_lost() const {
         return failure_ && failure_->sent_ &&
@@ -64,7 +68,8 @@
 };
 
 routing::call_result result_of(const send_result& outcome) {
-    if (outcome.cancelled()) {
+    // A refused connection is recorded by itself.
+    if (outcome.cancelled() || outcome.connection_refused()) {
         return routing::call_result::abandoned;
     }
     switch (outcome.meaning_) {
@@ -123,6 +128,8 @@
     untried_replicas(base::time_point now) const;
     http::awaitable<void> refuse_limited(base::milliseconds wait);
     http::awaitable<send_result> send(routing::instance replica);
+    /// Keeps calls of all gateways away from a replica that has ended.
+    void report_ended(const base::upstream_name& replica);
     http::awaitable<void> examine_lost_answer(routing::instance replica,
                                               base::time_point sent_at);
     /// What the call is recognised by if it crashes replicas.
@@ -177,6 +184,9 @@
     const auto duration =
         std::chrono::duration_cast<base::milliseconds>(now - began);
     shared_.picker_.ended(replica.id_, result_of(outcome), duration, now);
+    if (outcome.connection_refused()) {
+        report_ended(replica.id_);
+    }
     shared_.metrics_.count_send("call", outcome_text(outcome));
     log::log_info(
         "send",
@@ -195,6 +205,15 @@
     co_return outcome;
 }
 
+void plain_call::report_ended(const base::upstream_name& replica) {
+    if (shared_.picker_.connection_refused(replica, base::clock::now())) {
+        log::log_info(
+            "replica_refuses_connections",
+            {{"request", call_.request_.id_}, {"instance", replica.value_}});
+        shared_.peers_->send_to_all(refusing_instance{replica});
+    }
+}
+
 const requests::prompt_parts& plain_call::crash_parts() {
     if (!crash_parts_) {
         crash_parts_ = shared_.crashes_->parts_of(call_.exchange_.call());
@@ -213,6 +232,7 @@
                    {"upstream", std::string{to_string(state)}},
                    {"own_part", base::to_hex(crash_parts().own_)}});
     if (state == upstream_state::gone) {
+        report_ended(replica.id_);
         shared_.crashes_->upstream_crashed(call_.request_.id_, crash_parts(),
                                            replica.id_, sent_at);
     }
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -34,6 +34,7 @@
 requests::retry_limits retry_share(const config::retry_settings& fleet,
                                    std::uint32_t gateways);
 
+class peers;
 class crash_guard;
 class limit_guard;
 class call_permits;
@@ -69,6 +70,7 @@
     metrics metrics_;
     /// Counts the requests to instances that announced a limit.
     requests::allowance_table allowances_;
+    peers* peers_{nullptr};
     stream_placement* streams_{nullptr};
     crash_guard* crashes_{nullptr};
     limit_guard* limits_{nullptr};
--- a/pimentoferry/routing/replica_picker.cpp
+++ b/pimentoferry/routing/replica_picker.cpp
@@ -26,6 +26,11 @@
 constexpr base::milliseconds full_backoff{50};
 // An unhealthy replica gets one probe call in this time.
 constexpr base::milliseconds probe_interval{1000};
+// Pause after a refused connection; it doubles up to the longest one. A replica
+// that starts again has a new id, mostly, and needs no trial.
+constexpr base::milliseconds first_refusal_pause{250};
+constexpr base::milliseconds longest_refusal_pause{2000};
+constexpr std::uint32_t max_refusal_doublings = 3;
 // A replica in another failure domain is chosen when those of the own domain
 // have this many more calls in flight: a hop between domains costs a ms, and
 // its bytes are charged for.
@@ -83,13 +88,30 @@
     return fastest_ms;
 }
 
+bool replica_picker::connection_refused(const base::upstream_name& id,
+                                        base::time_point now) {
+    auto& stats = records_[id];
+    const bool known = stats.refusals_ > 0;
+    if (known && now < stats.unused_until_) {
+        return false;
+    }
+    const auto doublings = std::min(stats.refusals_, max_refusal_doublings);
+    ++stats.refusals_;
+    stats.unused_until_ = now + std::min(first_refusal_pause * (1 << doublings),
+                                         longest_refusal_pause);
+    return !known;
+}
+
 bool replica_picker::accepts(const instance& chosen,
                              const std::vector<const instance*>& candidates,
                              base::time_point now) const {
     const auto found = records_.find(chosen.id_);
     const bool full =
         found != records_.end() && found->second.full_until_ > now;
-    return !full && is_healthy(chosen, fastest_mean_ms(candidates), now);
+    const bool refuses =
+        found != records_.end() && found->second.unused_until_ > now;
+    return !full && !refuses &&
+           is_healthy(chosen, fastest_mean_ms(candidates), now);
 }
 
 const instance*
@@ -103,7 +125,10 @@
     const instance* unhealthy = nullptr;
     double best_cost = 0;
     for (const auto* each : candidates) {
-        if (tried.contains(each->id_)) {
+        const auto known = records_.find(each->id_);
+        const bool refuses =
+            known != records_.end() && known->second.unused_until_ > now;
+        if (refuses || tried.contains(each->id_)) {
             continue;
         }
         if (!is_healthy(*each, fastest_ms, now)) {
@@ -139,6 +164,7 @@
     if (result == call_result::abandoned) {
         return;
     }
+    stats.refusals_ = 0;
     if (result == call_result::rejected) {
         stats.full_until_ = now + full_backoff;
         return;
--- a/pimentoferry/routing/replica_picker.hpp
+++ b/pimentoferry/routing/replica_picker.hpp
@@ -7,6 +7,10 @@
 /// calls in flight. An unhealthy replica still gets a probe call from time to
 /// time, so that its recovery is noticed.
 ///
+/// A replica that refuses connections has ended, although its registration may
+/// last for some seconds. It is not chosen for a pause that grows with each
+/// refusal; after that one call tries it.
+///
 ///     const auto* chosen =
 ///         picker.choose(candidates, tried, domain, may_repeat, now);
 ///     picker.started(chosen->id_);
@@ -37,7 +41,8 @@
 public:
     explicit replica_picker(std::uint64_t seed) : random_(seed) {}
 
-    /// Returns a replica outside `tried`; null if there is none. Only a call
+    /// Returns a replica outside `tried` that does not refuse connections; null
+    /// if there is none. Only a call
     /// that may be repeated is used to probe an unhealthy replica.
     const instance* choose(const std::vector<const instance*>& candidates,
                            const std::set<base::upstream_name>& tried,
@@ -59,6 +64,11 @@
                base::milliseconds duration,
                base::time_point now);
 
+    /// Records that the replica refused a connection, to this gateway or to
+    /// another one. Returns whether that is news.
+    bool connection_refused(const base::upstream_name& id,
+                            base::time_point now);
+
     /// Erases the records of replicas that are not in `replicas` and have no
     /// call in flight.
     void retain(const std::set<base::upstream_name>& replicas);
@@ -74,8 +84,10 @@
         /// Mean response time of answered calls; 0 before the first.
         double mean_ms_{0};
         base::time_point updated_;
-        base::time_point full_until_; ///< After a rejection.
-        base::time_point next_probe_; ///< Of an unhealthy replica.
+        base::time_point full_until_;   ///< After a rejection.
+        base::time_point next_probe_;   ///< Of an unhealthy replica.
+        std::uint32_t refusals_{0};     ///< Of connections, in a row.
+        base::time_point unused_until_; ///< After a refusal.
     };
 
     double
--- a/pimentoferry/routing/replica_picker_test.cpp
+++ b/pimentoferry/routing/replica_picker_test.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(a_slow_replica_is_avoided);
     CPPUNIT_TEST(a_call_that_may_not_be_repeated_is_not_a_probe);
     CPPUNIT_TEST(the_last_replica_is_used_although_it_fails);
+    CPPUNIT_TEST(a_replica_that_refuses_connections_is_tried_with_pauses);
+    CPPUNIT_TEST(no_replica_is_chosen_if_all_refuse_connections);
     CPPUNIT_TEST_SUITE_END();
 
     replica_picker picker_{7};
@@ -42,7 +44,7 @@
         }
         const auto* chosen = picker_.choose(
             candidates, {}, base::failure_domain{"north"}, may_repeat, now_);
-        return chosen->id_.value_;
+        return chosen != nullptr ? chosen->id_.value_ : "none";
     }
 
     void end(const std::string& id, call_result result, milliseconds took) {
@@ -50,6 +52,39 @@
         picker_.ended(base::upstream_name{id}, result, took, now_);
     }
 
+    // Guards against every call being sent to a replica that has ended, until
+    // its registration lapses.
+    void a_replica_that_refuses_connections_is_tried_with_pauses() {
+        const base::upstream_name ended{"a"};
+        int trials = 0;
+        for (int i = 0; i < 350; ++i) {
+            if (choose() == "a") {
+                ++trials;
+                const bool news = picker_.connection_refused(ended, now_);
+                CPPUNIT_ASSERT_EQUAL(trials == 1, news);
+            }
+            now_ += milliseconds{10};
+        }
+        CPPUNIT_ASSERT_EQUAL(4, trials);
+        // It has started again under its id.
+        now_ += milliseconds{2000};
+        CPPUNIT_ASSERT_EQUAL(std::string{"a"}, choose());
+        end("a", call_result::answered, milliseconds{10});
+        CPPUNIT_ASSERT(picker_.connection_refused(ended, now_));
+    }
+
+    // Guards against callers that wait for connections that are certain to be
+    // refused.
+    void no_replica_is_chosen_if_all_refuse_connections() {
+        for (const auto& each : replicas_) {
+            picker_.connection_refused(each.id_, now_);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string{"none"}, choose());
+        CPPUNIT_ASSERT_EQUAL(std::string{"none"}, choose(false));
+        now_ += milliseconds{250};
+        CPPUNIT_ASSERT_EQUAL(std::string{"a"}, choose());
+    }
+
     void the_own_failure_domain_comes_first() {
         CPPUNIT_ASSERT_EQUAL(std::string{"a"}, choose());
     }
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -73,6 +73,7 @@
     CPPUNIT_TEST(prompt_part_that_crashes_engines_is_refused_everywhere);
     CPPUNIT_TEST(call_that_crashes_replicas_is_refused_everywhere);
     CPPUNIT_TEST(replica_that_breaks_answers_off_blames_no_call);
+    CPPUNIT_TEST(replicas_that_have_ended_are_tried_rarely);
     CPPUNIT_TEST(all_gateways_recover_after_all_are_killed);
     CPPUNIT_TEST_SUITE_END();
 
@@ -556,6 +557,36 @@
                              system_->call(0, "/book/same", next_id()).status_);
     }
 
+    // Guards against a connection attempt for every call of every gateway until
+    // the registrations of ended replicas lapse.
+    void replicas_that_have_ended_are_tried_rarely() {
+        constexpr int calls = 40;
+        // Within 2 s each replica is due at 0, 250, 750 and 1750 ms.
+        constexpr std::size_t most_trials = 4 * 2 * 2;
+        for (auto& replica : system_->replicas()) {
+            if (replica.stage_.empty()) {
+                replica.process_.signal(SIGKILL);
+                replica.process_.wait(2s);
+            }
+        }
+        for (int i = 0; i < calls; ++i) {
+            CPPUNIT_ASSERT_EQUAL(
+                status_unavailable,
+                system_->call(i % 2, "/book/1", next_id()).status_);
+            std::this_thread::sleep_for(40ms);
+        }
+        std::size_t trials = 0;
+        for (std::size_t i = 0; i < 2; ++i) {
+            const auto log = system_->gateway_log(i);
+            const std::string line = "outcome=refused_not_sent";
+            for (auto at = log.find(line); at != std::string::npos;
+                 at = log.find(line, at + 1)) {
+                ++trials;
+            }
+        }
+        CPPUNIT_ASSERT_LESSEQUAL(most_trials, trials);
+    }
+
     // Guards against required state that exists only in the processes.
     void all_gateways_recover_after_all_are_killed() {
         for (std::size_t i = 0; i < system_->gateway_count(); ++i) {
