Keep calls blamed for a crash away from the last running replica

A call that is blamed for a crash is refused for 2 to 4 s now if it would reach the last running replica while others have ended; the picker knows these from refused connections.

--- a/pimentoferry/gateway/crash_guard.hpp
+++ b/pimentoferry/gateway/crash_guard.hpp
@@ -56,6 +56,12 @@
     std::optional<base::milliseconds> admit(const requests::prompt_parts& parts,
                                             base::time_point now);
 
+    /// Whether the part that belongs to the request alone was blamed.
+    bool is_blamed(const requests::prompt_parts& parts,
+                   base::time_point now) const {
+        return marks_.is_blamed(parts.own_, now);
+    }
+
     /// Whether a part of the request was blamed for a crash, so that another
     /// send may cost another engine.
     bool is_suspect(const requests::prompt_parts& parts,
--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -32,6 +32,9 @@
 
 constexpr base::milliseconds full_retry_after{300};
 constexpr base::milliseconds no_replica_retry_after{500};
+// A replica that has crashed is back after some seconds.
+constexpr base::milliseconds suspect_retry_after{2000};
+constexpr base::milliseconds suspect_retry_spread{2000};
 // Callers that were refused for the limits of replicas return over this part of
 // the time that they are told to wait, and over this time at least.
 constexpr double limited_retry_spread = 1;
@@ -135,6 +138,9 @@
     /// What the call is recognised by if it crashes replicas.
     const requests::prompt_parts& crash_parts();
     std::optional<base::milliseconds> quarantined_for();
+    /// Whether the call is blamed for a crash and only one replica is left.
+    bool risks_last_replica();
+    http::awaitable<void> refuse_suspect();
     bool may_send_again(const send_result& last) const;
     http::awaitable<void> respond(send_result last);
 
@@ -267,6 +273,23 @@
            possible_runs_ < call_.route_.max_attempts_;
 }
 
+bool plain_call::risks_last_replica() {
+    const auto now = base::clock::now();
+    auto& crashes = *shared_.crashes_;
+    return crashes.any_marks() && crashes.is_blamed(crash_parts(), now) &&
+           shared_.picker_.is_last_running(
+               shared_.registry_.instances().usable(call_.service_, now));
+}
+
+http::awaitable<void> plain_call::refuse_suspect() {
+    const auto spread = std::chrono::duration_cast<base::milliseconds>(
+        suspect_retry_spread * shared_.random_fraction());
+    base::refusal refusal{
+        base::refusal_code::quarantined, base::ran_state::not_run,
+        suspect_retry_after + spread, "it may crash the last running replica"};
+    co_await refuse(shared_, call_, std::move(refusal));
+}
+
 std::vector<const routing::instance*>
 plain_call::untried_replicas(base::time_point now) const {
     auto replicas = shared_.registry_.instances().usable(call_.service_, now);
@@ -388,6 +411,13 @@
             }
             break;
         }
+        if (risks_last_replica()) {
+            if (possible_runs_ == 0) {
+                co_await refuse_suspect();
+                co_return;
+            }
+            break;
+        }
         const auto chosen = co_await choose();
         const auto now = base::clock::now();
         const bool caller_gone = call_.exchange_.caller_gone()->requested();
--- a/pimentoferry/requests/prompt_quarantine.hpp
+++ b/pimentoferry/requests/prompt_quarantine.hpp
@@ -96,6 +96,10 @@
     /// Another gateway saw an answer begin with the part.
     void merge_sound(std::uint64_t part, base::time_point now);
 
+    bool is_blamed(std::uint64_t part, base::time_point now) const {
+        return marks_.status_of(part, now) != crash_status::clear;
+    }
+
     /// Whether any part has a mark.
     bool any_marks() const { return marks_.size() > 0; }
 
--- a/pimentoferry/routing/replica_picker.cpp
+++ b/pimentoferry/routing/replica_picker.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <optional>
 
 namespace pimentoferry::routing {
@@ -102,15 +103,30 @@
     return !known;
 }
 
+bool replica_picker::refuses(const base::upstream_name& id,
+                             base::time_point now) const {
+    const auto found = records_.find(id);
+    return found != records_.end() && found->second.unused_until_ > now;
+}
+
+bool replica_picker::is_last_running(
+    const std::vector<const instance*>& candidates) const {
+    // Also those that are due for a trial: only an answer shows that they run.
+    const auto ended =
+        std::ranges::count_if(candidates, [&](const instance* each) {
+            const auto found = records_.find(each->id_);
+            return found != records_.end() && found->second.refusals_ > 0;
+        });
+    return ended > 0 && std::ssize(candidates) - ended <= 1;
+}
+
 bool replica_picker::accepts(const instance& chosen,
                              const std::vector<const instance*>& candidates,
                              base::time_point now) const {
     const auto found = records_.find(chosen.id_);
     const bool full =
         found != records_.end() && found->second.full_until_ > now;
-    const bool refuses =
-        found != records_.end() && found->second.unused_until_ > now;
-    return !full && !refuses &&
+    return !full && !refuses(chosen.id_, now) &&
            is_healthy(chosen, fastest_mean_ms(candidates), now);
 }
 
@@ -125,10 +141,7 @@
     const instance* unhealthy = nullptr;
     double best_cost = 0;
     for (const auto* each : candidates) {
-        const auto known = records_.find(each->id_);
-        const bool refuses =
-            known != records_.end() && known->second.unused_until_ > now;
-        if (refuses || tried.contains(each->id_)) {
+        if (refuses(each->id_, now) || tried.contains(each->id_)) {
             continue;
         }
         if (!is_healthy(*each, fastest_ms, now)) {
--- a/pimentoferry/routing/replica_picker.hpp
+++ b/pimentoferry/routing/replica_picker.hpp
@@ -69,6 +69,14 @@
     bool connection_refused(const base::upstream_name& id,
                             base::time_point now);
 
+    /// Whether connections to the replica were refused just now.
+    bool refuses(const base::upstream_name& id, base::time_point now) const;
+
+    /// Whether a call that may end the replica that runs it, out of
+    /// `candidates`, would put the last running one at risk while others have
+    /// ended.
+    bool is_last_running(const std::vector<const instance*>& candidates) const;
+
     /// Erases the records of replicas that are not in `replicas` and have no
     /// call in flight.
     void retain(const std::set<base::upstream_name>& replicas);
--- a/pimentoferry/routing/replica_picker_test.cpp
+++ b/pimentoferry/routing/replica_picker_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(the_last_replica_is_used_although_it_fails);
     CPPUNIT_TEST(a_replica_that_refuses_connections_is_tried_with_pauses);
     CPPUNIT_TEST(no_replica_is_chosen_if_all_refuse_connections);
+    CPPUNIT_TEST(the_last_running_replica_is_known);
     CPPUNIT_TEST_SUITE_END();
 
     replica_picker picker_{7};
@@ -85,6 +86,20 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"a"}, choose());
     }
 
+    // Guards against a call that takes the last replica of a service with it.
+    void the_last_running_replica_is_known() {
+        std::vector<const instance*> all{&replicas_[0], &replicas_[1],
+                                         &replicas_[2]};
+        picker_.connection_refused(base::upstream_name{"a"}, now_);
+        CPPUNIT_ASSERT(!picker_.is_last_running(all));
+        picker_.connection_refused(base::upstream_name{"b"}, now_);
+        CPPUNIT_ASSERT(picker_.is_last_running(all));
+        now_ += milliseconds{300};
+        CPPUNIT_ASSERT(picker_.is_last_running(all));
+        // A service of one replica has to serve all calls with it.
+        CPPUNIT_ASSERT(!picker_.is_last_running({&replicas_[2]}));
+    }
+
     void the_own_failure_domain_comes_first() {
         CPPUNIT_ASSERT_EQUAL(std::string{"a"}, choose());
     }
