Close connections that are accepted while a server stops

Found by reading the change before: a connection that was accepted as the stop came, and whose reader had not begun, waited for its idle timeout and kept a draining gateway from ending. It is closed before it waits.

connection_that_is_accepted_with_the_stop_is_closed varies the order of completions around the stop; without the change it failed (a connection stayed open for 5 s), with it the tests of the library passed 5 times.

--- a/pimentoferry/http/connection.cpp
+++ b/pimentoferry/http/connection.cpp
@@ -122,6 +122,9 @@
 
 awaitable<error_code> connection::read_request(parser& request_parser) {
     error_code error;
+    if (buffer_.size() == 0 && stopping_) {
+        co_return asio::error::operation_aborted;
+    }
     if (buffer_.size() == 0) {
         idle_ = true;
         stream_.expires_after(limits_.idle_timeout_);
--- a/pimentoferry/http/server_test.cpp
+++ b/pimentoferry/http/server_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(incomplete_stream_has_no_last_chunk);
     CPPUNIT_TEST(failing_handler_results_in_status_500);
     CPPUNIT_TEST(request_that_arrives_with_the_stop_is_answered);
+    CPPUNIT_TEST(connection_that_is_accepted_with_the_stop_is_closed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -244,6 +245,32 @@
         }
     }
 
+    // Guards against a connection that stays open for its idle timeout after
+    // the stop, because its reader had not begun.
+    void connection_that_is_accepted_with_the_stop_is_closed() {
+        constexpr int most_steps = 12;
+        const server_limits limits{.idle_timeout_ = base::milliseconds{5000}};
+        const auto began = base::clock::now();
+        for (int steps = 0; steps < most_steps; ++steps) {
+            std::optional<running_server> server;
+            server.emplace(
+                [&](exchange& call) -> awaitable<void> {
+                    // The second caller connects meanwhile.
+                    std::this_thread::sleep_for(base::milliseconds{30});
+                    server->stop_after(steps);
+                    const auto answer = json_response(200, "");
+                    co_await call.respond(answer);
+                },
+                limits);
+            raw_connection first{server->address()};
+            first.send(post("first"));
+            std::this_thread::sleep_for(base::milliseconds{10});
+            raw_connection second{server->address()};
+            second.receive_all();
+        }
+        CPPUNIT_ASSERT(base::clock::now() - began < limits.idle_timeout_);
+    }
+
     void failing_handler_results_in_status_500() {
         running_server server{[](exchange&) -> awaitable<void> {
             throw std::runtime_error{"fault in a handler"};
