Tell the scheduler when a replica that was held back is used again

Found by reading: an engine whose entry in a restored store was held back for 5 s stayed unknown to the scheduler of streams after that, because no event followed. instance_table::expire reports it now. The expectation was added to a_removed_instance_is_not_used_by_an_old_entry, which passes; it was not run against the code before.

--- a/pimentoferry/routing/instance_table.cpp
+++ b/pimentoferry/routing/instance_table.cpp
@@ -133,14 +133,22 @@
 }
 
 bool instance_table::expire(base::time_point now) {
-    return std::erase_if(records_, [&](const auto& entry) {
-               const bool expired =
-                   entry.second.lapsed_ && now >= lapsed_kept_until_;
-               if (expired) {
-                   remember_gone(entry.second.instance_, now);
-               }
-               return expired;
-           }) > 0;
+    bool changed = false;
+    for (auto& [id, entry] : records_) {
+        const bool held_back = entry.unused_until_ != base::time_point::min();
+        if (held_back && now >= entry.unused_until_) {
+            entry.unused_until_ = base::time_point::min();
+            changed = true;
+        }
+    }
+    const auto erased = std::erase_if(records_, [&](const auto& each) {
+        const bool expired = each.second.lapsed_ && now >= lapsed_kept_until_;
+        if (expired) {
+            remember_gone(each.second.instance_, now);
+        }
+        return expired;
+    });
+    return changed || erased > 0;
 }
 
 } // namespace pimentoferry::routing
--- a/pimentoferry/routing/instance_table.hpp
+++ b/pimentoferry/routing/instance_table.hpp
@@ -98,8 +98,9 @@
     const instance* find_usable(const base::upstream_name& id,
                                 base::time_point now) const;
 
-    /// Erases lapsed registrations that are no longer kept. Returns whether
-    /// there were any.
+    /// Erases lapsed registrations that are no longer kept, and takes instances
+    /// into use whose entries have outlasted those of dead ones. Returns
+    /// whether there were any.
     bool expire(base::time_point now);
 
     std::size_t size() const { return records_.size(); }
--- a/pimentoferry/routing/instance_table_test.cpp
+++ b/pimentoferry/routing/instance_table_test.cpp
@@ -70,6 +70,8 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, other.usable(desk, now_).size());
         now_ += base::milliseconds{6000};
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+        CPPUNIT_ASSERT(table_.expire(now_));
+        CPPUNIT_ASSERT(!table_.expire(now_));
         table_.remove(id, now_);
         CPPUNIT_ASSERT(put_result::taken ==
                        table_.put_from_copy(make_run(9, false), now_));
