Confirm replicas of the store's data in the known era only

Found by reading: a gateway that had heard of a later era, but not listed it yet, could be confirmed by a peer that was behind as well, and then asked the store from a revision of the earlier era, without a pause. No play showed it, and no test covers it.

--- a/pimentoferry/gateway/store_follower.cpp
+++ b/pimentoferry/gateway/store_follower.cpp
@@ -279,6 +279,7 @@
     const auto outcome = co_await call(std::move(request), "watch");
     if (asked_from.era_ != era_ || asked_from.era_ != replica_.current().era_) {
         // The revision meant another state of the store than the answer.
+        listed_ = listed_ && era_ == replica_.current().era_;
         co_return true;
     }
     if (std::holds_alternative<store::history_lost>(outcome)) {
@@ -326,7 +327,7 @@
                              ? replica_.merge(update.delta_)
                              : std::vector<store::mirror_change>{};
     const auto known = replica_.current();
-    if (update.current_ && update.delta_.era_ == known.era_ &&
+    if (update.current_ && update.delta_.era_ == era_ && known.era_ == era_ &&
         known >= update.delta_.end()) {
         confirmed_at_ = now;
         listed_ = listed_ || replica_.at() > 0;
