--- a/review/lib/world.hh
+++ b/review/lib/world.hh
@@ -308,6 +308,11 @@
         }}.detach();
     }
     int port() const { return port_; }
+    /// Refuses further connections, as after the end of the process.
+    void stop() {
+        ::shutdown(fd_, SHUT_RDWR);
+        ::close(fd_);
+    }
 
 private:
     handler serve_;
@@ -448,6 +453,12 @@
         const std::lock_guard lock{mutex_};
         erase(key);
     }
+    /// While it is down, the store answers each call with 503.
+    void set_down(bool down) {
+        const std::lock_guard lock{mutex_};
+        down_ = down;
+        changed_.notify_all();
+    }
 
 private:
     struct item {
@@ -534,6 +545,9 @@
         const auto target = call.word(1);
         const auto path = target.substr(0, target.find('?'));
         std::unique_lock lock{mutex_};
+        if (down_) {
+            return {503, "{}"};
+        }
         expire();
         const auto at = [this] {
             return "\"store_revision\":" + std::to_string(revision_);
@@ -567,6 +581,9 @@
                 steady::now() +
                 ms{std::strtol(query(target, "wait_ms").c_str(), nullptr, 10)};
             while (true) {
+                if (down_) {
+                    return {503, "{}"};
+                }
                 std::string text;
                 for (const auto& e : events_) {
                     if (e.revision > after && e.key.starts_with(prefix)) {
@@ -641,6 +658,7 @@
 
     std::mutex mutex_;
     std::condition_variable changed_;
+    bool down_ = false;
     unsigned long long revision_ = 100;
     unsigned long long last_lease_ = 7;
     std::map<std::string, item> items_;
