--- a/review/lib/world.hh
+++ b/review/lib/world.hh
@@ -453,6 +453,25 @@
         const std::lock_guard lock{mutex_};
         erase(key);
     }
+    /// Keeps a copy of the state, from which `restore` comes back.
+    void take_copy() {
+        const std::lock_guard lock{mutex_};
+        copied_items_ = items_;
+        copied_events_ = events_;
+        copied_leases_ = leases_;
+        copied_revision_ = revision_;
+    }
+    /// Comes back from the copy: what was written since is gone, revisions go
+    /// back, and the era rises by one.
+    void restore() {
+        const std::lock_guard lock{mutex_};
+        items_ = copied_items_;
+        events_ = copied_events_;
+        leases_ = copied_leases_;
+        revision_ = copied_revision_;
+        ++era_;
+        changed_.notify_all();
+    }
     /// While it is down, the store answers each call with 503.
     void set_down(bool down) {
         const std::lock_guard lock{mutex_};
@@ -531,9 +550,10 @@
                 return;
             }
             const auto [status, body] = handle(call);
+            const std::lock_guard lock{mutex_};
             if (!c.send(answer(status,
                                {{"Content-Type", "application/json"},
-                                {"Store-Era", "1"}},
+                                {"Store-Era", std::to_string(era_)}},
                                body))) {
                 return;
             }
@@ -580,10 +600,14 @@
             const auto until =
                 steady::now() +
                 ms{std::strtol(query(target, "wait_ms").c_str(), nullptr, 10)};
+            const auto era = era_;
             while (true) {
                 if (down_) {
                     return {503, "{}"};
                 }
+                if (after > revision_ || era != era_) {
+                    return {410, "{}"};
+                }
                 std::string text;
                 for (const auto& e : events_) {
                     if (e.revision > after && e.key.starts_with(prefix)) {
@@ -659,13 +683,14 @@
     std::mutex mutex_;
     std::condition_variable changed_;
     bool down_ = false;
-    unsigned long long revision_ = 100;
+    int era_ = 1;
+    unsigned long long revision_ = 100, copied_revision_ = 0;
     unsigned long long last_lease_ = 7;
-    std::map<std::string, item> items_;
-    std::vector<event> events_;
+    std::map<std::string, item> items_, copied_items_;
+    std::vector<event> events_, copied_events_;
     std::map<unsigned long long,
              std::pair<unsigned long long, steady::time_point>>
-        leases_;
+        leases_, copied_leases_;
     server server_;
 };
 
