Send no requests to instances that say they leave

Cause: the adapter did not read the statement, so the list of replicas was the only source. Excluded: that the statement was read and lost on the way; there was no name, belief or log line for it.

Change: gateway::upstream_statements reads what an answer says of its instance (limit and leaving) from the head of every answer, whatever its status and whether or not its body is ever complete. It replaces three places that read limits, one of which counted a 421 of another instance. The instance table keeps the statement for the run of the instance, and every choice asks the table. Gateways tell each other.

The stand-in replica can say that it leaves, and logs the arrival of each request.

--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "pimentoferry/gateway/runtime.hpp"
 #include "pimentoferry/gateway/stage_orders.hpp"
 #include "pimentoferry/gateway/store_follower.hpp"
+#include "pimentoferry/gateway/upstream_statements.hpp"
 #include "pimentoferry/http/error_token.hpp"
 #include "pimentoferry/http/server.hpp"
 #include "pimentoferry/log/log.hpp"
@@ -116,6 +117,7 @@
     stream_placement placement_;
     crash_guard crashes_;
     limit_guard limits_;
+    upstream_statements statements_;
     call_permits permits_;
     stage_orders orders_;
     caller_service caller_service_;
@@ -173,7 +175,15 @@
       placement_(
           io_, peers_, shared_.metrics_, shared_.allowances_, settings.region_),
       crashes_(peers_, store_, shared_.metrics_, fleet_key_of(settings)),
-      limits_(peers_, shared_), permits_(peers_, shared_, limits_),
+      limits_(peers_, shared_),
+      statements_(peers_,
+                  shared_,
+                  limits_,
+                  [this] {
+                      placement_.set_engines(shared_.registry_,
+                                             base::clock::now());
+                  }),
+      permits_(peers_, shared_, limits_),
       orders_(shared_, store_, base::to_hex(self.value_)),
       caller_service_(shared_), signals_(io_, SIGTERM, SIGINT, SIGHUP),
       timer_(io_) {
@@ -181,6 +191,7 @@
     shared_.peers_ = &peers_;
     shared_.crashes_ = &crashes_;
     shared_.limits_ = &limits_;
+    shared_.statements_ = &statements_;
     shared_.permits_ = &permits_;
     shared_.store_answers_ = &follower_.availability();
 }
@@ -218,6 +229,10 @@
                                        const heard_limits& message) {
         limits_.receive(from, message);
     };
+    handlers.on_leaving_instances_ = [this](base::instance_id from,
+                                            const leaving_instances& message) {
+        statements_.receive(from, message);
+    };
     handlers.on_permit_request_ =
         [this](base::instance_id from, const service_permit_request& message) {
             permits_.receive(from, message);
@@ -500,6 +515,7 @@
     placement_.tick(now);
     crashes_.tick(follower_.replica(), now);
     limits_.tick(now);
+    statements_.tick(now);
     permits_.tick(now);
     if (drain_began_) {
         stop_when_idle(now);
--- a/pimentoferry/gateway/peers.cpp
+++ b/pimentoferry/gateway/peers.cpp
@@ -270,6 +270,9 @@
             [&](const tried_parts& m) { handlers_.on_tried_parts_(m); },
             [&](const refusing_instance& m) {
                 handlers_.on_refusing_instance_(m);
+            },
+            [&](const leaving_instances& m) {
+                handlers_.on_leaving_instances_(from, m);
             }},
         received.message_);
 }
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -153,6 +153,26 @@
     }
 };
 
+/// See `routing::leaving_run`. The time is an age.
+struct heard_leaving {
+    base::upstream_name instance_;
+    std::uint64_t started_at_ms_{0};
+    base::milliseconds heard_age_{0};
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.instance_, self.started_at_ms_, self.heard_age_);
+    }
+};
+
+/// Instances that said that they leave.
+struct leaving_instances {
+    std::vector<heard_leaving> instances_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.instances_);
+    }
+};
+
 /// Asks the owner of a service for a permit.
 struct service_permit_request {
     base::service_name service_;
@@ -188,7 +208,8 @@
                                   service_permit_request,
                                   permit_reply,
                                   tried_parts,
-                                  refusing_instance>;
+                                  refusing_instance,
+                                  leaving_instances>;
 
 struct peer_handlers {
     /// Returns the changes in this gateway's replica after `since`.
@@ -204,6 +225,8 @@
     std::function<void(const refusing_instance&)> on_refusing_instance_;
     std::function<void(base::instance_id from, const heard_limits&)>
         on_heard_limits_;
+    std::function<void(base::instance_id from, const leaving_instances&)>
+        on_leaving_instances_;
     std::function<void(base::instance_id from, const service_permit_request&)>
         on_permit_request_;
     std::function<void(const permit_reply&)> on_permit_reply_;
--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -1,12 +1,12 @@
 #include "pimentoferry/gateway/plain_relay.hpp"
 
-#include "pimentoferry/base/boot_time.hpp"
 #include "pimentoferry/base/hash.hpp"
 #include "pimentoferry/gateway/call_permits.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
 #include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/gateway/upstream_check.hpp"
+#include "pimentoferry/gateway/upstream_statements.hpp"
 #include "pimentoferry/http/proxy.hpp"
 #include "pimentoferry/log/log.hpp"
 
@@ -154,7 +154,6 @@
 
 http::awaitable<send_result> plain_call::send(routing::instance replica) {
     const auto began = base::clock::now();
-    const auto sent_at = base::boot_now();
     const bool idempotent =
         call_.route_.kind_ == routing::call_kind::idempotent;
     http::call_options options;
@@ -167,6 +166,7 @@
     options.is_answer_ = [this](const http::response_head& head) {
         return shared_.protocol_.is_answer_to_(call_.request_, head);
     };
+    shared_.statements_->observe(options, call_.request_, replica);
     auto request = shared_.protocol_.plain_call_(
         call_.exchange_.call(),
         {replica.id_, time_left(call_, began), std::nullopt});
@@ -182,10 +182,6 @@
         outcome.meaning_ = shared_.protocol_.meaning_of_(
             call_.request_,
             {outcome.answer_->status_, outcome.answer_->fields_});
-        if (outcome.is_of_replica()) {
-            shared_.limits_->answer_received(replica, outcome.answer_->fields_,
-                                             sent_at);
-        }
     }
     const auto duration =
         std::chrono::duration_cast<base::milliseconds>(now - began);
@@ -330,7 +326,9 @@
         chosen != nullptr ? std::optional{*chosen} : std::nullopt;
     auto permitted = co_await choose_limited(std::move(limited));
     const bool use_fallback =
-        fallback && !std::holds_alternative<routing::instance>(permitted);
+        fallback && !std::holds_alternative<routing::instance>(permitted) &&
+        shared_.registry_.instances().find_usable(fallback->id_,
+                                                  base::clock::now());
     co_return use_fallback ? choice{*fallback} : std::move(permitted);
 }
 
--- a/pimentoferry/gateway/registry.hpp
+++ b/pimentoferry/gateway/registry.hpp
@@ -68,6 +68,11 @@
 
     const routing::instance_table& instances() const { return instances_; }
 
+    /// See `routing::instance_table::note_leaving`.
+    bool note_leaving(const routing::leaving_run& heard) {
+        return instances_.note_leaving(heard);
+    }
+
     /// Returns whether an instance that was kept is no longer used.
     bool expire(base::time_point now) { return instances_.expire(now); }
 
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -37,6 +37,7 @@
 class peers;
 class crash_guard;
 class limit_guard;
+class upstream_statements;
 class call_permits;
 
 struct runtime {
@@ -74,6 +75,7 @@
     stream_placement* streams_{nullptr};
     crash_guard* crashes_{nullptr};
     limit_guard* limits_{nullptr};
+    upstream_statements* statements_{nullptr};
     call_permits* permits_{nullptr};
     const store::availability* store_answers_{nullptr};
     /// When the process ends at the latest; unset unless it drains.
--- a/pimentoferry/gateway/stage_orders.cpp
+++ b/pimentoferry/gateway/stage_orders.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/gateway/stage_orders.hpp"
 
 #include "pimentoferry/base/boot_time.hpp"
+#include "pimentoferry/gateway/upstream_statements.hpp"
 #include "pimentoferry/http/error_token.hpp"
 #include "pimentoferry/log/log.hpp"
 
@@ -201,12 +202,13 @@
 
 http::awaitable<bool> stage_orders::order(placement::stage_change change,
                                           std::uint64_t fencing_number) {
-    const auto* engine = shared_.registry_.instances().find_usable(
+    const auto* found = shared_.registry_.instances().find_usable(
         change.engine_, base::clock::now());
-    if (engine == nullptr) {
+    if (found == nullptr) {
         co_return false;
     }
-    const auto address = engine->address_;
+    const auto engine = *found;
+    const caller_request no_caller;
     http::call_options options;
     options.deadline_ = base::clock::now() + order_timeout;
     options.body_limit_bytes_ = report_body_limit_bytes;
@@ -215,8 +217,9 @@
     };
     auto report_call = shared_.protocol_.report_call_(change.engine_);
     auto report_options = options;
+    shared_.statements_->observe(report_options, no_caller, engine);
     const auto report_result = co_await shared_.client_.call(
-        address, std::move(report_call), std::move(report_options));
+        engine.address_, std::move(report_call), std::move(report_options));
     const auto* report_response = std::get_if<http::response>(&report_result);
     const auto accepted =
         report_response != nullptr
@@ -228,11 +231,17 @@
                        {"reason", "no valid report from the engine"}});
         co_return false;
     }
+    if (shared_.registry_.instances().leaves(engine)) {
+        log::log_warn("order_not_given", {{"engine", change.engine_.value_},
+                                          {"reason", "the engine leaves"}});
+        co_return false;
+    }
     role_order next_order{change.engine_, change.role_, holder_, fencing_number,
                           *accepted};
     auto order_call = shared_.protocol_.order_call_(next_order);
+    shared_.statements_->observe(options, no_caller, engine);
     const auto order_result = co_await shared_.client_.call(
-        address, std::move(order_call), std::move(options));
+        engine.address_, std::move(order_call), std::move(options));
     const auto* order_response = std::get_if<http::response>(&order_result);
     const int status = order_response != nullptr ? order_response->status_ : 0;
     log::log_info(
--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -1,11 +1,11 @@
 #include "pimentoferry/gateway/stream_call.hpp"
 
-#include "pimentoferry/base/boot_time.hpp"
 #include "pimentoferry/base/hash.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/event_splitter.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
 #include "pimentoferry/gateway/upstream_check.hpp"
+#include "pimentoferry/gateway/upstream_statements.hpp"
 #include "pimentoferry/http/proxy.hpp"
 #include "pimentoferry/log/log.hpp"
 
@@ -124,12 +124,12 @@
 http::awaitable<std::variant<prefill_result, stream_outcome>>
 stream_call::prefill(const routing::instance& engine) {
     const auto began = base::clock::now();
-    const auto sent_at = base::boot_now();
     auto request = shared_.protocol_.prefill_call_(
         call_.exchange_.call(), send_options_for(engine.id_));
     auto options = options_until(began + prefill_timeout);
     options.body_limit_bytes_ = control_body_limit_bytes;
     options.fresh_connection_ = needs_fresh_connection(engine.id_);
+    shared_.statements_->observe(options, call_.request_, engine);
     auto received = co_await shared_.client_.call(
         engine.address_, std::move(request), std::move(options));
     std::variant<prefill_result, stream_outcome> outcome =
@@ -143,7 +143,6 @@
     } else {
         const auto& answer = std::get<http::response>(received);
         const auto result = shared_.protocol_.read_prefill_(answer.body_);
-        shared_.limits_->answer_received(engine, answer.fields_, sent_at);
         if (answer.status_ == 200 && result) {
             outcome = *result;
             text = "success";
@@ -257,7 +256,6 @@
                          base::attempt_id attempt,
                          placement_guard& guard) {
     const auto began = base::clock::now();
-    const auto sent_at = base::boot_now();
     decode_engine_ = engine.id_;
     decode_sent_at_ = began;
     const auto options = send_options_for(engine.id_);
@@ -269,6 +267,7 @@
     // The body is relayed event by event, so its total size is not bounded.
     limits.body_limit_bytes_ = std::numeric_limits<std::size_t>::max();
     limits.fresh_connection_ = needs_fresh_connection(engine.id_);
+    shared_.statements_->observe(limits, call_.request_, engine);
     auto opened = co_await shared_.client_.open(
         engine.address_, std::move(request), std::move(limits));
     const auto log_outcome = [&](const std::string& outcome) {
@@ -302,11 +301,6 @@
     auto& answer = std::get<http::open_answer>(opened);
     const auto meaning =
         shared_.protocol_.meaning_of_(call_.request_, answer.head());
-    if (meaning != answer_meaning::misrouted &&
-        meaning != answer_meaning::foreign) {
-        shared_.limits_->answer_received(engine, answer.head().fields_,
-                                         sent_at);
-    }
     log_outcome(std::to_string(answer.head().status_));
     if (meaning == answer_meaning::rejected ||
         meaning == answer_meaning::misrouted) {
--- a/pimentoferry/gateway/upstream_check.cpp
+++ b/pimentoferry/gateway/upstream_check.cpp
@@ -1,5 +1,6 @@
 #include "pimentoferry/gateway/upstream_check.hpp"
 
+#include "pimentoferry/gateway/upstream_statements.hpp"
 #include "pimentoferry/http/error_token.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -62,10 +63,12 @@
     options.body_limit_bytes_ = report_body_limit_bytes;
     // A pooled connection may be one that the crash has closed.
     options.fresh_connection_ = true;
+    const caller_request no_caller;
     std::optional<upstream_state> state;
     while (!state) {
         auto request = shared.protocol_.report_call_(upstream.id_);
         auto call_options = options;
+        shared.statements_->observe(call_options, no_caller, upstream);
         const auto result = co_await shared.client_.call(
             upstream.address_, std::move(request), std::move(call_options));
         state = state_after(result);
--- a/pimentoferry/gateway/upstream_protocol.hpp
+++ b/pimentoferry/gateway/upstream_protocol.hpp
@@ -114,6 +114,13 @@
 using limit_statement =
     std::variant<no_limit, requests_limit, unreadable_limit>;
 
+/// What an answer says about the end of its instance.
+enum class leaving_statement : std::uint8_t {
+    none,
+    leaves,     ///< The instance accepts no new requests for much longer.
+    unreadable, ///< The answer has the field with a value that is not known.
+};
+
 struct upstream_protocol {
     std::function<std::variant<caller_request, malformed_request>(
         const http::request&)>
@@ -145,10 +152,15 @@
     /// Whether an answer is not one to another request.
     std::function<bool(const caller_request&, const http::response_head&)>
         is_answer_to_;
+    /// Whether the instance that a request was sent to gave this answer to it,
+    /// and not another instance that has its address now.
+    std::function<bool(const caller_request&, const http::response_head&)>
+        is_of_instance_;
     std::function<answer_meaning(const caller_request&,
                                  const http::response_head&)>
         meaning_of_;
     std::function<limit_statement(const http::field_list&)> read_limit_;
+    std::function<leaving_statement(const http::field_list&)> read_leaving_;
     std::function<std::optional<prefill_result>(std::string_view body)>
         read_prefill_;
 
--- a/pimentoferry/http/upstream_call.cpp
+++ b/pimentoferry/http/upstream_call.cpp
@@ -130,6 +130,9 @@
     if (error) {
         co_return to_failure(error);
     }
+    if (options_.on_head_) {
+        options_.on_head_(head_);
+    }
     co_return std::nullopt;
 }
 
--- a/pimentoferry/routing/instance_table.cpp
+++ b/pimentoferry/routing/instance_table.cpp
@@ -1,6 +1,8 @@
 #include "pimentoferry/routing/instance_table.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <set>
 
 namespace pimentoferry::routing {
@@ -11,6 +13,10 @@
 // source's data is some seconds old, or minutes at most.
 constexpr std::size_t max_gone = 1024;
 constexpr base::milliseconds gone_memory{600'000};
+// Instances that said that they leave and that are remembered. Those that are
+// not registered are kept for `gone_memory`: a message may be faster than the
+// registration, and an entry may lapse and come back.
+constexpr std::size_t max_leaving = 4096;
 // The source removes entries of dead instances within this time after its
 // return: three intervals of their registrations, and the time until the
 // removal is known.
@@ -86,8 +92,12 @@
     }
     // A draining instance has announced that it leaves and does not register
     // again.
-    if (now >= lapsed_kept_until_ || found->second.instance_.draining_) {
+    if (now >= lapsed_kept_until_ || leaves(found->second.instance_)) {
         remember_gone(found->second.instance_, now);
+        // Without a start time, the next registration is one of a new run.
+        if (found->second.instance_.started_at_ms_ == 0) {
+            leaving_.erase(id);
+        }
         records_.erase(found);
     } else {
         found->second.lapsed_ = true;
@@ -109,7 +119,54 @@
 bool instance_table::is_usable(const record& entry,
                                base::time_point now) const {
     const bool expired = entry.lapsed_ && now >= lapsed_kept_until_;
-    return !entry.instance_.draining_ && !expired && now >= entry.unused_until_;
+    return !leaves(entry.instance_) && !expired && now >= entry.unused_until_;
+}
+
+bool instance_table::note_leaving(const leaving_run& heard) {
+    const auto registered = records_.find(heard.instance_);
+    const bool of_earlier_run =
+        registered != records_.end() &&
+        heard.started_at_ms_ < registered->second.instance_.started_at_ms_;
+    const auto known = leaving_.find(heard.instance_);
+    if (known != leaving_.end()) {
+        if (of_earlier_run ||
+            heard.started_at_ms_ <= known->second.started_at_ms_) {
+            return false;
+        }
+        known->second = heard;
+        return true;
+    }
+    if (of_earlier_run || leaving_.size() >= max_leaving) {
+        return false;
+    }
+    leaving_.emplace(heard.instance_, heard);
+    return true;
+}
+
+bool instance_table::leaves(const instance& registered) const {
+    const auto said = leaving_.find(registered.id_);
+    return registered.draining_ ||
+           (said != leaving_.end() &&
+            said->second.started_at_ms_ >= registered.started_at_ms_);
+}
+
+std::vector<leaving_run> instance_table::leaving() const {
+    std::vector<leaving_run> found;
+    std::ranges::copy_if(leaving_ | std::views::values,
+                         std::back_inserter(found),
+                         [this](const leaving_run& each) {
+                             return records_.contains(each.instance_);
+                         });
+    return found;
+}
+
+void instance_table::forget_leaving(base::time_point now) {
+    std::erase_if(leaving_, [&](const auto& entry) {
+        const auto registered = records_.find(entry.first);
+        return registered == records_.end()
+                   ? now - entry.second.heard_at_ >= gone_memory
+                   : !leaves(registered->second.instance_);
+    });
 }
 
 std::vector<const instance*>
@@ -133,6 +190,7 @@
 }
 
 bool instance_table::expire(base::time_point now) {
+    forget_leaving(now);
     bool changed = false;
     for (auto& [id, entry] : records_) {
         const bool held_back = entry.unused_until_ != base::time_point::min();
--- a/pimentoferry/routing/instance_table.hpp
+++ b/pimentoferry/routing/instance_table.hpp
@@ -20,6 +20,12 @@
 /// one, and one that is gone is used again only after it has registered anew or
 /// its entry has outlasted the time in which those of dead instances expire.
 ///
+/// An instance may also say itself that it leaves, in its answers, before the
+/// source does. That holds for the rest of its run, whatever its registration
+/// says:
+///
+///     instances.note_leaving({id, run}, now);
+///
 /// The returned pointers are valid until the table is changed.
 #ifndef PIMENTOFERRY_ROUTING_INSTANCE_TABLE_HPP
 #define PIMENTOFERRY_ROUTING_INSTANCE_TABLE_HPP
@@ -65,6 +71,13 @@
 
 std::string_view to_string(put_result result);
 
+/// A run of an instance that said that it leaves.
+struct leaving_run {
+    base::upstream_name instance_;
+    std::uint64_t started_at_ms_{0}; ///< See `instance::started_at_ms_`.
+    base::time_point heard_at_;
+};
+
 class instance_table {
 public:
     /// Adds or replaces a registration.
@@ -90,6 +103,17 @@
     void retain(const std::vector<base::upstream_name>& ids,
                 base::time_point now);
 
+    /// Records that the instance said that it leaves. Returns whether that is
+    /// news; a statement of an earlier run than the registered one is none.
+    bool note_leaving(const leaving_run& heard);
+
+    /// Whether the instance is draining by its registration, or has said that
+    /// it leaves.
+    bool leaves(const instance& registered) const;
+
+    /// The registered instances that have said that they leave.
+    std::vector<leaving_run> leaving() const;
+
     /// Returns the instances of a service that may receive new requests.
     std::vector<const instance*> usable(const base::service_name& service,
                                         base::time_point now) const;
@@ -119,11 +143,13 @@
     };
 
     bool is_usable(const record& entry, base::time_point now) const;
+    void forget_leaving(base::time_point now);
 
     void remember_gone(const instance& removed, base::time_point now);
 
     std::map<base::upstream_name, record> records_;
     std::map<base::upstream_name, gone_run> gone_;
+    std::map<base::upstream_name, leaving_run> leaving_;
     base::time_point lapsed_kept_until_{base::time_point::min()};
 };
 
--- a/pimentoferry/routing/instance_table_test.cpp
+++ b/pimentoferry/routing/instance_table_test.cpp
@@ -26,6 +26,11 @@
     CPPUNIT_TEST(a_draining_instance_is_not_taken_back_by_an_old_entry);
     CPPUNIT_TEST(an_earlier_run_does_not_replace_a_later_one);
     CPPUNIT_TEST(a_removed_instance_is_not_used_by_an_old_entry);
+    CPPUNIT_TEST(an_instance_that_says_it_leaves_gets_no_new_requests);
+    CPPUNIT_TEST(a_later_run_of_an_instance_that_left_is_used);
+    CPPUNIT_TEST(an_earlier_run_does_not_stop_a_later_one);
+    CPPUNIT_TEST(a_statement_that_precedes_the_registration_holds);
+    CPPUNIT_TEST(a_new_registration_without_start_time_is_a_new_run);
     CPPUNIT_TEST_SUITE_END();
 
     instance_table table_;
@@ -55,6 +60,60 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
     }
 
+    // Guards against requests to an instance that says that it leaves, while
+    // its registration does not say so yet or lapses.
+    void an_instance_that_says_it_leaves_gets_no_new_requests() {
+        table_.put(make_run(7, false));
+        table_.keep_lapsed_until(now_ + base::milliseconds{2000});
+        CPPUNIT_ASSERT(
+            table_.note_leaving({base::upstream_name{"a"}, 7, now_}));
+        CPPUNIT_ASSERT(
+            !table_.note_leaving({base::upstream_name{"a"}, 7, now_}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table_.leaving().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+        table_.put(make_run(7, false));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+        table_.remove(base::upstream_name{"a"}, now_);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, table_.size());
+        CPPUNIT_ASSERT(table_.leaving().empty());
+        table_.put(make_run(7, false));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+    }
+
+    void a_later_run_of_an_instance_that_left_is_used() {
+        table_.put(make_run(7, false));
+        table_.note_leaving({base::upstream_name{"a"}, 7, now_});
+        table_.put(make_run(8, false));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+        table_.expire(now_);
+        CPPUNIT_ASSERT(table_.leaving().empty());
+    }
+
+    // Guards against a message about an earlier run that stops a sound one.
+    void an_earlier_run_does_not_stop_a_later_one() {
+        table_.put(make_run(8, false));
+        CPPUNIT_ASSERT(
+            !table_.note_leaving({base::upstream_name{"a"}, 7, now_}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+    }
+
+    void a_statement_that_precedes_the_registration_holds() {
+        CPPUNIT_ASSERT(
+            table_.note_leaving({base::upstream_name{"a"}, 7, now_}));
+        table_.put(make_run(7, false));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+    }
+
+    void a_new_registration_without_start_time_is_a_new_run() {
+        table_.put(make_run(0, false));
+        table_.note_leaving({base::upstream_name{"a"}, 0, now_});
+        table_.put(make_run(0, false));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, usable());
+        table_.remove(base::upstream_name{"a"}, now_);
+        table_.put(make_run(0, false));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
+    }
+
     // Guards against requests to an instance that has left, until its old entry
     // expires.
     void a_removed_instance_is_not_used_by_an_old_entry() {
--- a/standins/platform_replica.cpp
+++ b/standins/platform_replica.cpp
@@ -68,6 +68,7 @@
     repeat_without_id_ =
         number_or(switches, "repeat_without_id", repeat_without_id_);
     crash_on_ = text_or(switches, "crash_on", crash_on_);
+    leaving_ = text_or(switches, "leaving", leaving_);
     crash_on_part_ = text_or(switches, "crash_on_part", crash_on_part_);
     if (const auto limit = text_or(switches, "limit", limit_);
         limit != limit_) {
@@ -90,16 +91,19 @@
     return json{std::move(counts)};
 }
 
-void platform_replica::announce_limit(headers& fields) const {
+void platform_replica::add_statements(headers& fields) const {
     if (!limit_.empty()) {
         fields.emplace_back("Server-Limit", limit_);
     }
+    if (!leaving_.empty()) {
+        fields.emplace_back("Server-Leaving", leaving_);
+    }
 }
 
 headers platform_replica::answer_fields(const exchange& call) const {
     headers fields{{request_id, call.header(request_id)},
                    {"X-Server-Signature", "signed-by-" + id_}};
-    announce_limit(fields);
+    add_statements(fields);
     return fields;
 }
 
@@ -110,6 +114,15 @@
     }
 }
 
+void platform_replica::record_arrival(const std::string& kind,
+                                      const exchange& call) {
+    record_arrival(kind);
+    const auto at = std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    std::cout << "arrived " << call.header(request_id) << ' ' << kind << ' '
+              << at.count() << std::endl;
+}
+
 json platform_replica::arrivals() const {
     json::object counts;
     for (const auto& [kind, count] : arrivals_) {
@@ -133,7 +146,7 @@
 void platform_replica::record_run(const exchange& call) {
     const auto request = call.header(request_id);
     ++runs_[request];
-    record_arrival("run");
+    record_arrival("run", call);
     std::cout << "run " << request << ' ' << call.path() << std::endl;
     crash_if_contains(call.path(), crash_on_);
 }
@@ -155,7 +168,9 @@
         json body{json::object{{"stage", json{stage_}},
                                {"sequence", json{order_count_}},
                                {"running", json{running_}}}};
-        co_await call.reply(status_ok, std::move(body));
+        headers fields;
+        add_statements(fields);
+        co_await call.reply(status_ok, std::move(body), std::move(fields));
     } else if (path == "/api/order") {
         record_arrival("order");
         ++order_count_;
@@ -174,8 +189,8 @@
 net::awaitable<void> platform_replica::reject(exchange& call, unsigned status) {
     headers fields{{request_id, call.header(request_id)},
                    {"X-Not-Executed", "1"}};
-    announce_limit(fields);
-    record_arrival("rejected");
+    add_statements(fields);
+    record_arrival("rejected", call);
     rejected_on_[call.peer_port()] = call.header(request_id);
     std::string type = "text/plain";
     std::string body = "not run";
@@ -228,7 +243,7 @@
 
 net::awaitable<void> platform_replica::prefill(exchange& call) {
     const running_guard guard{running_};
-    record_arrival("prefill");
+    record_arrival("prefill", call);
     if (consume_fault(pending_faults_["endless_next"])) {
         std::string begin = "HTTP/1.1 200 OK\r\nX-Filler: ";
         co_await send_endless(call, std::move(begin));
@@ -240,7 +255,7 @@
         {"tokens", json{1}},
         {"version", json{1}}}};
     headers fields{{request_id, call.header(request_id)}};
-    announce_limit(fields);
+    add_statements(fields);
     co_await call.reply(status_ok, std::move(body), std::move(fields));
 }
 
--- a/standins/platform_replica.hpp
+++ b/standins/platform_replica.hpp
@@ -39,6 +39,7 @@
 ///   which the connection is closed.
 /// * `limit`: requests a second that every answer announces, as text; empty:
 ///   none. Setting it starts a new count of arrivals.
+/// * `leaving`: what every answer says in `Server-Leaving`; empty: nothing.
 ///
 /// `GET /runs` answers with the number of runs of each request, `GET /arrivals`
 /// with the number of requests by kind (`run`, `prefill`, `rejected`,
@@ -82,7 +83,10 @@
     json runs() const;
     json arrivals() const;
     void record_arrival(const std::string& kind);
-    void announce_limit(headers& fields) const;
+    /// Also logs the arrival of a caller's request.
+    void record_arrival(const std::string& kind, const exchange& call);
+    /// Adds what the replica says of itself in all its answers.
+    void add_statements(headers& fields) const;
     void record_run(const exchange& call);
 
     std::string id_;
@@ -103,6 +107,7 @@
     /// The request last rejected on each connection, by the peer's port.
     std::map<std::uint16_t, std::string> rejected_on_;
     std::string limit_;
+    std::string leaving_; ///< Value of `Server-Leaving`; empty: not sent.
     std::chrono::steady_clock::time_point limited_since_;
     std::map<std::string, std::int64_t> arrivals_; ///< By kind.
     std::vector<std::chrono::steady_clock::time_point> request_times_;
