Count both sends of a repeated placement against the retry budget

What callers saw: nothing by themselves; a service in trouble got up to twice the repeated sends that a gateway may make.

Cause: a stream that is placed again took one from the retry budget, and sent a second prefill and a second decode. Excluded: restarts (none in the test) and rejected sends (each replacement takes one).

Change: such a placement takes both from the budget, or is not made. The test counts what arrives at the replicas; gateway_fleet reads their logs.

--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -295,9 +295,11 @@
             co_return stream_not_run{"the decode engine is not reachable",
                                      placement::decode_rejection::unreachable};
         }
+        decode_sent_ = true;
         ++possible_runs_;
         co_return broken_by(*failure, false);
     }
+    decode_sent_ = true;
     auto& answer = std::get<http::open_answer>(opened);
     const auto meaning =
         shared_.protocol_.meaning_of_(call_.request_, answer.head());
--- a/pimentoferry/gateway/stream_call.hpp
+++ b/pimentoferry/gateway/stream_call.hpp
@@ -105,11 +105,16 @@
     find_engine(const base::upstream_name& engine) const;
     bool caller_disconnected() const;
     bool needs_fresh_connection(const base::upstream_name& engine);
+    /// The sends that the next placement repeats: its prefill, and its decode
+    /// if one has been sent before.
+    std::uint32_t repeated_sends() const { return decode_sent_ ? 2 : 1; }
 
     runtime& shared_;
     routed_call& call_;
     /// Decodes that may have run.
     std::uint32_t possible_runs_{0};
+    /// Whether a decode has reached an engine, which may have rejected it.
+    bool decode_sent_{false};
     /// Id of the last event sent to the caller.
     std::optional<std::uint64_t> last_event_sent_;
     /// Whether this request has sent any event to the caller.
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -139,7 +139,7 @@
             }
             break;
         }
-        if (is_retry && !budget.take(base::clock::now())) {
+        if (is_retry && !budget.take(base::clock::now(), repeated_sends())) {
             break;
         }
         const auto attempt = shared_.streams_->next_attempt();
--- a/pimentoferry/requests/limits_test.cpp
+++ b/pimentoferry/requests/limits_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(second_crash_quarantines_only_the_suspect);
     CPPUNIT_TEST(quarantine_doubles_up_to_its_limit);
     CPPUNIT_TEST(completed_run_clears_a_suspect);
+    CPPUNIT_TEST(budget_allows_all_sends_of_a_retry_or_none);
     CPPUNIT_TEST(marks_expire_and_stay_bounded);
     CPPUNIT_TEST(received_marks_do_not_add_up);
     CPPUNIT_TEST(cancel_repeats_until_the_engine_frees_the_memory);
@@ -47,6 +48,15 @@
         CPPUNIT_ASSERT(budget.take(start + seconds{17}));
     }
 
+    // Guards against a retry of two sends that is counted as one.
+    void budget_allows_all_sends_of_a_retry_or_none() {
+        retry_budget budget{{.percent_of_requests_ = 0, .constant_ = 3}};
+        CPPUNIT_ASSERT(budget.take(start, 2));
+        CPPUNIT_ASSERT(!budget.take(start, 2));
+        CPPUNIT_ASSERT(budget.take(start));
+        CPPUNIT_ASSERT(!budget.take(start));
+    }
+
     // Guards against attributing a crash to requests that ran beside its cause.
     void second_crash_quarantines_only_the_suspect() {
         marks_.attribute_crash({{1, false}, {2, false}}, start);
--- a/pimentoferry/requests/retry_budget.cpp
+++ b/pimentoferry/requests/retry_budget.cpp
@@ -28,7 +28,7 @@
     ++current(now).requests_;
 }
 
-bool retry_budget::take(base::time_point now) {
+bool retry_budget::take(base::time_point now, std::uint32_t sends) {
     slice& latest = current(now);
     const std::int64_t oldest =
         latest.number_ - static_cast<std::int64_t>(slice_count) + 1;
@@ -42,10 +42,10 @@
     }
     const std::uint64_t allowed =
         requests * limits_.percent_of_requests_ / 100 + limits_.constant_;
-    if (retries >= allowed) {
+    if (retries + sends > allowed) {
         return false;
     }
-    ++latest.retries_;
+    latest.retries_ += sends;
     return true;
 }
 
--- a/pimentoferry/requests/retry_budget.hpp
+++ b/pimentoferry/requests/retry_budget.hpp
@@ -36,9 +36,9 @@
     /// Counts a received request.
     void note_request(base::time_point now);
 
-    /// Takes one retry from the budget; returns false when the window allows no
-    /// more.
-    bool take(base::time_point now);
+    /// Takes `sends` repeated sends from the budget; returns false and takes
+    /// none when the window does not allow all of them.
+    bool take(base::time_point now, std::uint32_t sends = 1);
 
 private:
     // Requests and retries are counted in slices of the window. A slice leaves
--- a/tests/process/faulty_replica_test.cpp
+++ b/tests/process/faulty_replica_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(error_of_the_next_engine_does_not_enter_a_stream);
     CPPUNIT_TEST(empty_answer_of_the_next_engine_does_not_end_a_stream);
     CPPUNIT_TEST(head_that_stops_midway_is_no_answer);
+    CPPUNIT_TEST(resumed_streams_stay_within_the_retry_budget);
     CPPUNIT_TEST_SUITE_END();
 
     // Optional because CppUnit constructs all fixtures before the first test.
@@ -107,6 +108,25 @@
 public:
     void tearDown() override { system_.reset(); }
 
+    // Guards against a placement that is paid as one repeated send, but sends a
+    // second prefill and a second decode.
+    void resumed_streams_stay_within_the_retry_budget() {
+        constexpr std::size_t streams = 30;
+        start(1, 3);
+        set_on("decode", R"({"cut_next":1000,"event_ms":1})");
+        for (std::size_t i = 0; i < streams; ++i) {
+            auto stream = open_stream("/talk/1", next_id());
+            stream.rest();
+            CPPUNIT_ASSERT(!stream.ended());
+        }
+        // One of two gateways uses half of its equal share of the constant 58,
+        // and half of the fifth of its own requests.
+        constexpr std::size_t allowed = 58 / 2 / 2 + streams / 5 / 2;
+        const auto repeats = repeated_sends(system_->arrivals()).size();
+        CPPUNIT_ASSERT(repeats > 0);
+        CPPUNIT_ASSERT_LESSEQUAL(allowed, repeats);
+    }
+
     // Guards against a call that fails because a faulty replica wrote an
     // earlier rejection once more.
     void repeated_rejection_does_not_answer_a_later_call() {
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -17,6 +17,7 @@
 #include <fstream>
 #include <iostream>
 #include <random>
+#include <set>
 #include <sstream>
 
 namespace pimentoferry::process_tests {
@@ -128,6 +129,12 @@
     return port;
 }
 
+/// The gateway under test; another build of it if the environment names one.
+std::string gateway_program() {
+    const char* chosen = std::getenv("GATEWAY_PROGRAM");
+    return chosen != nullptr ? chosen : PIMENTOFERRY_PROGRAM;
+}
+
 } // namespace
 
 standins::request_headers caller_fields(const std::string& path,
@@ -290,7 +297,7 @@
 void gateway_fleet::restart_gateway(std::size_t number) {
     const auto name = "gateway-" + std::to_string(number);
     gateways_.at(number) = child_process::start(
-        {PIMENTOFERRY_PROGRAM, "gateway", "--settings", path(name + ".json")},
+        {gateway_program(), "gateway", "--settings", path(name + ".json")},
         path(name + ".log"));
 }
 
@@ -346,10 +353,14 @@
     return standins::send_http(ports_.at(gateway).traffic_, request);
 }
 
-std::map<std::string, std::size_t> gateway_fleet::runs() const {
-    std::map<std::string, std::size_t> counts;
+void gateway_fleet::for_each_replica_line(
+    const std::string& first_word,
+    const std::function<void(const std::string& replica,
+                             std::istringstream& words)>& use) const {
+    const std::string prefix = "replica-";
     for (const auto& file : std::filesystem::directory_iterator{directory_}) {
-        if (!file.path().filename().string().starts_with("replica-")) {
+        const auto name = file.path().stem().string();
+        if (!name.starts_with(prefix)) {
             continue;
         }
         std::ifstream in{file.path()};
@@ -357,17 +368,54 @@
         while (std::getline(in, line)) {
             std::istringstream words{line};
             std::string word;
-            std::string request;
-            if (words >> word >> request && word == "run") {
-                ++counts[request];
+            if (words >> word && word == first_word) {
+                use(name.substr(prefix.size()), words);
             }
         }
     }
+}
+
+std::map<std::string, std::size_t> gateway_fleet::runs() const {
+    std::map<std::string, std::size_t> counts;
+    for_each_replica_line("run", [&](const auto&, auto& words) {
+        std::string request;
+        if (words >> request) {
+            ++counts[request];
+        }
+    });
     return counts;
 }
 
+std::vector<replica_arrival> gateway_fleet::arrivals() const {
+    std::vector<replica_arrival> found;
+    for_each_replica_line("arrived", [&](const auto& replica, auto& words) {
+        replica_arrival arrival{replica, {}, {}, {}};
+        std::int64_t at_ms = 0;
+        if (words >> arrival.request_ >> arrival.kind_ >> at_ms) {
+            arrival.at_ +=
+                std::chrono::duration_cast<std::chrono::system_clock::duration>(
+                    milliseconds{at_ms});
+            found.push_back(std::move(arrival));
+        }
+    });
+    return found;
+}
+
 std::string gateway_fleet::gateway_log(std::size_t gateway) const {
     return read_text(path("gateway-" + std::to_string(gateway) + ".log"));
 }
 
+std::vector<replica_arrival>
+repeated_sends(std::vector<replica_arrival> arrivals) {
+    std::ranges::sort(arrivals, {}, &replica_arrival::at_);
+    std::set<std::string> prefilled;
+    std::set<std::string> arrived;
+    std::erase_if(arrivals, [&](const replica_arrival& each) {
+        const bool first_prefill =
+            each.kind_ == "prefill" && prefilled.insert(each.request_).second;
+        return first_prefill || arrived.insert(each.request_).second;
+    });
+    return arrivals;
+}
+
 } // namespace pimentoferry::process_tests
--- a/tests/process/gateway_fleet.hpp
+++ b/tests/process/gateway_fleet.hpp
@@ -20,6 +20,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,14 @@
     std::string log_;
 };
 
+/// A caller's request as it reached a replica.
+struct replica_arrival {
+    std::string replica_;
+    std::string request_;
+    std::string kind_; ///< `run`, `prefill` or `rejected`.
+    std::chrono::system_clock::time_point at_;
+};
+
 struct gateway_ports {
     std::uint16_t traffic_{0};
     std::uint16_t readiness_{0};
@@ -106,12 +115,21 @@
     /// Number of runs of each request, by id, over all replicas ever started.
     std::map<std::string, std::size_t> runs() const;
 
+    /// All arrivals at all replicas ever started.
+    std::vector<replica_arrival> arrivals() const;
+
     std::string gateway_log(std::size_t gateway) const;
     const std::string& directory() const { return directory_; }
     void keep_files() { keep_files_ = true; }
 
 private:
     std::string path(const std::string& name) const;
+    /// Calls `use` with the id of each replica and the words of each line that
+    /// begins with `first_word`.
+    void for_each_replica_line(
+        const std::string& first_word,
+        const std::function<void(const std::string& replica,
+                                 std::istringstream& words)>& use) const;
     void start_replica(platform_replica_process& replica);
     /// Whether the gateway has logged all others as members. A gateway has its
     /// share of the retry budget only from then on.
@@ -135,6 +153,11 @@
                                         const std::string& request_id,
                                         std::chrono::milliseconds deadline);
 
+/// The arrivals that use the fleet's retry budget, in order: all but the first
+/// of each request, not counting the first prefill that was accepted.
+std::vector<replica_arrival>
+repeated_sends(std::vector<replica_arrival> arrivals);
+
 } // namespace pimentoferry::process_tests
 
 #endif
