Take the end of an instance that leaves for no crash

What callers saw: requests with the same prompt parts could be refused as quarantined after an engine had ended as it had announced.

Cause: an instance that leaves is not found among the usable ones, and one that was not found counted as crashed; of a plain replica, an address that refuses connections did.

Change: the check after a lost answer tells an announced end (left) from another one (gone). Only the latter blames the request. The stream's engine is asked by the copy that the request was sent to.

--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -233,8 +233,10 @@
                    {"instance", replica.id_.value_},
                    {"upstream", std::string{to_string(state)}},
                    {"own_part", base::to_hex(crash_parts().own_)}});
-    if (state == upstream_state::gone) {
+    if (state == upstream_state::gone || state == upstream_state::left) {
         report_ended(replica.id_);
+    }
+    if (state == upstream_state::gone) {
         shared_.crashes_->upstream_crashed(call_.request_.id_, crash_parts(),
                                            replica.id_, sent_at);
     }
--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -256,7 +256,7 @@
                          base::attempt_id attempt,
                          placement_guard& guard) {
     const auto began = base::clock::now();
-    decode_engine_ = engine.id_;
+    decode_engine_ = engine;
     decode_sent_at_ = began;
     const auto options = send_options_for(engine.id_);
     auto request =
@@ -424,22 +424,20 @@
 // A decode engine closed the connection before the first event: it crashed, or
 // broke off this answer alone.
 http::awaitable<void>
-stream_call::examine_lost_answer(const base::upstream_name& engine) {
-    const auto found = find_engine(engine);
-    auto state = upstream_state::gone;
-    if (found) {
-        state = co_await check_upstream(shared_, *found);
-    }
+stream_call::examine_lost_answer(routing::instance engine) {
+    const auto state = co_await check_upstream(shared_, engine);
     const auto parts = parts_of(call_.request_);
     log::log_warn("answer_lost", {{"request", call_.request_.id_},
-                                  {"instance", engine.value_},
+                                  {"instance", engine.id_.value_},
                                   {"upstream", std::string{to_string(state)}},
                                   {"shared_parts", shared_parts_text(parts)},
                                   {"own_part", base::to_hex(parts.own_)}});
+    if (state == upstream_state::gone || state == upstream_state::left) {
+        shared_.streams_->engine_failed(call_.service_, engine.id_);
+    }
     if (state == upstream_state::gone) {
-        shared_.crashes_->upstream_crashed(call_.request_.id_, parts, engine,
-                                           decode_sent_at_);
-        shared_.streams_->engine_failed(call_.service_, engine);
+        shared_.crashes_->upstream_crashed(call_.request_.id_, parts,
+                                           engine.id_, decode_sent_at_);
     }
 }
 
--- a/pimentoferry/gateway/stream_call.hpp
+++ b/pimentoferry/gateway/stream_call.hpp
@@ -94,8 +94,7 @@
     http::awaitable<void> finish(stream_outcome outcome);
     http::awaitable<void>
     refuse_placement(const placement::stream_refusal& refused);
-    http::awaitable<void>
-    examine_lost_answer(const base::upstream_name& engine);
+    http::awaitable<void> examine_lost_answer(routing::instance engine);
     bool may_continue(const stream_outcome& outcome) const;
     /// How long requests like this one are refused; unset if they are not.
     std::optional<base::milliseconds> quarantined_for() const;
@@ -121,7 +120,7 @@
     bool any_event_sent_{false};
     std::set<base::upstream_name> sent_to_;
     /// Where the last decode was sent.
-    base::upstream_name decode_engine_;
+    routing::instance decode_engine_;
     base::time_point decode_sent_at_;
 };
 
--- a/pimentoferry/gateway/upstream_check.cpp
+++ b/pimentoferry/gateway/upstream_check.cpp
@@ -49,6 +49,8 @@
         return "running";
     case upstream_state::gone:
         return "gone";
+    case upstream_state::left:
+        return "left";
     case upstream_state::silent:
         return "silent";
     }
@@ -81,6 +83,11 @@
             co_await pause.async_wait(http::internal::into(ignored));
         }
     }
+    const auto& instances = shared.registry_.instances();
+    if (state == upstream_state::gone &&
+        (instances.leaves(upstream) || instances.leaves(upstream.id_))) {
+        state = upstream_state::left;
+    }
     shared.metrics_.count_send("upstream_check", to_string(*state));
     co_return *state;
 }
--- a/pimentoferry/gateway/upstream_check.hpp
+++ b/pimentoferry/gateway/upstream_check.hpp
@@ -15,6 +15,8 @@
     running,
     /// Nothing listens at its address, or another instance does.
     gone,
+    /// As `gone`, after it announced that it leaves: its end was planned.
+    left,
     /// It did not answer in time, so its process or its link may be down.
     silent,
 };
--- a/pimentoferry/routing/instance_table.cpp
+++ b/pimentoferry/routing/instance_table.cpp
@@ -150,6 +150,11 @@
             said->second.started_at_ms_ >= registered.started_at_ms_);
 }
 
+bool instance_table::leaves(const base::upstream_name& id) const {
+    const auto registered = records_.find(id);
+    return registered != records_.end() && leaves(registered->second.instance_);
+}
+
 std::vector<leaving_run> instance_table::leaving() const {
     std::vector<leaving_run> found;
     std::ranges::copy_if(leaving_ | std::views::values,
--- a/pimentoferry/routing/instance_table.hpp
+++ b/pimentoferry/routing/instance_table.hpp
@@ -111,6 +111,9 @@
     /// it leaves.
     bool leaves(const instance& registered) const;
 
+    /// As above, for the registered run of an instance.
+    bool leaves(const base::upstream_name& id) const;
+
     /// The registered instances that have said that they leave.
     std::vector<leaving_run> leaving() const;
 
--- a/tests/process/leaving_replica_test.cpp
+++ b/tests/process/leaving_replica_test.cpp
@@ -1,6 +1,7 @@
 // Runs gateways as processes before replicas that say in their answers that
 // they leave. Checks what arrives at these replicas afterwards.
 
+#include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -26,6 +27,7 @@
     CPPUNIT_TEST(replica_that_says_so_in_a_rejection_gets_no_calls);
     CPPUNIT_TEST(answer_of_another_instance_does_not_stop_a_replica);
     CPPUNIT_TEST(engines_that_leave_during_a_store_outage_get_no_streams);
+    CPPUNIT_TEST(prompt_is_not_blamed_for_the_end_of_a_leaving_engine);
     CPPUNIT_TEST_SUITE_END();
 
     // Optional because CppUnit constructs all fixtures before the first test.
@@ -166,6 +168,27 @@
         CPPUNIT_ASSERT_EQUAL(prefilled, arrivals(prefill));
         CPPUNIT_ASSERT_EQUAL(decoded, arrivals(decode));
     }
+
+    // Guards against the quarantine of prompts that a leaving engine had not
+    // begun to answer when it ended.
+    void prompt_is_not_blamed_for_the_end_of_a_leaving_engine() {
+        start({.gateways_ = 2, .decode_engines_ = 1});
+        const std::size_t decode = system_->replicas().size() - 1;
+        // The engine ends after the head of its answer. All prompts have it.
+        set(decode, R"({"leaving":"1","crash_on_part":"a1"})");
+        auto stream = open_stream(0);
+        CPPUNIT_ASSERT(!stream.next_event());
+        CPPUNIT_ASSERT(wait_for(
+            [this] {
+                return system_->gateway_log(0).find("event=answer_lost ") !=
+                       std::string::npos;
+            },
+            2000ms));
+        std::this_thread::sleep_for(spread_time);
+        const auto log = system_->gateway_log(0);
+        CPPUNIT_ASSERT(log.find("event=upstream_crashed") == std::string::npos);
+        CPPUNIT_ASSERT(log.find("upstream=left") != std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(leaving_replica_test);
