Let the soak repeat rejections, stop replicas, exchange addresses and cut answers

Change: replicas repeat an earlier rejection, cut heads, answer without a length, are stopped and go on, say that they leave, and take each other's address; links drop answers until they are reset; some callers leave early. The soak checks the arrivals at leaving replicas and the retry budget of the fleet.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -21,6 +21,9 @@
 
 constexpr base::milliseconds request_deadline{3000};
 constexpr base::milliseconds stream_deadline{8000};
+// Some callers leave early.
+constexpr base::milliseconds impatient_deadline{40};
+constexpr std::size_t impatient_one_in = 20;
 // How long a caller uses a list of addresses; the same as the users' callers.
 constexpr base::milliseconds address_list_lifetime{2000};
 constexpr base::milliseconds directory_timeout{1000};
@@ -144,9 +147,11 @@
                                     base::endpoint address) {
     auto request = make_request(record);
     http::call_options options;
-    options.deadline_ =
-        base::clock::now() +
-        (is_stream(record.kind_) ? stream_deadline : request_deadline);
+    const auto patience = random_below(impatient_one_in) == 0
+                              ? impatient_deadline
+                          : is_stream(record.kind_) ? stream_deadline
+                                                    : request_deadline;
+    options.deadline_ = base::clock::now() + patience;
     auto opened =
         co_await client_.open(address, std::move(request), std::move(options));
     auto* answer = std::get_if<http::open_answer>(&opened);
@@ -154,6 +159,14 @@
         co_return;
     }
     record.status_ = answer->head().status_;
+    record.head_received_ = base::clock::now();
+    const auto& fields = answer->head().fields_;
+    if (!http::find_field(fields, "Server-Leaving").empty()) {
+        // The stand-ins sign as "signed-by-ID".
+        const std::string signature{
+            http::find_field(fields, "X-Server-Signature")};
+        record.leaving_replica_ = signature.substr(signature.rfind("by-") + 3);
+    }
     const auto id = http::find_field(answer->head().fields_, "X-Request-Id");
     record.from_other_request_ = !id.empty() && id != record.id_;
     if (is_stream(record.kind_) && record.status_ == status_ok) {
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -27,6 +27,9 @@
     bool complete_{false}; ///< The body or the stream was received to its end.
     bool from_other_request_{false}; ///< Part of it belongs to another request.
     std::vector<std::uint64_t> events_; ///< Event numbers, as received.
+    /// The replica whose answer said that it leaves; empty: none did.
+    std::string leaving_replica_;
+    base::time_point head_received_;
 };
 
 /// Not thread-safe: call all members on the thread of the io_context.
--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -86,6 +86,103 @@
     }
 }
 
+// The platform's drain time.
+constexpr base::milliseconds drain_time{2000};
+// The retry budget that the settings of the fleet state.
+constexpr std::chrono::seconds budget_window{10};
+constexpr double budget_ratio = 0.2;
+constexpr double budget_constant = 58;
+
+using process_tests::replica_arrival;
+
+bool is_undisturbed(const disturbances& disturbed,
+                    std::uint16_t gateway,
+                    base::time_point since) {
+    const auto [first, last] = disturbed.equal_range(gateway);
+    return std::none_of(first, last, [since](const auto& each) {
+        return each.second >= since;
+    });
+}
+
+void check_leaving(const std::vector<call_record>& records,
+                   const std::vector<replica_arrival>& arrivals,
+                   const disturbances& disturbed,
+                   std::vector<violation>& violations) {
+    // When a gateway first passed on that a replica leaves.
+    std::map<std::pair<std::uint16_t, std::string>, base::time_point> told;
+    std::map<std::string, const call_record*> by_id;
+    for (const auto& record : records) {
+        by_id.emplace(record.id_, &record);
+        if (!record.leaving_replica_.empty()) {
+            const auto at =
+                told.try_emplace({record.gateway_, record.leaving_replica_},
+                                 record.head_received_);
+            at.first->second =
+                std::min(at.first->second, record.head_received_);
+        }
+    }
+    for (const auto& arrival : arrivals) {
+        const auto record = by_id.find(arrival.request_);
+        if (record == by_id.end()) {
+            continue;
+        }
+        const auto& sent = *record->second;
+        const auto at = told.find({sent.gateway_, arrival.replica_});
+        if (at != told.end() && sent.sent_ > at->second + drain_time &&
+            is_undisturbed(disturbed, sent.gateway_, at->second)) {
+            violations.push_back("reached " + arrival.replica_ +
+                                 ", which leaves: " + describe(sent));
+        }
+    }
+}
+
+void check_budget(const std::vector<call_record>& records,
+                  const std::vector<replica_arrival>& arrivals,
+                  bool streams,
+                  std::vector<violation>& violations) {
+    std::set<std::string> ids;
+    std::vector<base::time_point> sent;
+    for (const auto& record : records) {
+        if (is_stream(record.kind_) == streams) {
+            ids.insert(record.id_);
+            sent.push_back(record.sent_);
+        }
+    }
+    std::ranges::sort(sent);
+    const auto offset = std::chrono::system_clock::now().time_since_epoch() -
+                        base::clock::now().time_since_epoch();
+    auto repeats = process_tests::repeated_sends(arrivals);
+    std::erase_if(repeats, [&ids](const replica_arrival& each) {
+        return !ids.contains(each.request_);
+    });
+    const auto requests_before = [&sent](base::time_point end) {
+        return std::ranges::lower_bound(sent, end) -
+               std::ranges::lower_bound(sent, end - budget_window);
+    };
+    auto first = repeats.begin();
+    for (auto last = repeats.begin(); last != repeats.end(); ++last) {
+        first = std::find_if(first, last, [&](const replica_arrival& each) {
+            return each.at_ + budget_window > last->at_;
+        });
+        const base::time_point end{
+            std::chrono::duration_cast<base::clock::duration>(
+                last->at_.time_since_epoch() - offset)};
+        const auto requests = std::max(
+            {requests_before(end), requests_before(end - budget_window),
+             requests_before(end - budget_window / 2)});
+        const auto count = last - first + 1;
+        const double allowed =
+            budget_ratio * static_cast<double>(requests) + budget_constant;
+        if (static_cast<double>(count) > allowed) {
+            violations.push_back(std::string{streams ? "streams" : "calls"} +
+                                 " sent again " + std::to_string(count) +
+                                 " times in 10 s for " +
+                                 std::to_string(requests) + " requests");
+            return;
+        }
+    }
+}
+
 } // namespace
 
 std::vector<violation>
@@ -109,4 +206,15 @@
     return violations;
 }
 
+std::vector<violation>
+check_arrivals(const std::vector<call_record>& records,
+               const std::vector<replica_arrival>& arrivals,
+               const disturbances& disturbed) {
+    std::vector<violation> violations;
+    check_leaving(records, arrivals, disturbed, violations);
+    check_budget(records, arrivals, false, violations);
+    check_budget(records, arrivals, true, violations);
+    return violations;
+}
+
 } // namespace pimentoferry::soak
--- a/tests/soak/checks.hpp
+++ b/tests/soak/checks.hpp
@@ -3,6 +3,7 @@
 #ifndef PIMENTOFERRY_TESTS_SOAK_CHECKS_HPP
 #define PIMENTOFERRY_TESTS_SOAK_CHECKS_HPP
 
+#include "tests/process/gateway_fleet.hpp"
 #include "tests/soak/callers.hpp"
 
 #include <cstddef>
@@ -23,6 +24,17 @@
                  const std::map<std::string, std::size_t>& runs,
                  base::time_point recovery_deadline);
 
+/// A gateway, by its port, that was restarted or paused at some time.
+using disturbances = std::multimap<std::uint16_t, base::time_point>;
+
+/// Checks that replicas which said that they leave get no requests from the
+/// gateways that passed that on, and that repeated sends stay within the
+/// fleet's budget.
+std::vector<violation>
+check_arrivals(const std::vector<call_record>& records,
+               const std::vector<process_tests::replica_arrival>& arrivals,
+               const disturbances& disturbed);
+
 } // namespace pimentoferry::soak
 
 #endif
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -112,6 +112,7 @@
         fleet_.gateway(number).signal(SIGKILL);
         fleet_.gateway(number).wait(drain_limit);
         fleet_.restart_gateway(number);
+        note_disturbed(number);
         break;
     case 2:
         log_fault(name + " is paused");
@@ -120,6 +121,7 @@
         schedule(random_duration(200, 4000), [this, number] {
             fleet_.gateway(number).signal(SIGCONT);
             paused_[number] = false;
+            note_disturbed(number);
         });
         break;
     default:
@@ -161,6 +163,16 @@
         links[number]->reset();
         return;
     }
+    if (random_below(4) == 0) {
+        log_fault("answers of " + side + " link " + std::to_string(number) +
+                  " are lost until its connections are reset");
+        links[number]->set(link_fault::responses_lost);
+        schedule(random_duration(50, 1500), [&links, number] {
+            links[number]->reset();
+            links[number]->set(link_fault::none);
+        });
+        return;
+    }
     const auto fault = faults.at(random_below(faults.size()));
     log_fault(side + " link " + std::to_string(number) + " has fault " +
               std::to_string(static_cast<int>(fault)));
@@ -170,41 +182,123 @@
 }
 
 void fault_injector::inject_replica_fault() {
-    static const std::array<const char*, 5> counted{
-        "lose_next", "cut_next", "fail_next", "reject_next", "stray_next"};
     const auto number = random_below(fleet_.replicas().size());
-    auto& replica = fleet_.replicas()[number];
-    const auto name = "replica " + replica.id_;
-    switch (random_below(3)) {
-    case 0: {
+    const auto name = "replica " + fleet_.replicas()[number].id_;
+    switch (random_below(8)) {
+    case 0:
         log_fault(name + " is killed and comes back under another id");
-        const auto before = replica.id_;
-        replica.process_.signal(SIGKILL);
-        fleet_.restart_replica(replica);
-        fleet_.register_replica(replica);
-        schedule(registration_lapse,
-                 [this, before] { fleet_.withdraw_replica(before); });
+        replace_replica(number);
         break;
-    }
     case 1:
         log_fault(name + " drains");
-        fleet_.register_replica(replica, "draining");
-        schedule(replica_drain, [this, number, id = replica.id_] {
-            auto& leaving = fleet_.replicas()[number];
-            if (leaving.id_ == id) {
-                fleet_.withdraw_replica(id);
-                fleet_.restart_replica(leaving);
-                fleet_.register_replica(leaving);
-            }
-        });
+        fleet_.register_replica(fleet_.replicas()[number], "draining");
+        schedule(replica_drain,
+                 [this, number, id = fleet_.replicas()[number].id_] {
+                     if (fleet_.replicas()[number].id_ == id) {
+                         fleet_.withdraw_replica(id);
+                         replace_replica(number);
+                     }
+                 });
         break;
-    default: {
-        const std::string fault = counted.at(random_below(counted.size()));
-        log_fault(name + " has " + fault);
-        gateway_fleet::control(replica.port_, "{\"" + fault + "\":3}");
+    case 2:
+        pause_replica(number);
         break;
+    case 3:
+        make_replica_leave(number);
+        break;
+    case 4:
+        exchange_addresses();
+        break;
+    default:
+        make_replica_misbehave(number);
+        break;
+    }
+}
+
+// The registration of the replica that ends lapses later.
+void fault_injector::replace_replica(std::size_t number) {
+    auto& replica = fleet_.replicas()[number];
+    const auto before = replica.id_;
+    replica.process_.signal(SIGKILL);
+    fleet_.restart_replica(replica);
+    fleet_.register_replica(replica);
+    schedule(registration_lapse,
+             [this, before] { fleet_.withdraw_replica(before); });
+}
+
+void fault_injector::make_replica_misbehave(std::size_t number) {
+    static const std::array<const char*, 8> counted{
+        "lose_next",  "cut_next",    "fail_next",     "reject_next",
+        "stray_next", "repeat_next", "cut_head_next", "unframed_next"};
+    const auto& replica = fleet_.replicas()[number];
+    if (paused_replicas_.contains(replica.id_)) {
+        return;
+    }
+    const std::string fault = counted.at(random_below(counted.size()));
+    log_fault("replica " + replica.id_ + " has " + fault);
+    // A rejection is repeated only after there was one.
+    const std::string before = fault == "repeat_next"
+                                   ? R"("reject_next":2,"repeat_without_id":)" +
+                                         std::to_string(random_below(2)) + ","
+                                   : "";
+    gateway_fleet::control(replica.port_,
+                           "{" + before + "\"" + fault + "\":3}");
+}
+
+void fault_injector::pause_replica(std::size_t number) {
+    auto& replica = fleet_.replicas()[number];
+    if (!paused_replicas_.insert(replica.id_).second) {
+        return;
     }
+    log_fault("replica " + replica.id_ + " is paused");
+    replica.process_.signal(SIGSTOP);
+    schedule(random_duration(200, 4000), [this, number, id = replica.id_] {
+        paused_replicas_.erase(id);
+        if (fleet_.replicas()[number].id_ == id) {
+            fleet_.replicas()[number].process_.signal(SIGCONT);
+        }
+    });
+}
+
+// The store may be away, so the replica says so in its answers, too.
+void fault_injector::make_replica_leave(std::size_t number) {
+    const auto& replica = fleet_.replicas()[number];
+    if (paused_replicas_.contains(replica.id_)) {
+        return;
     }
+    log_fault("replica " + replica.id_ + " leaves and says so");
+    gateway_fleet::control(replica.port_, R"({"leaving":"1"})");
+    const bool registers = random_below(2) == 0;
+    if (registers) {
+        fleet_.register_replica(replica, "draining");
+    }
+    const auto lingers =
+        registers ? random_duration(0, 1500) : random_duration(1000, 4000);
+    schedule(replica_drain + lingers, [this, number, id = replica.id_] {
+        if (fleet_.replicas()[number].id_ == id) {
+            replace_replica(number);
+        }
+    });
+}
+
+// Two replicas end, and each address is used by one of the other kind.
+void fault_injector::exchange_addresses() {
+    const auto first = random_below(fleet_.replicas().size());
+    const auto second = random_below(fleet_.replicas().size());
+    auto& one = fleet_.replicas()[first];
+    auto& other = fleet_.replicas()[second];
+    if (one.stage_ == other.stage_) {
+        return;
+    }
+    log_fault("replicas " + one.id_ + " and " + other.id_ +
+              " end and their addresses are exchanged");
+    std::swap(one.stage_, other.stage_);
+    replace_replica(first);
+    replace_replica(second);
+}
+
+void fault_injector::note_disturbed(std::size_t gateway) {
+    disturbed_.emplace(fleet_.ports(gateway).traffic_, clock::now());
 }
 
 void fault_injector::restart_exited_gateways() {
@@ -220,6 +314,7 @@
             }
             terminating_.erase(i);
             fleet_.restart_gateway(i);
+            note_disturbed(i);
         } else if (terminating != terminating_.end() &&
                    clock::now() - terminating->second >
                        drain_limit + exit_margin) {
@@ -243,7 +338,9 @@
     for (const auto& replica : fleet_.replicas()) {
         gateway_fleet::control(replica.port_,
                                R"({"lose_next":0,"cut_next":0,"fail_next":0,)"
-                               R"("reject_next":0,"stray_next":0})");
+                               R"("reject_next":0,"stray_next":0,)"
+                               R"("repeat_next":0,"cut_head_next":0,)"
+                               R"("unframed_next":0,"leaving":""})");
     }
 }
 
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,9 @@
     /// code, or too late after SIGTERM.
     const std::vector<violation>& violations() const { return violations_; }
 
+    /// When gateways were restarted or paused.
+    const disturbances& disturbed() const { return disturbed_; }
+
 private:
     using clock = std::chrono::steady_clock;
     using milliseconds = std::chrono::milliseconds;
@@ -50,6 +54,12 @@
     void inject_store_fault();
     void inject_link_fault();
     void inject_replica_fault();
+    void make_replica_misbehave(std::size_t number);
+    void pause_replica(std::size_t number);
+    void make_replica_leave(std::size_t number);
+    void exchange_addresses();
+    void replace_replica(std::size_t number);
+    void note_disturbed(std::size_t gateway);
     void schedule(milliseconds delay, std::function<void()> work);
     void run_scheduled(clock::time_point now);
     void restart_exited_gateways();
@@ -67,6 +77,9 @@
     std::map<std::size_t, clock::time_point> terminating_;
     std::map<std::size_t, bool> paused_;
     std::vector<violation> violations_;
+    disturbances disturbed_;
+    /// Ids of replicas that are stopped, which do not answer `control`.
+    std::set<std::string> paused_replicas_;
 };
 
 } // namespace pimentoferry::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -114,6 +114,9 @@
         const auto records = copy_records(io, load);
         result.violations_ =
             check_guarantees(records, fleet.runs(), recovery_deadline);
+        std::ranges::copy(
+            check_arrivals(records, fleet.arrivals(), faults.disturbed()),
+            std::back_inserter(result.violations_));
         std::ranges::copy(faults.violations(),
                           std::back_inserter(result.violations_));
         result.calls_ = records.size();
