Refuse requests and answers whose length is ambiguous

Cause: the gateway relied on the HTTP parser to refuse ambiguous framing; it ignores unknown codings and then takes the body for the next request. Excluded: that the replica reads the rest differently; the gateway itself answered twice.

Change: http::framing_fault decides for both sides: one length in digits, or chunked alone in HTTP/1.1. Requests get 400 and the connection closes before a body is read; answers are a failure of their call and their connection is not used again.

--- a/pimentoferry/http/client_test.cpp
+++ b/pimentoferry/http/client_test.cpp
@@ -98,6 +98,7 @@
     CPPUNIT_TEST(cancellation_ends_a_call_in_progress);
     CPPUNIT_TEST(cancellation_before_the_call_reports_not_sent);
     CPPUNIT_TEST(malformed_response_is_a_failure);
+    CPPUNIT_TEST(ambiguous_response_is_a_failure);
     CPPUNIT_TEST(events_are_delivered_before_the_stream_ends);
     CPPUNIT_TEST(truncated_event_stream_is_a_failure);
     CPPUNIT_TEST(input_without_end_is_cut_off);
@@ -208,6 +209,25 @@
         CPPUNIT_ASSERT(!failure(result).sent_);
     }
 
+    // Guards against bytes of one response that answer the next call.
+    void ambiguous_response_is_a_failure() {
+        for (const std::string framing :
+             {"Transfer-Encoding: identity\r\nContent-Length: 5\r\n",
+              "Transfer-Encoding: gzip\r\n",
+              "Transfer-Encoding: chunked, identity\r\n",
+              "Content-Length: 5\r\nContent-Length: 50\r\n"}) {
+            raw_upstream upstream{[framing](auto& socket) {
+                read_request(socket);
+                send(socket, "HTTP/1.1 200 OK\r\n" + framing + "\r\nhello");
+            }};
+            const auto result = call(upstream.address(),
+                                     with_deadline_in(std::chrono::seconds{2}));
+            CPPUNIT_ASSERT_MESSAGE(framing, failure(result).kind_ ==
+                                                failure_kind::malformed);
+            CPPUNIT_ASSERT(failure(result).sent_);
+        }
+    }
+
     void malformed_response_is_a_failure() {
         raw_upstream upstream{[](auto& socket) {
             read_request(socket);
--- a/pimentoferry/http/connection.cpp
+++ b/pimentoferry/http/connection.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/http/connection.hpp"
 
 #include "pimentoferry/http/error_token.hpp"
+#include "pimentoferry/http/framing.hpp"
 #include "pimentoferry/http/problem.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -42,6 +43,8 @@
         refusal.detail_ = "the request body exceeds the limit";
     } else if (error == beast::http::error::header_limit) {
         refusal.detail_ = "the request header exceeds the limit";
+    } else if (error == beast::http::error::bad_transfer_encoding) {
+        refusal.detail_ = "the length of the request body is ambiguous";
     } else if (error == beast::http::error::partial_message) {
         refusal.detail_ = "the request ended early";
     }
@@ -55,6 +58,15 @@
     return {digits.data(), result.ptr};
 }
 
+field_list to_fields(const beast::http::fields& received) {
+    field_list fields;
+    for (const auto& f : received) {
+        fields.push_back(
+            {std::string{f.name_string()}, std::string{f.value()}});
+    }
+    return fields;
+}
+
 bool is_framing_field(std::string_view name) {
     return same_name(name, "Content-Length") ||
            same_name(name, "Transfer-Encoding") ||
@@ -140,6 +152,10 @@
         std::min(limits_.header_timeout_, limits_.receive_timeout_));
     co_await beast::http::async_read_header(stream_, buffer_, request_parser,
                                             into(error));
+    if (!error && framing_fault(to_fields(request_parser.get()),
+                                request_parser.get().version())) {
+        error = beast::http::error::bad_transfer_encoding;
+    }
     if (!error) {
         stream_.expires_after(limits_.receive_timeout_);
         co_await continue_if_expected(request_parser);
@@ -165,10 +181,7 @@
     call_ = {};
     call_.method_ = std::string{message.method_string()};
     call_.target_ = std::string{message.target()};
-    for (const auto& f : message) {
-        call_.fields_.push_back(
-            {std::string{f.name_string()}, std::string{f.value()}});
-    }
+    call_.fields_ = to_fields(message);
     call_.body_ = std::move(message.body());
     extra_fields_.clear();
     response_state_ = response_state::none;
--- a/pimentoferry/http/server_test.cpp
+++ b/pimentoferry/http/server_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(keeps_the_connection_between_requests);
     CPPUNIT_TEST(refuses_malformed_input);
     CPPUNIT_TEST(refuses_oversized_input);
+    CPPUNIT_TEST(request_behind_an_ambiguous_body_is_not_read);
     CPPUNIT_TEST(truncated_input_closes_only_its_connection);
     CPPUNIT_TEST(closes_the_connection_of_an_unresponsive_caller);
     CPPUNIT_TEST(notifies_a_waiting_handler_of_a_disconnect);
@@ -68,6 +69,34 @@
         CPPUNIT_ASSERT(contains(text, "third"));
     }
 
+    // Guards against a request that is smuggled in the body of another one.
+    void request_behind_an_ambiguous_body_is_not_read() {
+        std::atomic<int> requests{0};
+        running_server server{[&requests](exchange& call) {
+            ++requests;
+            return echo(call);
+        }};
+        for (const std::string_view framing :
+             {"Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip\r\n",
+              "Transfer-Encoding: xchunked\r\n",
+              "Transfer-Encoding: chunked, identity\r\n",
+              "Transfer-Encoding: gzip, chunked\r\n",
+              "Transfer-Encoding: identity\r\nContent-Length: 4\r\n",
+              "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+              "Transfer-Encoding: identity\r\nExpect: 100-continue\r\n"}) {
+            raw_connection caller{server.address()};
+            caller.send("POST /a HTTP/1.1\r\nHost: a\r\n" +
+                        std::string{framing} +
+                        "\r\nPOST /b HTTP/1.1\r\nHost: a\r\n"
+                        "Content-Length: 0\r\n\r\n");
+            const auto text = caller.receive_all();
+            CPPUNIT_ASSERT_MESSAGE(text, text.starts_with("HTTP/1.1 400 "));
+            CPPUNIT_ASSERT(contains(text, "Connection: close"));
+            CPPUNIT_ASSERT(text.find("HTTP/1.1 ", 1) == std::string::npos);
+        }
+        CPPUNIT_ASSERT_EQUAL(0, requests.load());
+    }
+
     void refuses_malformed_input() {
         running_server server{echo};
         for (const std::string_view input :
--- a/pimentoferry/http/upstream_call.cpp
+++ b/pimentoferry/http/upstream_call.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/http/upstream_call.hpp"
 
 #include "pimentoferry/http/error_token.hpp"
+#include "pimentoferry/http/framing.hpp"
 #include "pimentoferry/http/unresponsive_peer.hpp"
 
 #include <boost/asio/write.hpp>
@@ -248,6 +249,9 @@
             head_.fields_.push_back(
                 {std::string{f.name_string()}, std::string{f.value()}});
         }
+        if (framing_fault(head_.fields_, message.version())) {
+            error = beast::http::error::bad_transfer_encoding;
+        }
     }
     co_return error;
 }
