Keep the ages of leaving statements in one clock

Found while reading the change: statements were noted by the clock that counts suspensions and forgotten by the one that does not, so a record could be kept for too short a time after a machine had been suspended. Both use the steady clock now; ages in messages tell nothing else. The check of framing copies only the two fields that it needs, as it runs for each request.

http_test (37), leaving_replica_test (5) and platform_test pass.

--- a/pimentoferry/gateway/upstream_protocol.hpp
+++ b/pimentoferry/gateway/upstream_protocol.hpp
@@ -117,7 +117,7 @@
 /// What an answer says about the end of its instance.
 enum class leaving_statement : std::uint8_t {
     none,
-    leaves,     ///< The instance accepts no new requests for much longer.
+    leaves,     ///< The instance ends soon and is to get no new requests.
     unreadable, ///< The answer has the field with a value that is not known.
 };
 
--- a/pimentoferry/gateway/upstream_statements.cpp
+++ b/pimentoferry/gateway/upstream_statements.cpp
@@ -15,14 +15,14 @@
 constexpr base::milliseconds unreadable_line_interval{1000};
 
 leaving_instances to_message(const std::vector<routing::leaving_run>& known,
-                             base::time_point boot_now) {
+                             base::time_point now) {
     leaving_instances message;
     std::ranges::transform(
         known, std::back_inserter(message.instances_),
-        [boot_now](const routing::leaving_run& each) {
+        [now](const routing::leaving_run& each) {
             return heard_leaving{
                 each.instance_, each.started_at_ms_,
-                base::milliseconds{base::age_ms(each.heard_at_, boot_now)}};
+                base::milliseconds{base::age_ms(each.heard_at_, now)}};
         });
     return message;
 }
@@ -48,13 +48,13 @@
 void upstream_statements::read_leaving(const caller_request& request,
                                        const routing::instance& instance,
                                        const http::field_list& fields) {
-    const auto boot_now = base::boot_now();
+    const auto now = base::clock::now();
     switch (shared_.protocol_.read_leaving_(fields)) {
     case leaving_statement::none:
         break;
     case leaving_statement::unreadable:
-        if (boot_now >= next_unreadable_line_) {
-            next_unreadable_line_ = boot_now + unreadable_line_interval;
+        if (now >= next_unreadable_line_) {
+            next_unreadable_line_ = now + unreadable_line_interval;
             log::log_warn(
                 "leaving_statement_unreadable",
                 {{"request", request.id_}, {"instance", instance.id_.value_}});
@@ -62,9 +62,9 @@
         break;
     case leaving_statement::leaves:
         const routing::leaving_run heard{instance.id_, instance.started_at_ms_,
-                                         boot_now};
+                                         now};
         if (note_leaving(heard, "own_request", request.id_)) {
-            peers_.send_to_all(to_message({heard}, boot_now));
+            peers_.send_to_all(to_message({heard}, now));
         }
         break;
     }
@@ -80,7 +80,7 @@
                   {{"instance", heard.instance_.value_},
                    {"started_at_ms", std::to_string(heard.started_at_ms_)},
                    {"age_ms", std::to_string(base::age_ms(heard.heard_at_,
-                                                          base::boot_now()))},
+                                                          base::clock::now()))},
                    {"told_by", std::string{told_by}},
                    {"request", request}});
     on_leaving_();
@@ -89,10 +89,10 @@
 
 void upstream_statements::receive(base::instance_id from,
                                   const leaving_instances& message) {
-    const auto boot_now = base::boot_now();
+    const auto now = base::clock::now();
     for (const auto& each : message.instances_) {
         note_leaving(
-            {each.instance_, each.started_at_ms_, boot_now - each.heard_age_},
+            {each.instance_, each.started_at_ms_, now - each.heard_age_},
             base::to_hex(from.value_), "none");
     }
 }
@@ -106,7 +106,7 @@
     shared_.metrics_.set_gauge("leaving_instances",
                                static_cast<double>(leaving.size()));
     if (!leaving.empty()) {
-        peers_.send_to_random(to_message(leaving, base::boot_now()));
+        peers_.send_to_random(to_message(leaving, now));
     }
 }
 
--- a/pimentoferry/http/connection.cpp
+++ b/pimentoferry/http/connection.cpp
@@ -67,6 +67,20 @@
     return fields;
 }
 
+/// The fields on which the framing depends: few of them, as this is done for
+/// each request.
+field_list framing_fields(const beast::http::fields& received) {
+    field_list fields;
+    for (const auto& f : received) {
+        if (f.name() == beast::http::field::content_length ||
+            f.name() == beast::http::field::transfer_encoding) {
+            fields.push_back(
+                {std::string{f.name_string()}, std::string{f.value()}});
+        }
+    }
+    return fields;
+}
+
 bool is_framing_field(std::string_view name) {
     return same_name(name, "Content-Length") ||
            same_name(name, "Transfer-Encoding") ||
@@ -152,7 +166,7 @@
         std::min(limits_.header_timeout_, limits_.receive_timeout_));
     co_await beast::http::async_read_header(stream_, buffer_, request_parser,
                                             into(error));
-    if (!error && framing_fault(to_fields(request_parser.get()),
+    if (!error && framing_fault(framing_fields(request_parser.get()),
                                 request_parser.get().version())) {
         error = beast::http::error::bad_transfer_encoding;
     }
