Trust a missing claim only in an era of the store that is settled

Cause: a claim whose key is missing counted as the first one ever, unless the gateway's follower had noticed the restore and the claim existed by then. The era in the answer to the claim's own write was not compared with anything. Excluded: the wait after a takeover, which holds without the restore.

Change: orders::known_era says which era a process knows and since when. A missing key is trusted in an era that has been known for 6 s; revisions are compared within an era only.

--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -517,6 +517,7 @@
     limits_.tick(now);
     statements_.tick(now);
     permits_.tick(now);
+    orders_.note_era(follower_.replica().current().era_);
     if (drain_began_) {
         stop_when_idle(now);
     }
--- a/pimentoferry/gateway/stage_orders.cpp
+++ b/pimentoferry/gateway/stage_orders.cpp
@@ -154,10 +154,9 @@
 }
 
 void stage_orders::forget_claims() {
-    const auto now = base::boot_now();
     for (auto& [service, state] : services_) {
         if (state.claim_) {
-            state.claim_->forget(now);
+            state.claim_->forget();
         }
     }
 }
@@ -189,7 +188,10 @@
             std::move(operation), [this, service](const store::result& result) {
                 const auto now = base::boot_now();
                 auto& claim = *services_[service].claim_;
-                claim.handle(result, now);
+                claim.handle(result, era_, now);
+                if (result.era_) {
+                    era_.seen(*result.era_, now);
+                }
                 const auto number = claim.fencing_number(now);
                 log::log_info("order_claim",
                               {{"service", service.value_},
--- a/pimentoferry/gateway/stage_orders.hpp
+++ b/pimentoferry/gateway/stage_orders.hpp
@@ -9,6 +9,7 @@
 #ifndef PIMENTOFERRY_GATEWAY_STAGE_ORDERS_HPP
 #define PIMENTOFERRY_GATEWAY_STAGE_ORDERS_HPP
 
+#include "pimentoferry/base/boot_time.hpp"
 #include "pimentoferry/base/ids.hpp"
 #include "pimentoferry/base/time.hpp"
 #include "pimentoferry/gateway/runtime.hpp"
@@ -34,6 +35,10 @@
     /// The store has come back from an older copy, which may lack the claims.
     void forget_claims();
 
+    /// What the gateway's replica of the store says of the era. Must be called
+    /// at least every 100 ms.
+    void note_era(store::era era) { era_.seen(era, base::boot_now()); }
+
     /// Releases the claims at shutdown, so that other gateways may give orders.
     void release();
 
@@ -71,6 +76,7 @@
     std::string holder_;
     std::map<base::service_name, service_state> services_;
     base::time_point started_;
+    orders::known_era era_{orders::takeover_wait};
 };
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/orders/order_claim.cpp
+++ b/pimentoferry/orders/order_claim.cpp
@@ -42,6 +42,7 @@
 }
 
 std::vector<store::operation> order_claim::handle(const store::result& result,
+                                                  const known_era& known,
                                                   base::time_point now) {
     if (!pending_ || result.token_ != *pending_) {
         return {};
@@ -57,16 +58,18 @@
     if (written == nullptr) {
         return {};
     }
-    const bool absent_before =
-        key_revision_ == 0 && now >= missing_key_doubted_until_;
-    const bool owned_before = own_revision_ && *own_revision_ == key_revision_;
+    const auto era = result.era_.value_or(0);
+    const bool absent_before = key_revision_ == 0 && known.is_settled(era, now);
+    const bool owned_before =
+        own_revision_ && own_era_ == era && *own_revision_ == key_revision_;
     key_revision_ = written->revision_;
     own_revision_ = written->revision_;
+    own_era_ = era;
     const bool waited = wait_until_ && owned_before;
     if (absent_before || (owned_before && exclusive_) || waited) {
         exclusive_ = true;
         wait_until_.reset();
-        number_ = number_of(result.era_.value_or(0), written->revision_);
+        number_ = number_of(era, written->revision_);
         valid_until_ = pending_since_ + claim_validity;
     } else {
         exclusive_ = false;
@@ -75,14 +78,13 @@
     return {};
 }
 
-void order_claim::forget(base::time_point now) {
+void order_claim::forget() {
     pending_.reset();
     key_revision_ = 0;
     own_revision_.reset();
     exclusive_ = false;
     number_.reset();
     wait_until_.reset();
-    missing_key_doubted_until_ = now + takeover_wait;
 }
 
 std::vector<store::operation> order_claim::release(base::time_point now) {
--- a/pimentoferry/orders/order_claim.hpp
+++ b/pimentoferry/orders/order_claim.hpp
@@ -11,12 +11,13 @@
 ///
 /// Revisions are given out again after the store has come back from an older
 /// copy, so the fencing number has the era of the store in its upper part. A
-/// key that is missing shortly after that may be one that the copy lacks, so it
-/// is claimed like one that another process holds.
+/// missing key may be one that the copy lacks, so it is claimed like one that
+/// another process holds unless the era is settled, see `known_era`. What was
+/// written in one era counts for nothing in the next.
 ///
 ///     order_claim claim{"orders/chat", "gateway-1"};
 ///     submit(claim.acquire(now));  // repeatedly, while orders may be needed
-///     submit(claim.handle(result, now));
+///     submit(claim.handle(result, era, now));
 ///     if (const auto number = claim.fencing_number(now)) { /* order */ }
 ///
 /// Times must come from a clock that keeps running while the machine sleeps.
@@ -29,6 +30,7 @@
 #define PIMENTOFERRY_ORDERS_ORDER_CLAIM_HPP
 
 #include "pimentoferry/base/time.hpp"
+#include "pimentoferry/orders/known_era.hpp"
 #include "pimentoferry/store/operations.hpp"
 
 #include <cstdint>
@@ -56,8 +58,10 @@
     /// claim is valid or pending, or while waiting after a takeover.
     std::vector<store::operation> acquire(base::time_point now);
 
-    /// Handles the result of a write of this object.
+    /// Handles the result of a write of this object. `known` is what the
+    /// process knew of the store's era before this result.
     std::vector<store::operation> handle(const store::result& result,
+                                         const known_era& known,
                                          base::time_point now);
 
     /// Records that an order is sent at `now`.
@@ -70,7 +74,7 @@
     bool exclusive() const { return exclusive_; }
 
     /// The store has come back from an older copy: ends the claim.
-    void forget(base::time_point now);
+    void forget();
 
     /// Ends the claim; no order may be sent afterwards. Deletes the key, so
     /// that a successor doesn't have to wait, unless an order was sent
@@ -93,10 +97,9 @@
     /// valid claim.
     bool exclusive_{false};
     std::optional<store::revision>
-        own_revision_; ///< Revision of the last write of this process.
+        own_revision_;      ///< Revision of the last write of this process.
+    store::era own_era_{0}; ///< Era of that write.
     std::optional<base::time_point> wait_until_;
-    /// Until then a missing key does not show that nobody has a claim.
-    base::time_point missing_key_doubted_until_{base::time_point::min()};
     std::optional<std::uint64_t> number_;
     std::optional<base::time_point> last_order_;
     base::time_point valid_until_;
--- a/pimentoferry/orders/order_claim_test.cpp
+++ b/pimentoferry/orders/order_claim_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <deque>
 #include <random>
 
 namespace pimentoferry::orders {
@@ -31,11 +32,23 @@
     }
 };
 
+/// Knowledge of an era that began long ago.
+known_era settled_in(store::era era) {
+    known_era known{takeover_wait};
+    known.seen(era, base::time_point{} - std::chrono::hours{1});
+    return known;
+}
+
 class order_claim_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(order_claim_test);
     CPPUNIT_TEST(first_claim_is_valid_immediately);
     CPPUNIT_TEST(fencing_numbers_rise_when_revisions_go_back);
     CPPUNIT_TEST(missing_key_after_a_restore_is_taken_over);
+    CPPUNIT_TEST(restore_that_the_claim_itself_reveals_is_respected);
+    CPPUNIT_TEST(claim_that_is_made_after_a_restore_waits);
+    CPPUNIT_TEST(process_that_has_just_started_does_not_trust_a_missing_key);
+    CPPUNIT_TEST(claim_of_an_earlier_era_counts_for_nothing);
+    CPPUNIT_TEST(orders_keep_the_distance_across_restores);
     CPPUNIT_TEST(claim_expires_without_an_event);
     CPPUNIT_TEST(takeover_waits_until_the_other_claim_expires);
     CPPUNIT_TEST(renewal_needs_no_wait);
@@ -45,10 +58,32 @@
     CPPUNIT_TEST(orders_of_two_holders_keep_the_distance);
     CPPUNIT_TEST_SUITE_END();
 
-    void claim_once(order_claim& claim, fake_store& key, base::time_point now) {
+    void claim_once(order_claim& claim,
+                    fake_store& key,
+                    base::time_point now,
+                    const known_era& known) {
         for (const auto& operation : claim.acquire(now)) {
-            claim.handle(key.apply(operation), now);
+            claim.handle(key.apply(operation), known, now);
+        }
+    }
+
+    void claim_once(order_claim& claim, fake_store& key, base::time_point now) {
+        claim_once(claim, key, now, settled_in(key.era_));
+    }
+
+    /// Claims until orders may be given; returns how long that took. `known`
+    /// learns the era of each answer.
+    base::milliseconds time_to_claim(order_claim& claim,
+                                     fake_store& key,
+                                     base::time_point now,
+                                     known_era& known) {
+        const auto begin = now;
+        while (!claim.fencing_number(now)) {
+            now += milliseconds{100};
+            claim_once(claim, key, now, known);
+            known.seen(key.era_, now);
         }
+        return std::chrono::duration_cast<base::milliseconds>(now - begin);
     }
 
     void first_claim_is_valid_immediately() {
@@ -68,7 +103,7 @@
         claim_once(first, key, now);
         const auto before = first.fencing_number(now);
         key = fake_store{0, 2, 2};
-        first.forget(now);
+        first.forget();
         CPPUNIT_ASSERT(!first.fencing_number(now));
         while (!second.fencing_number(now)) {
             now += milliseconds{100};
@@ -78,18 +113,63 @@
     }
 
     // Guards against orders of a new holder while one whose key the copy lacks
-    // has just given its last.
+    // has just given its last: the restore was noticed, by an existing claim.
     void missing_key_after_a_restore_is_taken_over() {
-        fake_store key;
+        fake_store key{.era_ = 2};
         order_claim claim{"orders/a", "one"};
-        base::time_point now{};
-        claim.forget(now);
-        const auto begin = now;
-        while (!claim.fencing_number(now)) {
-            now += milliseconds{100};
-            claim_once(claim, key, now);
-        }
-        CPPUNIT_ASSERT(now - begin >= claim_validity + holder_distance);
+        claim.forget();
+        known_era known{takeover_wait};
+        known.seen(2, {});
+        CPPUNIT_ASSERT(time_to_claim(claim, key, {}, known) >=
+                       claim_validity + holder_distance);
+    }
+
+    // As above: nobody noticed the restore before the claim's own write.
+    void restore_that_the_claim_itself_reveals_is_respected() {
+        fake_store key{.era_ = 2};
+        order_claim claim{"orders/a", "one"};
+        auto known = settled_in(1);
+        CPPUNIT_ASSERT(time_to_claim(claim, key, {}, known) >=
+                       claim_validity + holder_distance);
+    }
+
+    // As above: the claim is made after the restore was noticed.
+    void claim_that_is_made_after_a_restore_waits() {
+        fake_store key{.era_ = 2};
+        auto known = settled_in(1);
+        known.seen(2, {});
+        order_claim claim{"orders/a", "one"};
+        const auto later = base::time_point{} + milliseconds{1000};
+        CPPUNIT_ASSERT(time_to_claim(claim, key, later, known) >=
+                       claim_validity + holder_distance);
+    }
+
+    // As above: the process started after the restore.
+    void process_that_has_just_started_does_not_trust_a_missing_key() {
+        fake_store key{.era_ = 2};
+        order_claim claim{"orders/a", "one"};
+        known_era known{takeover_wait};
+        CPPUNIT_ASSERT(time_to_claim(claim, key, {}, known) >=
+                       claim_validity + holder_distance);
+    }
+
+    // Guards against a renewal by a holder whose successor's claim was lost,
+    // and against a wait that is over for a claim of an earlier era.
+    void claim_of_an_earlier_era_counts_for_nothing() {
+        fake_store key{.era_ = 1};
+        order_claim claim{"orders/a", "one"};
+        claim_once(claim, key, {});
+        key.era_ = 2;
+        auto known = settled_in(1);
+        auto now = base::time_point{} + claim_validity;
+        claim_once(claim, key, now, known);
+        CPPUNIT_ASSERT(!claim.fencing_number(now));
+        key.era_ = 3;
+        now += takeover_wait;
+        claim_once(claim, key, now, known);
+        CPPUNIT_ASSERT(!claim.fencing_number(now));
+        CPPUNIT_ASSERT(time_to_claim(claim, key, now, known) >=
+                       claim_validity + holder_distance);
     }
 
     // Guards against orders from a process that was paused after its claim.
@@ -135,7 +215,8 @@
         order_claim claim{"orders/a", "one"};
         const auto operations = claim.acquire({});
         key.apply(operations.front());
-        claim.handle({operations.front().token_, store::unavailable{}}, {});
+        claim.handle({operations.front().token_, store::unavailable{}},
+                     settled_in(0), {});
         CPPUNIT_ASSERT(!claim.fencing_number({}));
         claim_once(claim, key, {});
         claim_once(claim, key, {});
@@ -193,7 +274,8 @@
                 if (random() % 10 == 0) {
                     result.outcome_ = store::unavailable{};
                 }
-                claim.handle(result, random() % 20 == 0 ? sent : now);
+                claim.handle(result, settled_in(0),
+                             random() % 20 == 0 ? sent : now);
             }
             const auto number = claim.fencing_number(now);
             if (!number) {
@@ -218,6 +300,89 @@
         }
         CPPUNIT_ASSERT(orders > 100);
     }
+
+    // Guards against overlapping holders when the store comes back from older
+    // copies. Processes notice that late or by their own writes, and start and
+    // stop at any time.
+    void orders_keep_the_distance_across_restores() {
+        constexpr int steps = 200'000;
+        struct process {
+            order_claim claim_{"orders/a", "any"};
+            known_era known_{takeover_wait};
+            base::time_point noticed_;
+        };
+        std::mt19937 random{20261205};
+        fake_store key{.era_ = 1};
+        std::deque<std::pair<base::time_point, fake_store>> copies;
+        std::vector<process> processes(3);
+        base::time_point now{};
+        std::size_t owner = 0;
+        std::optional<std::size_t> last;
+        base::time_point last_order;
+        std::uint64_t last_number = 0;
+        int orders = 0;
+        int changes = 0;
+        for (int i = 0; i < steps; ++i) {
+            now += milliseconds{random() % 200};
+            copies.emplace_back(now, key);
+            while (copies.size() > 50) {
+                copies.pop_front();
+            }
+            if (random() % 400 == 0) {
+                const auto era = key.era_;
+                key = copies[random() % copies.size()].second;
+                key.era_ = era + 1;
+                copies.clear();
+                // The owner often stops at the same time.
+                owner = random() % 2 == 0 ? (owner + 1) % 3 : owner;
+            }
+            // Gateways do not agree on the owner at all times.
+            owner = random() % 200 == 0 ? random() % processes.size() : owner;
+            const std::size_t number =
+                random() % 100 == 0 ? random() % processes.size() : owner;
+            auto& each = processes[number];
+            if (random() % 400 == 0) {
+                each = {};
+            }
+            // A follower hears of a restore within some time.
+            if (random() % 10 == 0) {
+                each.known_.seen(key.era_, now);
+            }
+            for (const auto& operation : each.claim_.acquire(now)) {
+                auto result = key.apply(operation);
+                const auto sent_era = key.era_;
+                now += milliseconds{random() % 200};
+                if (random() % 10 == 0) {
+                    result.outcome_ = store::unavailable{};
+                }
+                each.claim_.handle(result, each.known_, now);
+                each.known_.seen(sent_era, now);
+            }
+            const auto fencing = each.claim_.fencing_number(now);
+            if (!fencing) {
+                continue;
+            }
+            ++orders;
+            CPPUNIT_ASSERT(*fencing >= last_number);
+            if (last && *last != number) {
+                CPPUNIT_ASSERT(now - last_order >= holder_distance);
+                ++changes;
+            }
+            last = number;
+            last_order = now;
+            last_number = *fencing;
+            each.claim_.note_order(now);
+            if (random() % 30 == 0) {
+                now += milliseconds{random() % 8000};
+                for (const auto& operation : each.claim_.release(now)) {
+                    key.apply(operation);
+                }
+            }
+        }
+        CPPUNIT_ASSERT(orders > 1000);
+        CPPUNIT_ASSERT(changes > 100);
+        CPPUNIT_ASSERT(key.era_ > 50);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(order_claim_test);
