Let the soak find streams that move while their engine goes on working

Why: TWICE has a second side, a stream that goes on elsewhere while the engine before still works on it 400 ms later; the soak saw only calls that ran twice.

Change: the stand-in replica logs the end of each run, and the soak compares the runs of each request. What harmed the gateway, or the engine's connections, or paused the engine, excuses it.

--- a/standins/platform_replica.cpp
+++ b/standins/platform_replica.cpp
@@ -30,6 +30,13 @@
 
 constexpr const char* request_id = "X-Request-Id";
 
+/// Writes a line that ends with the Unix time in ms.
+void log_with_time(const std::string& text) {
+    const auto at = std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    std::cout << text << ' ' << at.count() << std::endl;
+}
+
 /// Counts a request as running during its lifetime, also on exceptions.
 class running_guard {
 public:
@@ -44,6 +51,18 @@
     std::int64_t& running_;
 };
 
+/// Logs the end of a run, also if the connection to the gateway breaks.
+class run_end {
+public:
+    explicit run_end(std::string request) : request_(std::move(request)) {}
+    run_end(const run_end&) = delete;
+    run_end& operator=(const run_end&) = delete;
+    ~run_end() { log_with_time("ended " + request_); }
+
+private:
+    std::string request_;
+};
+
 /// Returns whether a fault is pending and decrements its count.
 bool consume_fault(std::int64_t& left) {
     const bool due = left > 0;
@@ -122,10 +141,7 @@
 void platform_replica::record_arrival(const std::string& kind,
                                       const exchange& call) {
     record_arrival(kind);
-    const auto at = std::chrono::duration_cast<milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch());
-    std::cout << "arrived " << call.header(request_id) << ' ' << kind << ' '
-              << at.count() << std::endl;
+    log_with_time("arrived " + call.header(request_id) + ' ' + kind);
 }
 
 json platform_replica::arrivals() const {
@@ -317,6 +333,7 @@
 net::awaitable<void> platform_replica::work(exchange& call) {
     const running_guard guard{running_};
     record_run(call);
+    const run_end ended{call.header(request_id)};
     co_await repeat_rejection(call);
     if (consume_fault(pending_faults_["lose_next"])) {
         call.close_unanswered();
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -392,15 +392,26 @@
         replica_arrival arrival{replica, {}, {}, {}};
         std::int64_t at_ms = 0;
         if (words >> arrival.request_ >> arrival.kind_ >> at_ms) {
-            arrival.at_ +=
-                std::chrono::duration_cast<std::chrono::system_clock::duration>(
-                    milliseconds{at_ms});
+            arrival.at_ += milliseconds{at_ms};
             found.push_back(std::move(arrival));
         }
     });
     return found;
 }
 
+std::vector<replica_arrival> gateway_fleet::ends_of_runs() const {
+    std::vector<replica_arrival> found;
+    for_each_replica_line("ended", [&](const auto& replica, auto& words) {
+        replica_arrival end{replica, {}, "ended", {}};
+        std::int64_t at_ms = 0;
+        if (words >> end.request_ >> at_ms) {
+            end.at_ += milliseconds{at_ms};
+            found.push_back(std::move(end));
+        }
+    });
+    return found;
+}
+
 std::string gateway_fleet::gateway_log(std::size_t gateway) const {
     return read_text(path("gateway-" + std::to_string(gateway) + ".log"));
 }
--- a/tests/process/gateway_fleet.hpp
+++ b/tests/process/gateway_fleet.hpp
@@ -53,7 +53,7 @@
 struct replica_arrival {
     std::string replica_;
     std::string request_;
-    std::string kind_; ///< `run`, `prefill` or `rejected`.
+    std::string kind_; ///< `run`, `prefill`, `rejected`, or `ended` (a run).
     std::chrono::system_clock::time_point at_;
 };
 
@@ -119,6 +119,9 @@
     /// All arrivals at all replicas ever started.
     std::vector<replica_arrival> arrivals() const;
 
+    /// The ends of all runs, but for those that a kill of the replica ended.
+    std::vector<replica_arrival> ends_of_runs() const;
+
     std::string gateway_log(std::size_t gateway) const;
     const std::string& directory() const { return directory_; }
     void keep_files() { keep_files_ = true; }
--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -93,6 +93,17 @@
 constexpr double budget_ratio = 0.2;
 constexpr double budget_constant = 58;
 
+// The platform's bound on work that goes on after its request has moved.
+constexpr base::milliseconds longest_overlap{400};
+// The platform excuses what follows a disturbance for this long.
+constexpr base::milliseconds stable_window{3000};
+
+base::time_point to_steady(std::chrono::system_clock::time_point at) {
+    return base::clock::now() +
+           std::chrono::duration_cast<base::clock::duration>(
+               at - std::chrono::system_clock::now());
+}
+
 using process_tests::replica_arrival;
 
 bool is_undisturbed(const disturbances& disturbed,
@@ -149,8 +160,6 @@
         }
     }
     std::ranges::sort(sent);
-    const auto offset = std::chrono::system_clock::now().time_since_epoch() -
-                        base::clock::now().time_since_epoch();
     auto repeats = process_tests::repeated_sends(arrivals);
     std::erase_if(repeats, [&ids](const replica_arrival& each) {
         return !ids.contains(each.request_);
@@ -164,9 +173,7 @@
         first = std::find_if(first, last, [&](const replica_arrival& each) {
             return each.at_ + budget_window > last->at_;
         });
-        const base::time_point end{
-            std::chrono::duration_cast<base::clock::duration>(
-                last->at_.time_since_epoch() - offset)};
+        const auto end = to_steady(last->at_);
         const auto requests = std::max(
             {requests_before(end), requests_before(end - budget_window),
              requests_before(end - budget_window / 2)});
@@ -217,4 +224,50 @@
     return violations;
 }
 
+std::vector<violation> check_moves(const std::vector<call_record>& records,
+                                   const std::vector<replica_arrival>& arrivals,
+                                   const std::vector<replica_arrival>& ends,
+                                   const disturbances& disturbed,
+                                   const harmed_replicas& harmed) {
+    std::map<std::string, std::vector<replica_arrival>> runs;
+    for (const auto& arrival : arrivals) {
+        if (arrival.kind_ == "run") {
+            runs[arrival.request_].push_back(arrival);
+        }
+    }
+    std::vector<violation> violations;
+    const auto check = [&](const call_record& record,
+                           const replica_arrival& before,
+                           const replica_arrival& next) {
+        const auto moved = to_steady(next.at_);
+        const bool goes_on =
+            std::ranges::any_of(ends, [&](const replica_arrival& end) {
+                return end.request_ == before.request_ &&
+                       end.replica_ == before.replica_ &&
+                       end.at_ > next.at_ + longest_overlap;
+            });
+        const auto [first, last] = harmed.equal_range(before.replica_);
+        const bool reached = std::none_of(first, last, [&](const auto& each) {
+            return each.second > moved - stable_window &&
+                   each.second < moved + stable_window;
+        });
+        if (goes_on && reached && before.replica_ != next.replica_ &&
+            is_undisturbed(disturbed, record.gateway_, record.sent_)) {
+            violations.push_back("goes on at " + next.replica_ + " beside " +
+                                 before.replica_ + ": " + describe(record));
+        }
+    };
+    for (const auto& record : records) {
+        const auto found = runs.find(record.id_);
+        if (found == runs.end()) {
+            continue;
+        }
+        std::ranges::sort(found->second, {}, &replica_arrival::at_);
+        for (std::size_t i = 1; i < found->second.size(); ++i) {
+            check(record, found->second[i - 1], found->second[i]);
+        }
+    }
+    return violations;
+}
+
 } // namespace pimentoferry::soak
--- a/tests/soak/checks.hpp
+++ b/tests/soak/checks.hpp
@@ -27,6 +27,10 @@
 /// A gateway, by its port, that was restarted or paused at some time.
 using disturbances = std::multimap<std::uint16_t, base::time_point>;
 
+/// A replica, by its id, that was paused or whose connections were harmed,
+/// when that began and when it ended.
+using harmed_replicas = std::multimap<std::string, base::time_point>;
+
 /// Checks that replicas which said that they leave get no requests from the
 /// gateways that passed that on, and that repeated sends stay within the
 /// fleet's budget.
@@ -35,6 +39,15 @@
                const std::vector<process_tests::replica_arrival>& arrivals,
                const disturbances& disturbed);
 
+/// Checks that no request goes on at another replica while the one before still
+/// works on it, unless something kept the gateway from telling it.
+std::vector<violation>
+check_moves(const std::vector<call_record>& records,
+            const std::vector<process_tests::replica_arrival>& arrivals,
+            const std::vector<process_tests::replica_arrival>& ends,
+            const disturbances& disturbed,
+            const harmed_replicas& harmed);
+
 } // namespace pimentoferry::soak
 
 #endif
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -156,7 +156,14 @@
         link_fault::responses_lost, link_fault::refusing};
     auto& links = random_below(2) == 0 ? store_links_ : replica_links_;
     const auto number = random_below(links.size());
-    const std::string side = &links == &store_links_ ? "store" : "replica";
+    const bool to_store = &links == &store_links_;
+    const std::string side = to_store ? "store" : "replica";
+    const auto note = [this, number, to_store] {
+        if (!to_store) {
+            note_harmed(number);
+        }
+    };
+    note();
     if (random_below(4) == 0) {
         log_fault("connections of " + side + " link " + std::to_string(number) +
                   " are reset");
@@ -167,9 +174,10 @@
         log_fault("answers of " + side + " link " + std::to_string(number) +
                   " are lost until its connections are reset");
         links[number]->set(link_fault::responses_lost);
-        schedule(random_duration(50, 1500), [&links, number] {
+        schedule(random_duration(50, 1500), [&links, number, note] {
             links[number]->reset();
             links[number]->set(link_fault::none);
+            note();
         });
         return;
     }
@@ -177,8 +185,10 @@
     log_fault(side + " link " + std::to_string(number) + " has fault " +
               std::to_string(static_cast<int>(fault)));
     links[number]->set(fault);
-    schedule(random_duration(200, 2500),
-             [&links, number] { links[number]->set(link_fault::none); });
+    schedule(random_duration(200, 2500), [&links, number, note] {
+        links[number]->set(link_fault::none);
+        note();
+    });
 }
 
 void fault_injector::inject_replica_fault() {
@@ -252,8 +262,10 @@
     }
     log_fault("replica " + replica.id_ + " is paused");
     replica.process_.signal(SIGSTOP);
+    note_harmed(number);
     schedule(random_duration(200, 4000), [this, number, id = replica.id_] {
         paused_replicas_.erase(id);
+        harmed_.emplace(id, clock::now());
         if (fleet_.replicas()[number].id_ == id) {
             fleet_.replicas()[number].process_.signal(SIGCONT);
         }
@@ -297,6 +309,10 @@
     replace_replica(second);
 }
 
+void fault_injector::note_harmed(std::size_t replica) {
+    harmed_.emplace(fleet_.replicas().at(replica).id_, clock::now());
+}
+
 void fault_injector::note_disturbed(std::size_t gateway) {
     disturbed_.emplace(fleet_.ports(gateway).traffic_, clock::now());
 }
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -45,6 +45,9 @@
     /// When gateways were restarted or paused.
     const disturbances& disturbed() const { return disturbed_; }
 
+    /// When replicas were paused or their connections harmed.
+    const harmed_replicas& harmed() const { return harmed_; }
+
 private:
     using clock = std::chrono::steady_clock;
     using milliseconds = std::chrono::milliseconds;
@@ -60,6 +63,7 @@
     void exchange_addresses();
     void replace_replica(std::size_t number);
     void note_disturbed(std::size_t gateway);
+    void note_harmed(std::size_t replica);
     void schedule(milliseconds delay, std::function<void()> work);
     void run_scheduled(clock::time_point now);
     void restart_exited_gateways();
@@ -78,6 +82,7 @@
     std::map<std::size_t, bool> paused_;
     std::vector<violation> violations_;
     disturbances disturbed_;
+    harmed_replicas harmed_;
     /// Ids of replicas that are stopped, which do not answer `control`.
     std::set<std::string> paused_replicas_;
 };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -117,6 +117,10 @@
         std::ranges::copy(
             check_arrivals(records, fleet.arrivals(), faults.disturbed()),
             std::back_inserter(result.violations_));
+        std::ranges::copy(check_moves(records, fleet.arrivals(),
+                                      fleet.ends_of_runs(), faults.disturbed(),
+                                      faults.harmed()),
+                          std::back_inserter(result.violations_));
         std::ranges::copy(faults.violations(),
                           std::back_inserter(result.violations_));
         result.calls_ = records.size();
