--- a/pimentoferry/routing/instance_table.hpp
+++ b/pimentoferry/routing/instance_table.hpp
@@ -24,7 +24,7 @@
 /// source does. That holds for the rest of its run, whatever its registration
 /// says:
 ///
-///     instances.note_leaving({id, run}, now);
+///     instances.note_leaving({id, started_at_ms, now});
 ///
 /// The returned pointers are valid until the table is changed.
 #ifndef PIMENTOFERRY_ROUTING_INSTANCE_TABLE_HPP
