--- a/pimentoferry/base/ids.hpp
+++ b/pimentoferry/base/ids.hpp
@@ -65,6 +65,8 @@
 using deployment_name = strong_name<struct deployment_tag>;
 using service_name = strong_name<struct service_tag>;
 using caller_name = strong_name<struct caller_tag>;
+/// A client account of the gateways' configuration.
+using account_name = strong_name<struct account_tag>;
 using cell_name = strong_name<struct cell_tag>;
 using failure_domain = strong_name<struct failure_domain_tag>;
 
--- a/pimentoferry/base/refusal.hpp
+++ b/pimentoferry/base/refusal.hpp
@@ -46,10 +46,11 @@
     store_unavailable,
     not_owner,
     internal_error,
+    quota_unknown,
 };
 
 /// Number of refusal codes; the codes are 0 to this minus one.
-inline constexpr std::size_t refusal_code_count = 26;
+inline constexpr std::size_t refusal_code_count = 27;
 
 /// Whether the refused request was executed.
 enum class ran_state : std::uint8_t {
--- a/pimentoferry/gateway/upstream_protocol.hpp
+++ b/pimentoferry/gateway/upstream_protocol.hpp
@@ -40,6 +40,17 @@
     std::vector<std::uint64_t> parts_;
 };
 
+/// The request names no key.
+struct no_credential {};
+struct bearer_key {
+    std::string key_;
+};
+/// The request has a credential from which no key can be read, or several.
+struct unusable_credential {
+    std::string detail_; ///< Never contains a part of the credential.
+};
+using credential = std::variant<no_credential, bearer_key, unusable_credential>;
+
 /// The parts of a caller's request that the gateway uses.
 struct caller_request {
     /// Chosen by the caller; a retry of the caller has another one.
@@ -51,6 +62,7 @@
     /// The last event that the caller has of a stream it continues.
     std::optional<std::uint64_t> last_event_;
     std::optional<model_prompt> prompt_;
+    credential credential_;
 };
 
 /// The request lacks something without which it cannot be served.
@@ -65,6 +77,10 @@
     /// The stream continues after this event. Overrides the value in the
     /// caller's request.
     std::optional<std::uint64_t> last_event_;
+    /// What the upstream is told about the client account. Unset: the
+    /// configuration has no accounts, and the caller's fields are forwarded as
+    /// they are. An empty name: the request belongs to no account.
+    std::optional<base::account_name> account_{};
 };
 
 /// A prefill result that an engine holds.
--- a/pimentoferry/routing/configuration.hpp
+++ b/pimentoferry/routing/configuration.hpp
@@ -48,6 +48,8 @@
     /// Maximum number of replicas on which an attempt of a caller may run.
     std::uint32_t max_attempts_{1};
     std::uint32_t priority_{0}; ///< 0 is the most urgent.
+    /// Whether a request needs no key of a client account.
+    bool public_{false};
     /// Whether a broken stream may continue on another engine after the last
     /// event delivered.
     bool resumable_{false};
@@ -83,11 +85,37 @@
     base::milliseconds idle_timeout_{15000};
 };
 
+/// What a quota counts.
+enum class quota_unit : std::uint8_t {
+    requests,
+    tokens, ///< Prompt tokens and maximum output tokens.
+};
+
+/// What an account may use, over all gateways together.
+struct account_quota {
+    quota_unit unit_{quota_unit::requests};
+    double per_second_{0}; ///< In units.
+    double burst_{0};      ///< Units that may be used at once in addition.
+    /// Units that a request costs which does not state its tokens.
+    std::uint32_t plain_cost_{1};
+};
+
+/// A customer on whose behalf requests are sent, identified by a key.
+struct client_account {
+    base::account_name name_;
+    std::vector<std::string> keys_; ///< Any of them identifies the account.
+    /// Takes precedence over the priority of the route; 0 is the most urgent.
+    std::optional<std::uint32_t> priority_;
+    std::optional<account_quota> quota_; ///< Unset: no limit.
+};
+
 struct configuration {
     std::uint64_t version_{0};
     std::vector<route> routes_;
     std::map<base::service_name, service> services_;
     caller_limits limits_;
+    /// Unset: requests need no key, and fields about accounts have no meaning.
+    std::optional<std::vector<client_account>> accounts_;
 };
 
 } // namespace pimentoferry::routing
