Identify client accounts by their keys and keep their quotas

Change: a request on a route that is not public needs a key that one account holds (keyed hash, libsodium); the upstream is told the account's name and no key; keys are looked up again before each send. An account's requests are counted by its owner, see rates; over the quota they get 429 with the time at which credit is expected. GET /accounts on the metrics address shows the use.

--- a/pimentoferry/gateway/caller_service.cpp
+++ b/pimentoferry/gateway/caller_service.cpp
@@ -1,5 +1,6 @@
 #include "pimentoferry/gateway/caller_service.hpp"
 
+#include "pimentoferry/gateway/account_quotas.hpp"
 #include "pimentoferry/gateway/plain_relay.hpp"
 #include "pimentoferry/gateway/stream_relay.hpp"
 #include "pimentoferry/log/log.hpp"
@@ -12,6 +13,9 @@
 namespace {
 
 constexpr base::milliseconds no_configuration_retry_after{500};
+constexpr base::milliseconds quota_unknown_retry_after{500};
+// Callers that were refused together do not return together.
+constexpr base::milliseconds quota_retry_spread{100};
 
 } // namespace
 
@@ -31,6 +35,39 @@
     co_await exchange.respond(answer);
 }
 
+double caller_service::quota_cost_of(const routed_call& call) {
+    const bool limited = call.account_ && call.account_->account_.quota_;
+    return limited ? quota_cost(*call.account_->account_.quota_,
+                                call.request_.prompt_)
+                   : 0;
+}
+
+http::awaitable<bool> caller_service::within_quota(const routed_call& call,
+                                                   double cost) {
+    if (cost <= 0) {
+        co_return true;
+    }
+    const auto decision =
+        co_await shared_.quotas_->admit(call.account_->account_.name_, cost);
+    if (const auto* exceeded = std::get_if<quota_exceeded>(&decision)) {
+        const auto spread = std::chrono::duration_cast<base::milliseconds>(
+            quota_retry_spread * shared_.random_fraction());
+        base::refusal refusal{
+            base::refusal_code::caller_limit, base::ran_state::not_run,
+            exceeded->wait_ + spread, "the client account has used its quota"};
+        co_await refuse(shared_, call, std::move(refusal));
+        co_return false;
+    }
+    if (const auto* undecided = std::get_if<quota_undecided>(&decision)) {
+        base::refusal refusal{base::refusal_code::quota_unknown,
+                              base::ran_state::not_run,
+                              quota_unknown_retry_after, undecided->reason_};
+        co_await refuse(shared_, call, std::move(refusal));
+        co_return false;
+    }
+    co_return true;
+}
+
 http::awaitable<void> caller_service::serve(http::exchange& exchange) {
     const auto arrived = base::clock::now();
     auto read = shared_.protocol_.read_request_(exchange.call());
@@ -68,6 +105,19 @@
         co_await refuse_unrouted(exchange, request.id_, std::move(refusal));
         co_return;
     }
+    std::optional<request_account> account;
+    if (const auto keys = shared_.registry_.account_keys()) {
+        auto identified = identify(*keys, request.credential_, *matched_route);
+        if (const auto* unauthorized =
+                std::get_if<unauthorized_request>(&identified)) {
+            base::refusal refusal{base::refusal_code::unauthorized,
+                                  base::ran_state::not_run, std::nullopt,
+                                  unauthorized->detail_};
+            co_await refuse_unrouted(exchange, request.id_, std::move(refusal));
+            co_return;
+        }
+        account = std::get<request_account>(std::move(identified));
+    }
     const auto& name =
         routing::choose_service(*matched_route, shared_.random_fraction());
     const auto* service = routes->find_service(name);
@@ -86,11 +136,17 @@
         matched_route->kind_ == routing::call_kind::stream;
     routed_call call{
         exchange, std::move(request), routes, *matched_route, name, arrived,
-        deadline};
-    if (is_engine_stream) {
-        co_await relay_stream(shared_, std::move(call));
-    } else {
-        co_await relay_plain(shared_, std::move(call));
+        deadline, std::move(account)};
+    const auto account_name = call.account_name();
+    const double cost = quota_cost_of(call);
+    if (!co_await within_quota(call, cost)) {
+        co_return;
+    }
+    const bool ran = is_engine_stream
+                         ? co_await relay_stream(shared_, std::move(call))
+                         : co_await relay_plain(shared_, std::move(call));
+    if (!ran && cost > 0) {
+        shared_.quotas_->give_back(*account_name, cost);
     }
 }
 
--- a/pimentoferry/gateway/caller_service.hpp
+++ b/pimentoferry/gateway/caller_service.hpp
@@ -19,6 +19,10 @@
     http::awaitable<void> route(http::exchange& exchange,
                                 caller_request request,
                                 base::time_point arrived);
+    /// What the quota of its account counts for the call; 0 without a quota.
+    static double quota_cost_of(const routed_call& call);
+    /// Refuses the call if its account has used its quota.
+    http::awaitable<bool> within_quota(const routed_call& call, double cost);
     /// Refuses a request that has no route yet.
     http::awaitable<void> refuse_unrouted(http::exchange& exchange,
                                           std::string request,
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/gateway/gateway.hpp"
 
 #include "pimentoferry/config/parse.hpp"
+#include "pimentoferry/gateway/account_quotas.hpp"
 #include "pimentoferry/gateway/call_permits.hpp"
 #include "pimentoferry/gateway/caller_service.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
@@ -119,6 +120,7 @@
     limit_guard limits_;
     upstream_statements statements_;
     call_permits permits_;
+    account_quotas quotas_;
     stage_orders orders_;
     caller_service caller_service_;
     asio::signal_set signals_;
@@ -184,6 +186,7 @@
                                              base::clock::now());
                   }),
       permits_(peers_, shared_, limits_),
+      quotas_(io_, peers_, shared_.metrics_, self.value_),
       orders_(shared_, store_, base::to_hex(self.value_)),
       caller_service_(shared_), signals_(io_, SIGTERM, SIGINT, SIGHUP),
       timer_(io_) {
@@ -193,6 +196,7 @@
     shared_.limits_ = &limits_;
     shared_.statements_ = &statements_;
     shared_.permits_ = &permits_;
+    shared_.quotas_ = &quotas_;
     shared_.store_answers_ = &follower_.availability();
 }
 
@@ -240,9 +244,28 @@
     handlers.on_permit_reply_ = [this](const permit_reply& reply) {
         permits_.receive(reply);
     };
+    handlers.on_account_use_report_ =
+        [this](base::instance_id from, const account_use_report& message) {
+            quotas_.receive(from, message);
+        };
+    handlers.on_account_use_confirmation_ =
+        [this](const account_use_confirmation& message) {
+            quotas_.receive(message);
+        };
+    handlers.on_credit_request_ = [this](base::instance_id from,
+                                         const credit_request& message) {
+        quotas_.receive(from, message);
+    };
+    handlers.on_credit_reply_ = [this](const credit_reply& message) {
+        quotas_.receive(message);
+    };
+    handlers.on_account_levels_ = [this](const account_levels& message) {
+        quotas_.receive(message);
+    };
     handlers.on_member_ = [this](const membership::member& member) {
         placement_.member_changed(member);
         limits_.member_changed(base::clock::now());
+        quotas_.member_changed();
         shared_.update_fleet_size(
             static_cast<std::uint32_t>(peers_.live().size()));
     };
@@ -326,6 +349,9 @@
     }
     if (configuration_changed) {
         apply_limits();
+        quotas_.set_accounts(
+            shared_.registry_.routes()->source().accounts_.value_or(
+                std::vector<routing::client_account>{}));
     }
     if (configuration_changed || instances_changed) {
         placement_.set_engines(shared_.registry_, now);
@@ -394,6 +420,12 @@
 }
 
 http::awaitable<void> gateway_process::serve_metrics(http::exchange& exchange) {
+    constexpr int status_ok = 200;
+    if (http::path_of(exchange.call().target_) == "/accounts") {
+        const auto use = http::json_response(status_ok, quotas_.use_as_json());
+        co_await exchange.respond(use);
+        co_return;
+    }
     shared_.metrics_.set_gauge("in_flight", shared_.in_flight_);
     shared_.metrics_.set_gauge(
         "instances", static_cast<double>(shared_.registry_.instances().size()));
@@ -517,6 +549,7 @@
     limits_.tick(now);
     statements_.tick(now);
     permits_.tick(now);
+    quotas_.tick();
     orders_.note_era(follower_.replica().current().era_);
     if (drain_began_) {
         stop_when_idle(now);
--- a/pimentoferry/gateway/metrics.cpp
+++ b/pimentoferry/gateway/metrics.cpp
@@ -6,6 +6,8 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <cstddef>
+#include <set>
 #include <vector>
 
 namespace pimentoferry::gateway {
@@ -63,6 +65,11 @@
                  "pimentoferry_gateway_limited_requests_total",
                  "Requests to instances that announced a limit, by service and "
                  "outcome")};
+    prometheus::Family<prometheus::Counter>& quotas_{
+        counters(registry_,
+                 "pimentoferry_gateway_account_quota_total",
+                 "Units admitted, and requests refused, by account")};
+    std::set<std::string> named_accounts_;
     prometheus::Family<prometheus::Histogram>& answers_{
         histograms(registry_,
                    "pimentoferry_gateway_answer_seconds",
@@ -122,6 +129,20 @@
         .Increment();
 }
 
+void metrics::count_quota(const std::string& account,
+                          std::string_view outcome,
+                          double value) {
+    constexpr std::size_t max_named_accounts = 64;
+    auto& named = families_->named_accounts_;
+    if (named.size() < max_named_accounts) {
+        named.insert(account);
+    }
+    families_->quotas_
+        .Add({{"account", named.contains(account) ? account : "other"},
+              {"outcome", std::string{outcome}}})
+        .Increment(value);
+}
+
 void metrics::observe_answer(std::string_view kind,
                              base::milliseconds duration) {
     families_->answers_.Add({{"kind", std::string{kind}}}, latency_bounds)
--- a/pimentoferry/gateway/metrics.hpp
+++ b/pimentoferry/gateway/metrics.hpp
@@ -31,6 +31,11 @@
     /// A request that needed a permit, or an engine, whose instance announced a
     /// limit. `outcome`: `granted`, `spare` or `refused`.
     void count_limited(std::string_view service, std::string_view outcome);
+    /// Units admitted, or requests refused, for an account. `outcome`:
+    /// `admitted` or `refused`. The first 64 accounts are counted by name.
+    void count_quota(const std::string& account,
+                     std::string_view outcome,
+                     double value);
     void observe_answer(std::string_view kind, base::milliseconds duration);
     void observe_first_event(base::milliseconds duration);
     void observe_placement_wait(base::milliseconds duration);
--- a/pimentoferry/gateway/peers.cpp
+++ b/pimentoferry/gateway/peers.cpp
@@ -273,7 +273,18 @@
             },
             [&](const leaving_instances& m) {
                 handlers_.on_leaving_instances_(from, m);
-            }},
+            },
+            [&](const account_use_report& m) {
+                handlers_.on_account_use_report_(from, m);
+            },
+            [&](const account_use_confirmation& m) {
+                handlers_.on_account_use_confirmation_(m);
+            },
+            [&](const credit_request& m) {
+                handlers_.on_credit_request_(from, m);
+            },
+            [&](const credit_reply& m) { handlers_.on_credit_reply_(m); },
+            [&](const account_levels& m) { handlers_.on_account_levels_(m); }},
         received.message_);
 }
 
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -196,6 +196,80 @@
 using permit_reply = std::
     variant<requests::permit_grant, requests::permit_refusal, permit_queued>;
 
+/// Use of an account that the sender has admitted; negative if it is given
+/// back.
+struct account_use {
+    base::account_name account_;
+    double amount_{0};
+    std::uint64_t sequence_{0};
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.account_, self.amount_, self.sequence_);
+    }
+};
+
+/// Message to the gateway that counts for the accounts.
+struct account_use_report {
+    std::vector<account_use> uses_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.uses_);
+    }
+};
+
+struct confirmed_use {
+    base::account_name account_;
+    std::uint64_t sequence_{0};
+    bool scarce_{true}; ///< Requests need the decision of the owner.
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.account_, self.sequence_, self.scarce_);
+    }
+};
+
+struct account_use_confirmation {
+    std::vector<confirmed_use> uses_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.uses_);
+    }
+};
+
+/// Asks the owner of an account whether a request is within its quota.
+struct credit_request {
+    base::attempt_id attempt_;
+    base::account_name account_;
+    double amount_{0};
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.attempt_, self.account_, self.amount_);
+    }
+};
+
+struct credit_reply {
+    base::attempt_id attempt_;
+    base::account_name account_;
+    double amount_{0};
+    bool granted_{false};
+    base::milliseconds wait_{0}; ///< Until credit is expected; if refused.
+    bool scarce_{true};
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.attempt_, self.account_, self.amount_,
+                        self.granted_, self.wait_, self.scarce_);
+    }
+};
+
+/// Accounts of the sender that are scarce, and those that are no longer.
+struct account_levels {
+    std::vector<base::account_name> scarce_;
+    std::vector<base::account_name> ample_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.scarce_, self.ample_);
+    }
+};
+
 /// New alternatives are added at the end.
 using peer_message = std::variant<membership::message,
                                   replica_position,
@@ -209,7 +283,12 @@
                                   permit_reply,
                                   tried_parts,
                                   refusing_instance,
-                                  leaving_instances>;
+                                  leaving_instances,
+                                  account_use_report,
+                                  account_use_confirmation,
+                                  credit_request,
+                                  credit_reply,
+                                  account_levels>;
 
 struct peer_handlers {
     /// Returns the changes in this gateway's replica after `since`.
@@ -230,6 +309,14 @@
     std::function<void(base::instance_id from, const service_permit_request&)>
         on_permit_request_;
     std::function<void(const permit_reply&)> on_permit_reply_;
+    std::function<void(base::instance_id from, const account_use_report&)>
+        on_account_use_report_;
+    std::function<void(const account_use_confirmation&)>
+        on_account_use_confirmation_;
+    std::function<void(base::instance_id from, const credit_request&)>
+        on_credit_request_;
+    std::function<void(const credit_reply&)> on_credit_reply_;
+    std::function<void(const account_levels&)> on_account_levels_;
     /// A gateway joined or left, began to drain, or is suspected or dead.
     std::function<void(const membership::member&)> on_member_;
 };
--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -115,6 +115,9 @@
 
     http::awaitable<void> run();
 
+    /// Whether a replica may have run the call.
+    bool may_have_run() const { return possible_runs_ > 0; }
+
 private:
     struct no_replica {};
     /// All replicas announced limits that are used up.
@@ -168,8 +171,8 @@
     };
     shared_.statements_->observe(options, call_.request_, replica);
     auto request = shared_.protocol_.plain_call_(
-        call_.exchange_.call(),
-        {replica.id_, time_left(call_, began), std::nullopt});
+        call_.exchange_.call(), {replica.id_, time_left(call_, began),
+                                 std::nullopt, call_.account_name()});
     shared_.picker_.started(replica.id_);
     auto received = co_await shared_.client_.call(
         replica.address_, std::move(request), std::move(options));
@@ -354,7 +357,7 @@
     requests::permit_request request;
     std::ranges::transform(limited, std::back_inserter(request.candidates_),
                            &routing::instance::id_);
-    request.priority_ = call_.route_.priority_;
+    request.priority_ = call_.priority();
     const auto objective = std::min(
         call_.arrived_ + call_.route_.latency_objective_, call_.deadline_);
     request.longest_wait_ = std::max(
@@ -419,6 +422,13 @@
             break;
         }
         const auto chosen = co_await choose();
+        if (!is_authorized(shared_, call_)) {
+            if (possible_runs_ == 0) {
+                co_await refuse_unauthorized(shared_, call_);
+                co_return;
+            }
+            break;
+        }
         const auto now = base::clock::now();
         const bool caller_gone = call_.exchange_.caller_gone()->requested();
         const auto* limited = std::get_if<limited_replicas>(&chosen);
@@ -495,9 +505,10 @@
 
 } // namespace
 
-http::awaitable<void> relay_plain(runtime& shared, routed_call call) {
+http::awaitable<bool> relay_plain(runtime& shared, routed_call call) {
     plain_call relay{shared, call};
     co_await relay.run();
+    co_return relay.may_have_run();
 }
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/gateway/registry.cpp
+++ b/pimentoferry/gateway/registry.cpp
@@ -19,6 +19,25 @@
 
 } // namespace
 
+void registry::apply_accounts(routing::configuration& next) {
+    if (!next.accounts_) {
+        account_keys_ = nullptr;
+        return;
+    }
+    auto table = accounts::make_key_table(*next.accounts_, hash_secret_);
+    std::ranges::for_each(table.shared_keys_, [&](const auto& shared) {
+        log::log_warn("account_key_shared",
+                      {{"version", std::to_string(next.version_)},
+                       {"account", shared.first_.value_},
+                       {"other_account", shared.second_.value_}});
+    });
+    std::ranges::for_each(*next.accounts_, [](routing::client_account& each) {
+        each.keys_.clear();
+    });
+    account_keys_ =
+        std::make_shared<const accounts::key_table>(std::move(table));
+}
+
 registry_change registry::apply_configuration(const store::item& item) {
     auto read = codec_.read_configuration_(item.value_);
     if (const auto* failure = std::get_if<unreadable>(&read)) {
@@ -35,11 +54,15 @@
                        {"in_force", std::to_string(before)}});
         return registry_change::nothing;
     }
-    log::log_info("configuration",
-                  {{"version", std::to_string(next.version_)},
-                   {"before", std::to_string(before)},
-                   {"revision", std::to_string(item.revision_)},
-                   {"routes", std::to_string(next.routes_.size())}});
+    log::log_info(
+        "configuration",
+        {{"version", std::to_string(next.version_)},
+         {"before", std::to_string(before)},
+         {"revision", std::to_string(item.revision_)},
+         {"routes", std::to_string(next.routes_.size())},
+         {"accounts",
+          next.accounts_ ? std::to_string(next.accounts_->size()) : "none"}});
+    apply_accounts(next);
     routes_ = std::make_shared<const routing::route_table>(std::move(next));
     return registry_change::configuration;
 }
--- a/pimentoferry/gateway/registry.hpp
+++ b/pimentoferry/gateway/registry.hpp
@@ -16,6 +16,7 @@
 #ifndef PIMENTOFERRY_GATEWAY_REGISTRY_HPP
 #define PIMENTOFERRY_GATEWAY_REGISTRY_HPP
 
+#include "pimentoferry/accounts/key_table.hpp"
 #include "pimentoferry/base/time.hpp"
 #include "pimentoferry/gateway/registry_codec.hpp"
 #include "pimentoferry/routing/instance_table.hpp"
@@ -66,6 +67,12 @@
         return routes_;
     }
 
+    /// The keys of the accounts of the configuration in force; null if it has
+    /// none.
+    std::shared_ptr<const accounts::key_table> account_keys() const {
+        return account_keys_;
+    }
+
     const routing::instance_table& instances() const { return instances_; }
 
     /// See `routing::instance_table::note_leaving`.
@@ -78,13 +85,17 @@
 
 private:
     registry_change apply_configuration(const store::item& item);
+    /// Takes the keys out of the configuration.
+    void apply_accounts(routing::configuration& next);
     registry_change apply_instance(std::string_view id,
                                    const store::item& item,
                                    const change_origin& origin,
                                    base::time_point now);
 
     registry_codec codec_;
+    accounts::hash_secret hash_secret_{accounts::make_secret()};
     std::shared_ptr<const routing::route_table> routes_;
+    std::shared_ptr<const accounts::key_table> account_keys_;
     routing::instance_table instances_;
 };
 
--- a/pimentoferry/gateway/runtime.cpp
+++ b/pimentoferry/gateway/runtime.cpp
@@ -76,6 +76,14 @@
                  : "none";
 }
 
+std::optional<base::account_name> routed_call::account_name() const {
+    return account_ ? std::optional{account_->account_.name_} : std::nullopt;
+}
+
+bool is_authorized(const runtime& shared, const routed_call& call) {
+    return is_authorized(call.account_, shared.registry_.account_keys().get());
+}
+
 std::string_view to_string(routing::call_kind kind) {
     switch (kind) {
     case routing::call_kind::idempotent:
@@ -127,6 +135,14 @@
     record_end(shared, call, "refused", answer.status_);
 }
 
+http::awaitable<void> refuse_unauthorized(runtime& shared,
+                                          const routed_call& call) {
+    base::refusal refusal{base::refusal_code::unauthorized,
+                          base::ran_state::not_run, std::nullopt,
+                          "the key was taken away while the request waited"};
+    co_await refuse(shared, call, std::move(refusal));
+}
+
 http::awaitable<void> refuse_quarantined(runtime& shared,
                                          const routed_call& call,
                                          base::milliseconds left) {
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -5,6 +5,7 @@
 #include "pimentoferry/config/gateway_settings.hpp"
 #include "pimentoferry/gateway/metrics.hpp"
 #include "pimentoferry/gateway/registry.hpp"
+#include "pimentoferry/gateway/request_account.hpp"
 #include "pimentoferry/gateway/stream_placement.hpp"
 #include "pimentoferry/gateway/upstream_protocol.hpp"
 #include "pimentoferry/http/client.hpp"
@@ -39,6 +40,7 @@
 class limit_guard;
 class upstream_statements;
 class call_permits;
+class account_quotas;
 
 struct runtime {
     runtime(boost::asio::io_context& io,
@@ -77,6 +79,7 @@
     limit_guard* limits_{nullptr};
     upstream_statements* statements_{nullptr};
     call_permits* permits_{nullptr};
+    account_quotas* quotas_{nullptr};
     const store::availability* store_answers_{nullptr};
     /// When the process ends at the latest; unset unless it drains.
     std::optional<base::time_point> ends_at_;
@@ -101,8 +104,17 @@
     base::time_point arrived_;
     /// When the caller gives up, or the route's timeout ends if that is sooner.
     base::time_point deadline_;
+    /// Unset if the configuration has no accounts.
+    std::optional<request_account> account_{};
+
+    /// What an upstream is told about the account, see `send_options`.
+    std::optional<base::account_name> account_name() const;
+    std::uint32_t priority() const { return priority_of(account_, route_); }
 };
 
+/// Whether the key of the request is still in force.
+bool is_authorized(const runtime& shared, const routed_call& call);
+
 std::string_view to_string(routing::call_kind kind);
 
 /// Time from `now` until the deadline, never negative.
@@ -112,6 +124,10 @@
 http::awaitable<void>
 refuse(runtime& shared, const routed_call& call, base::refusal refusal);
 
+/// Refuses a request whose key was taken away while it waited.
+http::awaitable<void> refuse_unauthorized(runtime& shared,
+                                          const routed_call& call);
+
 /// Refuses a request that has crashed upstreams, see `crash_guard`. `left`: the
 /// rest of its quarantine.
 http::awaitable<void> refuse_quarantined(runtime& shared,
--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -111,7 +111,8 @@
 
 send_options
 stream_call::send_options_for(const base::upstream_name& engine) const {
-    return {engine, time_left(call_, base::clock::now()), last_event_sent_};
+    return {engine, time_left(call_, base::clock::now()), last_event_sent_,
+            call_.account_name()};
 }
 
 std::optional<routing::instance>
@@ -355,6 +356,9 @@
             co_return stream_not_run{
                 "a part of the prompt has crashed engines"};
         }
+        if (!is_authorized(shared_, call_)) {
+            co_return stream_not_run{"the key was taken away"};
+        }
         if (engine) {
             outcome =
                 co_await send_decode(*engine, source, grant.attempt_, guard);
--- a/pimentoferry/gateway/stream_call.hpp
+++ b/pimentoferry/gateway/stream_call.hpp
@@ -69,6 +69,9 @@
 
     http::awaitable<void> run();
 
+    /// Whether an engine may have run the request.
+    bool may_have_run() const { return possible_runs_ > 0; }
+
 private:
     http::awaitable<placement::stream_decision>
     request_placement(base::attempt_id attempt);
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -144,6 +144,14 @@
         }
         const auto attempt = shared_.streams_->next_attempt();
         const auto decision = co_await request_placement(attempt);
+        if (!is_authorized(shared_, call_)) {
+            shared_.streams_->ended(attempt, 0);
+            if (!call_.exchange_.begun() && possible_runs_ == 0) {
+                co_await refuse_unauthorized(shared_, call_);
+                co_return;
+            }
+            break;
+        }
         if (caller_disconnected()) {
             outcome = caller_disconnect{};
         } else if (const auto* refused =
@@ -218,6 +226,10 @@
         record_end(shared_, call_, "failed", status);
         co_return;
     }
+    if (possible_runs_ == 0 && !is_authorized(shared_, call_)) {
+        co_await refuse_unauthorized(shared_, call_);
+        co_return;
+    }
     base::refusal refusal;
     if (const auto* not_run = std::get_if<stream_not_run>(&outcome);
         not_run != nullptr && possible_runs_ == 0) {
@@ -233,9 +245,10 @@
     co_await refuse(shared_, call_, std::move(refusal));
 }
 
-http::awaitable<void> relay_stream(runtime& shared, routed_call call) {
+http::awaitable<bool> relay_stream(runtime& shared, routed_call call) {
     stream_call relay{shared, call};
     co_await relay.run();
+    co_return relay.may_have_run();
 }
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/gateway/stream_relay.hpp
+++ b/pimentoferry/gateway/stream_relay.hpp
@@ -12,7 +12,8 @@
 
 namespace pimentoferry::gateway {
 
-http::awaitable<void> relay_stream(runtime& shared, routed_call call);
+/// Returns whether an upstream may have run the request.
+http::awaitable<bool> relay_stream(runtime& shared, routed_call call);
 
 } // namespace pimentoferry::gateway
 
