Encrypt the frames between gateways

Cause: gateways pass configurations on to those that cannot reach the store, and a configuration contains the keys of client accounts; frames were authenticated but not encrypted.

Change: ChaCha20-Poly1305 under a key derived for each direction of a link from the fleet key and both nonces; the frame version is 2 and the greeting PFL2. Gateways of the release before refuse the greeting, so a fleet is two fleets while it is upgraded.

--- a/pimentoferry/wire/frame.cpp
+++ b/pimentoferry/wire/frame.cpp
@@ -10,39 +10,23 @@
 
 namespace {
 
-using digest = std::array<std::uint8_t, digest_bytes>;
+static_assert(tag_bytes == crypto_aead_chacha20poly1305_IETF_ABYTES);
+static_assert(sizeof(fleet_key::bytes_) ==
+              crypto_aead_chacha20poly1305_IETF_KEYBYTES);
 
 constexpr std::size_t length_bytes = 4;
-constexpr std::size_t digest_offset = length_bytes + 1;
-constexpr std::size_t sequence_offset = digest_offset + digest_bytes;
+constexpr std::size_t sequence_offset = length_bytes + 1;
 constexpr std::size_t payload_offset = sequence_offset + 8;
-constexpr std::uint32_t min_frame_bytes = payload_offset - length_bytes;
+constexpr std::uint32_t min_frame_bytes =
+    payload_offset + tag_bytes - length_bytes;
+
+using cipher_nonce =
+    std::array<unsigned char, crypto_aead_chacha20poly1305_IETF_NPUBBYTES>;
 
 const unsigned char* bytes_of(std::string_view text) {
     return reinterpret_cast<const unsigned char*>(text.data());
 }
 
-// `authenticated` is the sequence number and the payload as encoded in the
-// frame.
-digest compute_digest(const fleet_key& key,
-                      const link_nonces& nonces,
-                      direction frame_direction,
-                      std::string_view authenticated) {
-    const std::array<std::uint8_t, 2> prefix{
-        static_cast<std::uint8_t>(frame_direction), frame_version};
-    crypto_generichash_state state;
-    digest result{};
-    crypto_generichash_init(&state, key.bytes_.data(), key.bytes_.size(),
-                            result.size());
-    crypto_generichash_update(&state, nonces.initiator_.data(), nonce_bytes);
-    crypto_generichash_update(&state, nonces.acceptor_.data(), nonce_bytes);
-    crypto_generichash_update(&state, prefix.data(), prefix.size());
-    crypto_generichash_update(&state, bytes_of(authenticated),
-                              authenticated.size());
-    crypto_generichash_final(&state, result.data(), result.size());
-    return result;
-}
-
 void append_big_endian(std::string& out,
                        std::uint64_t value,
                        std::size_t size) {
@@ -60,8 +44,34 @@
     return value;
 }
 
+/// Each frame of a link key has its own sequence number.
+cipher_nonce nonce_of(std::uint64_t sequence) {
+    std::string bytes(4, '\0');
+    append_big_endian(bytes, sequence, sizeof sequence);
+    cipher_nonce result{};
+    std::ranges::copy(bytes, result.begin());
+    return result;
+}
+
 } // namespace
 
+fleet_key derive_link_key(const fleet_key& key,
+                          const link_nonces& nonces,
+                          direction frame_direction) {
+    const std::array<std::uint8_t, 2> context{
+        static_cast<std::uint8_t>(frame_direction), frame_version};
+    fleet_key derived;
+    crypto_generichash_state state;
+    crypto_generichash_init(&state, key.bytes_.data(), key.bytes_.size(),
+                            derived.bytes_.size());
+    crypto_generichash_update(&state, nonces.initiator_.data(), nonce_bytes);
+    crypto_generichash_update(&state, nonces.acceptor_.data(), nonce_bytes);
+    crypto_generichash_update(&state, context.data(), context.size());
+    crypto_generichash_final(&state, derived.bytes_.data(),
+                             derived.bytes_.size());
+    return derived;
+}
+
 nonce make_nonce() {
     nonce fresh{};
     randombytes_buf(fresh.data(), fresh.size());
@@ -76,8 +86,8 @@
         return "frame too short";
     case frame_error::wrong_version:
         return "wrong frame version";
-    case frame_error::wrong_digest:
-        return "wrong frame digest";
+    case frame_error::wrong_tag:
+        return "wrong frame tag";
     case frame_error::wrong_sequence:
         return "wrong frame sequence";
     }
@@ -100,20 +110,20 @@
 }
 
 std::string frame_writer::make_frame(std::string_view payload) {
-    std::string authenticated;
-    authenticated.reserve(sizeof sequence_ + payload.size());
-    append_big_endian(authenticated, sequence_++, sizeof sequence_);
-    authenticated.append(payload);
-    const digest frame_digest =
-        compute_digest(key_, nonces_, direction_, authenticated);
-
     std::string frame;
     frame.reserve(frame_overhead_bytes + payload.size());
-    append_big_endian(frame, 1 + digest_bytes + authenticated.size(),
+    append_big_endian(frame,
+                      frame_overhead_bytes - length_bytes + payload.size(),
                       length_bytes);
     frame.push_back(static_cast<char>(frame_version));
-    frame.append(frame_digest.begin(), frame_digest.end());
-    frame.append(authenticated);
+    append_big_endian(frame, sequence_, sizeof sequence_);
+    const auto nonce = nonce_of(sequence_++);
+    const auto version = frame_version;
+    frame.resize(payload_offset + payload.size() + tag_bytes);
+    crypto_aead_chacha20poly1305_ietf_encrypt(
+        reinterpret_cast<unsigned char*>(frame.data() + payload_offset),
+        nullptr, bytes_of(payload), payload.size(), &version, sizeof version,
+        nullptr, nonce.data(), link_key_.bytes_.data());
     return frame;
 }
 
@@ -136,20 +146,23 @@
     if (static_cast<std::uint8_t>(frame[length_bytes]) != frame_version) {
         return frame_error::wrong_version;
     }
-    const auto authenticated = frame.substr(sequence_offset);
-    const digest expected =
-        compute_digest(key_, nonces_, direction_, authenticated);
-    const auto received_digest = frame.substr(digest_offset, digest_bytes);
-    if (sodium_memcmp(expected.data(), received_digest.data(), digest_bytes) !=
-        0) {
-        return frame_error::wrong_digest;
+    const auto sequence =
+        read_big_endian(frame.substr(sequence_offset, sizeof sequence_));
+    const auto nonce = nonce_of(sequence);
+    const auto version = frame_version;
+    const auto encrypted = frame.substr(payload_offset);
+    std::string payload(encrypted.size() - tag_bytes, '\0');
+    const int opened = crypto_aead_chacha20poly1305_ietf_decrypt(
+        reinterpret_cast<unsigned char*>(payload.data()), nullptr, nullptr,
+        bytes_of(encrypted), encrypted.size(), &version, sizeof version,
+        nonce.data(), link_key_.bytes_.data());
+    if (opened != 0) {
+        return frame_error::wrong_tag;
     }
-    if (read_big_endian(authenticated.substr(0, sizeof sequence_)) !=
-        sequence_) {
+    if (sequence != sequence_) {
         return frame_error::wrong_sequence;
     }
     ++sequence_;
-    std::string payload{frame.substr(payload_offset)};
     buffer_.erase(0, frame.size());
     return payload;
 }
