Serve waiting streams by priority and by recent use of accounts

Cause: waiting streams were ordered by expiry alone, so an account that sends many times its usual, or a burst on a less urgent route, delayed all others.

Change: both queues serve the most urgent priority first, then the accounts with the least recent use by weight; one grant in eight goes by expiry. With one priority and no accounts the order is as before.

--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -1,5 +1,6 @@
 #include "pimentoferry/gateway/stream_relay.hpp"
 
+#include "pimentoferry/base/hash.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/stream_call.hpp"
 #include "pimentoferry/http/proxy.hpp"
@@ -20,6 +21,15 @@
 // estimate.
 constexpr base::milliseconds patience_margin{400};
 
+/// Accounts share scarce engines in proportion to their quotas.
+std::uint32_t share_weight(const std::optional<routing::account_quota>& quota) {
+    constexpr double unit = 1000;
+    constexpr double largest = 1e6;
+    return quota ? static_cast<std::uint32_t>(
+                       std::clamp(quota->per_second_ / unit, 1.0, largest))
+                 : 1;
+}
+
 } // namespace
 
 http::awaitable<placement::stream_decision>
@@ -49,6 +59,12 @@
     request.prompt_id_ = prompt.id_;
     request.time_left_ = time_left(call_, now);
     request.retry_window_ = shared_.protocol_.retry_window_(request.time_left_);
+    request.priority_ = call_.priority();
+    if (call_.account_ && call_.account_->key_) {
+        const auto& account = call_.account_->account_;
+        request.account_ = base::hash_bytes(account.name_.value_);
+        request.account_weight_ = share_weight(account.quota_);
+    }
     auto cancel = call_.exchange_.caller_gone();
     auto decision = co_await shared_.streams_->place(call_.service_, request,
                                                      std::move(cancel));
--- a/pimentoferry/placement/stream_messages.hpp
+++ b/pimentoferry/placement/stream_messages.hpp
@@ -32,6 +32,11 @@
     base::milliseconds time_left_{0};
     /// Longest retry delay that the caller honours; 0: unknown.
     base::milliseconds retry_window_{0};
+    /// Priority of its client account, else of its route; 0 is the most urgent.
+    std::uint32_t priority_{0};
+    std::uint64_t account_{0}; ///< Hash of the account's name; 0: none.
+    /// Relative share of the account in scarce engine memory.
+    std::uint32_t account_weight_{1};
 
     template <class Self>
     static auto fields(Self& self) {
@@ -39,7 +44,8 @@
                         self.prompt_tokens_, self.max_output_tokens_,
                         self.expected_output_tokens_, self.budget_,
                         self.patience_, self.prompt_id_, self.time_left_,
-                        self.retry_window_);
+                        self.retry_window_, self.priority_, self.account_,
+                        self.account_weight_);
     }
 };
 
--- a/pimentoferry/placement/stream_queue.hpp
+++ b/pimentoferry/placement/stream_queue.hpp
@@ -1,8 +1,10 @@
-/// Queue of the requests that wait for engines, ordered by expiry, and the set
-/// of prompts whose requests were refused.
+/// Queue of the requests that wait for engines, the use of engine memory by
+/// client accounts, and the set of prompts whose requests were refused.
 ///
 ///     queue.insert({request, expires_at, gives_up_at});
 ///     while (!queue.empty() && queue.front().expires_at_ < now) { ... }
+///     const auto next = queue.next(use, now);
+///     queue.erase(next);
 #ifndef PIMENTOFERRY_PLACEMENT_STREAM_QUEUE_HPP
 #define PIMENTOFERRY_PLACEMENT_STREAM_QUEUE_HPP
 
@@ -27,13 +29,43 @@
     base::time_point gives_up_at_;
 };
 
+/// Engine memory that accounts were granted recently, relative to their
+/// weights. Requests without an account share one entry.
+class account_shares {
+public:
+    void add(const stream_request& granted, base::time_point now);
+    double recent(std::uint64_t account, base::time_point now) const;
+    void remove_expired(base::time_point now);
+
+private:
+    struct entry {
+        double tokens_{0};
+        base::time_point updated_;
+    };
+    std::unordered_map<std::uint64_t, entry> entries_;
+};
+
 /// Queue ordered by `expires_at_`, earliest first. A large prompt takes longer
 /// to prefill, so it expires earlier and stands further ahead; it also needs
 /// more memory of one engine, which takes longer to become free.
+///
+/// Load: a client account or a less urgent route that sends many times its
+/// usual. The next request is the one with the most urgent priority; within a
+/// priority the accounts with the least recent use go first, and within an
+/// account the request that expires first. With one priority and no accounts
+/// that is the order of expiry.
 class stream_queue {
 public:
     void insert(const queued_request& queued);
     void pop_front();
+    void erase(std::size_t position);
+
+    /// Position of the request to serve next. The queue must not be empty.
+    std::size_t next(const account_shares& use, base::time_point now) const;
+
+    const queued_request& at(std::size_t position) const {
+        return items_[position];
+    }
     void erase_if(const std::function<bool(const stream_request&)>& predicate);
 
     const queued_request& front() const { return items_.front(); }
@@ -42,6 +74,13 @@
     /// Total length of the prompts in the queue.
     std::uint64_t prompt_tokens() const { return prompt_tokens_; }
 
+    struct backlog {
+        std::size_t requests_{0};
+        std::uint64_t prompt_tokens_{0};
+    };
+    /// The requests that go before a new one of this priority.
+    backlog ahead_of(std::uint32_t priority) const;
+
 private:
     std::deque<queued_request> items_;
     std::uint64_t prompt_tokens_{0};
--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -73,15 +73,25 @@
     count_request(stream.decode_, now);
     stream_grant grant{request.attempt_, stream.prefill_, stream.decode_};
     add_stream(request.attempt_, std::move(stream), now);
+    account_use_.add(request, now);
     return grant;
 }
 
+std::size_t stream_scheduler::next_in(const stream_queue& queue,
+                                      base::time_point now) const {
+    constexpr std::uint64_t by_expiry_interval = 8;
+    const bool by_expiry =
+        queued_grants_ % by_expiry_interval == by_expiry_interval - 1;
+    return by_expiry ? 0 : queue.next(account_use_, now);
+}
+
 // The room for the request and all requests in the queue by its deadline.
 room_report stream_scheduler::room_in_time(const queued_request& queued,
                                            base::time_point now) const {
+    const auto ahead = queue_.ahead_of(queued.request_.priority_);
     const auto tokens = static_cast<double>(queued.request_.prompt_tokens_ +
-                                            queue_.prompt_tokens());
-    const auto prompts = static_cast<double>(queue_.size() + 1);
+                                            ahead.prompt_tokens_);
+    const auto prompts = static_cast<double>(ahead.requests_ + 1);
     return make_room_report(queued.request_, queued.expires_at_, tokens,
                             model_.cost().time_of(prompts, tokens), now);
 }
@@ -417,19 +427,22 @@
 stream_scheduler::decisions stream_scheduler::dispatch(base::time_point now) {
     decisions made;
     while (!queue_.empty()) {
-        const auto first = queue_.front();
-        if (first.expires_at_ < now) {
+        const auto expiring = queue_.front();
+        if (expiring.expires_at_ < now) {
             queue_.pop_front();
-            const auto decided = handle_late_request(first, now);
+            const auto decided = handle_late_request(expiring, now);
             made.insert(made.end(), decided.begin(), decided.end());
             continue;
         }
+        const auto next = next_in(queue_, now);
+        const auto first = queue_.at(next);
         const auto grant = try_grant(first.request_, first.expires_at_, 0, now);
         if (!grant) {
             break;
         }
         made.emplace_back(*grant);
-        queue_.pop_front();
+        ++queued_grants_;
+        queue_.erase(next);
     }
     dispatch_late(made, now);
     return made;
@@ -439,13 +452,15 @@
     const double reserve =
         settings_.late_reserve_prompts_ * model_.mean_prompt_tokens();
     while (!late_queue_.empty()) {
-        const auto& first = late_queue_.front();
-        if (first.expires_at_ < now) {
+        const auto expiring = late_queue_.front();
+        if (expiring.expires_at_ < now) {
             made.emplace_back(
-                refuse(first.request_, room_when_late(first, now), now));
+                refuse(expiring.request_, room_when_late(expiring, now), now));
             late_queue_.pop_front();
             continue;
         }
+        const auto next = next_in(late_queue_, now);
+        const auto first = late_queue_.at(next);
         const auto grant =
             queue_.empty()
                 ? try_grant(first.request_, first.expires_at_, reserve, now)
@@ -454,7 +469,8 @@
             break;
         }
         made.emplace_back(*grant);
-        late_queue_.pop_front();
+        ++queued_grants_;
+        late_queue_.erase(next);
     }
 }
 
@@ -467,6 +483,7 @@
     }
     std::ranges::for_each(
         overdue, [this, now](auto attempt) { remove_stream(attempt, now); });
+    account_use_.remove_expired(now);
     return dispatch(now);
 }
 
--- a/pimentoferry/placement/stream_scheduler.hpp
+++ b/pimentoferry/placement/stream_scheduler.hpp
@@ -25,6 +25,11 @@
 ///     perform(scheduler.ended(attempt, events, now));
 ///     perform(scheduler.tick(now));   // about every 20 ms
 ///
+/// Waiting requests are served by the priority of their client account or
+/// route; within a priority, the accounts with the least recent use go first,
+/// see `stream_queue`. One grant in eight goes to the request that expires
+/// first, so that no priority and no account waits for good.
+///
 /// An engine that has announced a limit is granted only as many prefills and
 /// decodes as its allowance lets through; its remaining memory and time do not
 /// count as free.
@@ -281,6 +286,8 @@
                                 base::time_point now) const;
     decisions dispatch(base::time_point now);
     void dispatch_late(decisions& made, base::time_point now);
+    /// The position in `queue` of the request to serve next.
+    std::size_t next_in(const stream_queue& queue, base::time_point now) const;
 
     stream_settings settings_;
     stream_model model_;
@@ -289,6 +296,8 @@
     stream_queue queue_;      ///< Can still meet their deadlines.
     stream_queue late_queue_; ///< Will miss their deadlines.
     refused_prompts refused_;
+    account_shares account_use_;
+    std::uint64_t queued_grants_{0};
     requests::allowance_table* allowances_{nullptr};
 };
 
