Place plain calls through the owner of the service

Change: while the fleet has more gateways than a service has places, its owner grants each call a replica (call_scheduler), serves calls that can be in time before late ones and refuses at once what has no place in time. A call leaves its failure domain only if that pays (domain_choice). Settings call_placement and other_domains.

--- a/pimentoferry/config/gateway_settings.hpp
+++ b/pimentoferry/config/gateway_settings.hpp
@@ -27,6 +27,22 @@
     seconds window_{0};
 };
 
+/// Which gateway chooses the replica of a call to a plain service.
+enum class placement_mode : std::uint8_t {
+    local, ///< Each chooses for its own callers.
+    owner, ///< One chooses for all.
+    /// One chooses for all while there are more gateways than places.
+    automatic,
+};
+
+/// What a call to a replica of another failure domain costs.
+struct other_domain_settings {
+    base::milliseconds delay_{1}; ///< Of the link, there and back.
+    /// The wait of a caller that is accepted to save a transfer between
+    /// failure domains.
+    base::milliseconds worth_{10};
+};
+
 struct gateway_settings {
     std::string name_; ///< Name of this gateway, unique in the fleet.
     base::failure_domain failure_domain_;
@@ -48,6 +64,8 @@
     /// Longest time for which callers may keep a list of addresses.
     seconds address_ttl_{0};
     retry_settings retries_;
+    placement_mode call_placement_{placement_mode::local};
+    other_domain_settings other_domains_;
     std::string log_level_{"info"};
 };
 
--- a/pimentoferry/config/objects.hpp
+++ b/pimentoferry/config/objects.hpp
@@ -159,6 +159,15 @@
     fields.optional("policy", value.policy_, described{});
 }
 
+template <class Fields, class Object>
+void describe_fields(Fields& fields,
+                     Object& value,
+                     const other_domain_settings&) {
+    constexpr number_range duration{0, 60'000};
+    fields.optional("delay_ms", value.delay_, duration);
+    fields.optional("worth_ms", value.worth_, duration);
+}
+
 template <class Fields, class Object>
 void describe_fields(Fields& fields, Object& value, const retry_settings&) {
     constexpr real_range ratio{0, 1};
@@ -190,6 +199,12 @@
     fields.required("drain_limit_s", value.drain_limit_, seconds);
     fields.required("address_ttl_s", value.address_ttl_, seconds);
     fields.required("retries", value.retries_, described{});
+    static const enum_names<placement_mode> modes{
+        {"local", placement_mode::local},
+        {"owner", placement_mode::owner},
+        {"auto", placement_mode::automatic}};
+    fields.optional("call_placement", value.call_placement_, modes);
+    fields.optional("other_domains", value.other_domains_, described{});
     fields.optional("log_level", value.log_level_, log_level);
 }
 
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "pimentoferry/config/parse.hpp"
 #include "pimentoferry/gateway/account_quotas.hpp"
 #include "pimentoferry/gateway/call_permits.hpp"
+#include "pimentoferry/gateway/call_placement.hpp"
 #include "pimentoferry/gateway/caller_service.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/directory.hpp"
@@ -121,6 +122,7 @@
     upstream_statements statements_;
     call_permits permits_;
     account_quotas quotas_;
+    call_placement call_places_;
     stage_orders orders_;
     caller_service caller_service_;
     asio::signal_set signals_;
@@ -182,11 +184,13 @@
                   shared_,
                   limits_,
                   [this] {
-                      placement_.set_engines(shared_.registry_,
-                                             base::clock::now());
+                      const auto now = base::clock::now();
+                      placement_.set_engines(shared_.registry_, now);
+                      call_places_.set_replicas(shared_.registry_, now);
                   }),
       permits_(peers_, shared_, limits_),
       quotas_(io_, peers_, shared_.metrics_, self.value_),
+      call_places_(io_, peers_, shared_.metrics_, shared_.settings_),
       orders_(shared_, store_, base::to_hex(self.value_)),
       caller_service_(shared_), signals_(io_, SIGTERM, SIGINT, SIGHUP),
       timer_(io_) {
@@ -197,6 +201,7 @@
     shared_.statements_ = &statements_;
     shared_.permits_ = &permits_;
     shared_.quotas_ = &quotas_;
+    shared_.call_places_ = &call_places_;
     shared_.store_answers_ = &follower_.availability();
 }
 
@@ -262,10 +267,18 @@
     handlers.on_account_levels_ = [this](const account_levels& message) {
         quotas_.receive(message);
     };
+    handlers.on_place_message_ = [this](base::instance_id from,
+                                        const service_place_message& message) {
+        call_places_.receive(from, message);
+    };
+    handlers.on_place_reply_ = [this](const routing::place_reply& reply) {
+        call_places_.receive(reply);
+    };
     handlers.on_member_ = [this](const membership::member& member) {
         placement_.member_changed(member);
         limits_.member_changed(base::clock::now());
         quotas_.member_changed();
+        call_places_.member_changed(member);
         shared_.update_fleet_size(
             static_cast<std::uint32_t>(peers_.live().size()));
     };
@@ -355,6 +368,7 @@
     }
     if (configuration_changed || instances_changed) {
         placement_.set_engines(shared_.registry_, now);
+        call_places_.set_replicas(shared_.registry_, now);
     }
     if (!changes.empty()) {
         update_seeds();
@@ -537,6 +551,7 @@
     shared_.registry_.set_store_return(follower_.store_returned_at());
     if (shared_.registry_.expire(now)) {
         placement_.set_engines(shared_.registry_, now);
+        call_places_.set_replicas(shared_.registry_, now);
     }
     const auto routes = shared_.registry_.routes();
     if (!drain_began_) {
@@ -550,6 +565,7 @@
     statements_.tick(now);
     permits_.tick(now);
     quotas_.tick();
+    call_places_.tick(now);
     orders_.note_era(follower_.replica().current().era_);
     if (drain_began_) {
         stop_when_idle(now);
--- a/pimentoferry/gateway/peers.cpp
+++ b/pimentoferry/gateway/peers.cpp
@@ -284,7 +284,13 @@
                 handlers_.on_credit_request_(from, m);
             },
             [&](const credit_reply& m) { handlers_.on_credit_reply_(m); },
-            [&](const account_levels& m) { handlers_.on_account_levels_(m); }},
+            [&](const account_levels& m) { handlers_.on_account_levels_(m); },
+            [&](const service_place_message& m) {
+                handlers_.on_place_message_(from, m);
+            },
+            [&](const routing::place_reply& m) {
+                handlers_.on_place_reply_(m);
+            }},
         received.message_);
 }
 
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -18,6 +18,7 @@
 #include "pimentoferry/membership/swim.hpp"
 #include "pimentoferry/placement/stream_messages.hpp"
 #include "pimentoferry/requests/permit_queue.hpp"
+#include "pimentoferry/routing/call_messages.hpp"
 #include "pimentoferry/store/mirror.hpp"
 #include "pimentoferry/wire/peer_channel.hpp"
 
@@ -82,6 +83,16 @@
     }
 };
 
+/// A message about the calls of one plain service.
+struct service_place_message {
+    base::service_name service_;
+    routing::place_message message_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.service_, self.message_);
+    }
+};
+
 /// See `requests::crash_mark`.
 struct part_mark {
     std::uint64_t part_{0};
@@ -288,7 +299,9 @@
                                   account_use_confirmation,
                                   credit_request,
                                   credit_reply,
-                                  account_levels>;
+                                  account_levels,
+                                  service_place_message,
+                                  routing::place_reply>;
 
 struct peer_handlers {
     /// Returns the changes in this gateway's replica after `since`.
@@ -317,6 +330,9 @@
         on_credit_request_;
     std::function<void(const credit_reply&)> on_credit_reply_;
     std::function<void(const account_levels&)> on_account_levels_;
+    std::function<void(base::instance_id from, const service_place_message&)>
+        on_place_message_;
+    std::function<void(const routing::place_reply&)> on_place_reply_;
     /// A gateway joined or left, began to drain, or is suspected or dead.
     std::function<void(const membership::member&)> on_member_;
 };
--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -2,6 +2,7 @@
 
 #include "pimentoferry/base/hash.hpp"
 #include "pimentoferry/gateway/call_permits.hpp"
+#include "pimentoferry/gateway/call_placement.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
 #include "pimentoferry/gateway/peers.hpp"
@@ -124,15 +125,29 @@
     struct limited_replicas {
         base::milliseconds wait_{0};
     };
+    /// The owner of the service expects no place in time.
+    struct no_place {
+        base::milliseconds retry_after_{0};
+    };
     using choice =
-        std::variant<routing::instance, no_replica, limited_replicas>;
+        std::variant<routing::instance, no_replica, limited_replicas, no_place>;
 
+    http::awaitable<void> run_attempts();
     http::awaitable<choice> choose();
+    /// Lets the owner of the service choose; unset if it does not reply.
+    http::awaitable<std::optional<choice>> choose_by_owner();
+    /// Chooses without the owner, and tells it.
+    choice choose_in_its_place();
+    /// Tells the owner of the service that the call has ended.
+    void release_place(routing::call_result result,
+                       base::milliseconds duration,
+                       bool connection_refused);
     http::awaitable<choice>
     choose_limited(std::vector<const routing::instance*> limited);
     std::vector<const routing::instance*>
     untried_replicas(base::time_point now) const;
     http::awaitable<void> refuse_limited(base::milliseconds wait);
+    http::awaitable<void> refuse_no_place(base::milliseconds retry_after);
     http::awaitable<send_result> send(routing::instance replica);
     /// Keeps calls of all gateways away from a replica that has ended.
     void report_ended(const base::upstream_name& replica);
@@ -151,6 +166,8 @@
     routed_call& call_;
     std::set<base::upstream_name> tried_;
     std::uint32_t possible_runs_{0}; ///< Sends that may have run.
+    /// The place that the owner of the service counts for the call.
+    std::optional<base::attempt_id> place_;
     /// Unset until needed: it costs a hash of the whole body.
     std::optional<requests::prompt_parts> crash_parts_;
 };
@@ -189,6 +206,7 @@
     const auto duration =
         std::chrono::duration_cast<base::milliseconds>(now - began);
     shared_.picker_.ended(replica.id_, result_of(outcome), duration, now);
+    release_place(result_of(outcome), duration, outcome.connection_refused());
     if (outcome.connection_refused()) {
         report_ended(replica.id_);
     }
@@ -312,6 +330,10 @@
                          [this](const routing::instance* each) {
                              return shared_.allowances_.limited(each->id_);
                          });
+    if (limited.empty() && shared_.call_places_->places(call_.service_)) {
+        auto placed = co_await choose_by_owner();
+        co_return placed ? std::move(*placed) : choose_in_its_place();
+    }
     if (const auto* spare = shared_.permits_->take_spare(limited, now)) {
         shared_.metrics_.count_limited(call_.service_.value_, "spare");
         co_return *spare;
@@ -337,6 +359,89 @@
     co_return use_fallback ? choice{*fallback} : std::move(permitted);
 }
 
+http::awaitable<std::optional<plain_call::choice>>
+plain_call::choose_by_owner() {
+    const auto now = base::clock::now();
+    const auto until = [now](base::time_point at) {
+        return std::max(
+            std::chrono::duration_cast<base::milliseconds>(at - now),
+            base::milliseconds{0});
+    };
+    routing::place_request request;
+    request.failure_domain_ = shared_.settings_.failure_domain_;
+    request.priority_ = call_.priority();
+    if (call_.account_) {
+        request.account_ =
+            base::hash_bytes(call_.account_->account_.name_.value_);
+    }
+    request.budget_ = until(std::min(
+        call_.arrived_ + call_.route_.latency_objective_, call_.deadline_));
+    request.time_left_ = time_left(call_, now);
+    request.retry_window_ = shared_.protocol_.retry_window_(request.time_left_);
+    request.excluded_ = {tried_.begin(), tried_.end()};
+    request.may_repeat_ = call_.route_.kind_ == routing::call_kind::idempotent;
+    auto cancel = call_.exchange_.caller_gone();
+    const auto outcome = co_await shared_.call_places_->acquire(
+        call_.service_, request, std::move(cancel));
+    const auto* grant = std::get_if<routing::place_grant>(&outcome);
+    const auto* refused = std::get_if<routing::place_refusal>(&outcome);
+    log::log_info(
+        "place_call",
+        {{"request", call_.request_.id_},
+         {"service", call_.service_.value_},
+         {"replica", grant != nullptr ? grant->replica_.value_ : "none"},
+         {"left_domain", grant != nullptr ? std::string{routing::to_string(
+                                                grant->left_domain_)}
+                                          : "none"},
+         {"budget_ms", std::to_string(request.budget_.count())},
+         {"waiting_before",
+          refused != nullptr ? std::to_string(refused->waiting_) : "none"},
+         {"ms", std::to_string(base::age_ms(now, base::clock::now()))}});
+    if (grant != nullptr) {
+        place_ = grant->attempt_;
+        const auto* replica = shared_.registry_.instances().find_usable(
+            grant->replica_, base::clock::now());
+        if (replica != nullptr) {
+            co_return choice{*replica};
+        }
+        // This gateway knows of its end before the owner.
+        release_place(routing::call_result::abandoned, {}, false);
+        co_return std::nullopt;
+    }
+    if (refused != nullptr) {
+        co_return refused->no_replica_
+            ? choice{no_replica{}}
+            : choice{no_place{refused->retry_after_}};
+    }
+    if (std::holds_alternative<place_abandoned>(outcome)) {
+        co_return choice{no_replica{}};
+    }
+    co_return std::nullopt;
+}
+
+plain_call::choice plain_call::choose_in_its_place() {
+    const auto now = base::clock::now();
+    const auto* chosen = shared_.picker_.choose(
+        untried_replicas(now), tried_, shared_.settings_.failure_domain_,
+        call_.route_.kind_ == routing::call_kind::idempotent, now);
+    if (chosen == nullptr) {
+        return no_replica{};
+    }
+    place_ = shared_.call_places_->taken(call_.service_, chosen->id_,
+                                         time_left(call_, now));
+    return *chosen;
+}
+
+void plain_call::release_place(routing::call_result result,
+                               base::milliseconds duration,
+                               bool connection_refused) {
+    if (place_) {
+        shared_.call_places_->released(
+            call_.service_, {*place_, result, duration, connection_refused});
+        place_.reset();
+    }
+}
+
 http::awaitable<plain_call::choice>
 plain_call::choose_limited(std::vector<const routing::instance*> limited) {
     const auto now = base::clock::now();
@@ -401,7 +506,20 @@
     co_await refuse(shared_, call_, std::move(refusal));
 }
 
+http::awaitable<void>
+plain_call::refuse_no_place(base::milliseconds retry_after) {
+    base::refusal refusal{base::refusal_code::overloaded,
+                          base::ran_state::not_run, retry_after,
+                          "no replica has a place in time"};
+    co_await refuse(shared_, call_, std::move(refusal));
+}
+
 http::awaitable<void> plain_call::run() {
+    co_await run_attempts();
+    release_place(routing::call_result::abandoned, {}, false);
+}
+
+http::awaitable<void> plain_call::run_attempts() {
     auto& budget = shared_.retries(call_.service_);
     budget.note_request(call_.arrived_);
     send_result last;
@@ -436,6 +554,11 @@
             co_await refuse_limited(limited->wait_);
             co_return;
         }
+        const auto* crowded = std::get_if<no_place>(&chosen);
+        if (crowded != nullptr && possible_runs_ == 0 && !caller_gone) {
+            co_await refuse_no_place(crowded->retry_after_);
+            co_return;
+        }
         const auto* replica = std::get_if<routing::instance>(&chosen);
         const bool is_retry = !tried_.empty();
         if (caller_gone) {
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -41,6 +41,7 @@
 class upstream_statements;
 class call_permits;
 class account_quotas;
+class call_placement;
 
 struct runtime {
     runtime(boost::asio::io_context& io,
@@ -80,6 +81,7 @@
     upstream_statements* statements_{nullptr};
     call_permits* permits_{nullptr};
     account_quotas* quotas_{nullptr};
+    call_placement* call_places_{nullptr};
     const store::availability* store_answers_{nullptr};
     /// When the process ends at the latest; unset unless it drains.
     std::optional<base::time_point> ends_at_;
--- a/pimentoferry/routing/replica_picker.cpp
+++ b/pimentoferry/routing/replica_picker.cpp
@@ -130,38 +130,59 @@
            is_healthy(chosen, fastest_mean_ms(candidates), now);
 }
 
-const instance*
-replica_picker::choose(const std::vector<const instance*>& candidates,
-                       const std::set<base::upstream_name>& tried,
-                       const base::failure_domain& own_domain,
-                       bool may_repeat,
-                       base::time_point now) {
+std::vector<const instance*>
+replica_picker::eligible(const std::vector<const instance*>& candidates,
+                         const std::set<base::upstream_name>& tried,
+                         bool may_repeat,
+                         base::time_point now) {
     const double fastest_ms = fastest_mean_ms(candidates);
-    const instance* best = nullptr;
+    std::vector<const instance*> healthy;
     const instance* unhealthy = nullptr;
-    double best_cost = 0;
     for (const auto* each : candidates) {
         if (refuses(each->id_, now) || tried.contains(each->id_)) {
             continue;
         }
-        if (!is_healthy(*each, fastest_ms, now)) {
-            auto& stats = records_[each->id_];
-            // Only the first call of a request can be a probe: a retry must not
-            // go to a replica that is known to fail.
-            if (may_repeat && tried.empty() && stats.next_probe_ <= now) {
-                stats.next_probe_ = now + probe_interval;
-                return each;
-            }
-            unhealthy = each;
+        if (is_healthy(*each, fastest_ms, now)) {
+            healthy.push_back(each);
             continue;
         }
+        auto& stats = records_[each->id_];
+        // Only the first call of a request can be a probe: a retry must not go
+        // to a replica that is known to fail.
+        if (may_repeat && tried.empty() && stats.next_probe_ <= now) {
+            stats.next_probe_ = now + probe_interval;
+            return {each};
+        }
+        unhealthy = each;
+    }
+    if (healthy.empty() && unhealthy != nullptr) {
+        healthy.push_back(unhealthy);
+    }
+    return healthy;
+}
+
+double replica_picker::mean_ms(const base::upstream_name& id) const {
+    const auto found = records_.find(id);
+    return found != records_.end() ? found->second.mean_ms_ : 0;
+}
+
+const instance*
+replica_picker::choose(const std::vector<const instance*>& candidates,
+                       const std::set<base::upstream_name>& tried,
+                       const base::failure_domain& own_domain,
+                       bool may_repeat,
+                       base::time_point now) {
+    const auto open = eligible(candidates, tried, may_repeat, now);
+    const instance* best = nullptr;
+    double best_cost = 0;
+    for (const auto* each : open) {
         const double each_cost = cost(*each, own_domain, now);
         if (best == nullptr || each_cost < best_cost) {
             best = each;
             best_cost = each_cost;
         }
     }
-    return best != nullptr ? best : unhealthy;
+    return best;
 }
 
 void replica_picker::started(const base::upstream_name& id) {
--- a/pimentoferry/routing/replica_picker.hpp
+++ b/pimentoferry/routing/replica_picker.hpp
@@ -50,6 +50,18 @@
                            bool may_repeat,
                            base::time_point now);
 
+    /// The replicas among which a choice has to be made: healthy ones that do
+    /// not refuse connections, or one unhealthy replica that is due for a probe
+    /// or the only one left.
+    std::vector<const instance*>
+    eligible(const std::vector<const instance*>& candidates,
+             const std::set<base::upstream_name>& tried,
+             bool may_repeat,
+             base::time_point now);
+
+    /// Mean duration of the answers of a replica in ms; 0 before the first.
+    double mean_ms(const base::upstream_name& id) const;
+
     /// Whether `chosen`, out of `candidates`, is expected to serve a call: it
     /// is healthy and has not rejected a call as full just now.
     bool accepts(const instance& chosen,
--- a/standins/platform_replica.cpp
+++ b/standins/platform_replica.cpp
@@ -141,7 +141,14 @@
 void platform_replica::record_arrival(const std::string& kind,
                                       const exchange& call) {
     record_arrival(kind);
+    const auto value_or_none = [&call](const char* name) {
+        const auto value = call.header(name);
+        return value.empty() ? std::string{"none"} : value;
+    };
     log_with_time("arrived " + call.header(request_id) + ' ' + kind);
+    std::cout << "told " << call.header(request_id) << ' '
+              << value_or_none("X-Tenant") << ' '
+              << value_or_none("Authorization") << std::endl;
 }
 
 json platform_replica::arrivals() const {
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -63,6 +63,18 @@
     return route;
 }
 
+Json::Value make_account(const fleet_account& account) {
+    Json::Value made;
+    made["name"] = account.name_;
+    made["api_keys"] = Json::Value{Json::arrayValue};
+    for (const auto& key : account.keys_) {
+        made["api_keys"].append(key);
+    }
+    made["requests_per_s"] = account.requests_per_s_;
+    made["burst"] = account.burst_;
+    return made;
+}
+
 Json::Value make_configuration(std::uint64_t version, milliseconds timeout) {
     Json::Value engine;
     engine["slots"] = 64;
@@ -139,7 +151,8 @@
 
 standins::request_headers caller_fields(const std::string& path,
                                         const std::string& request_id,
-                                        milliseconds deadline) {
+                                        milliseconds deadline,
+                                        const std::string& key) {
     standins::request_headers fields{
         {"Host", host},
         {"X-Request-Id", request_id},
@@ -149,6 +162,10 @@
         fields.emplace_back("X-Token-Counts", "5000,100");
         fields.emplace_back("X-Prompt-Prefix", "a1:5000");
     }
+    if (!key.empty()) {
+        fields.emplace_back("Authorization", "Bearer " + key);
+        fields.emplace_back("X-Tenant", "forged");
+    }
     return fields;
 }
 
@@ -259,9 +276,13 @@
 }
 
 void gateway_fleet::put_configuration() {
+    auto configuration =
+        make_configuration(++version_, options_.route_timeout_);
+    for (const auto& account : options_.accounts_) {
+        configuration["tenants"].append(make_account(account));
+    }
     Json::Value body;
-    body["put"]["op/config"] = base64(http::write_json(
-        make_configuration(++version_, options_.route_timeout_)));
+    body["put"]["op/config"] = base64(http::write_json(configuration));
     control(store_port_, http::write_json(body));
 }
 
@@ -344,11 +365,12 @@
 http_answer gateway_fleet::call(std::size_t gateway,
                                 const std::string& path,
                                 const std::string& request_id,
-                                milliseconds deadline) const {
+                                milliseconds deadline,
+                                const std::string& key) const {
     standins::http_call request;
     request.method_ = "POST";
     request.target_ = path;
-    request.headers_ = caller_fields(path, request_id, deadline);
+    request.headers_ = caller_fields(path, request_id, deadline, key);
     request.timeout_ = call_timeout;
     return standins::send_http(ports_.at(gateway).traffic_, request);
 }
@@ -399,6 +421,20 @@
     return found;
 }
 
+std::vector<std::pair<std::string, std::string>>
+gateway_fleet::accounts_told(const std::string& request) const {
+    std::vector<std::pair<std::string, std::string>> told;
+    for_each_replica_line("told", [&](const auto&, auto& words) {
+        std::string id;
+        std::string account;
+        std::string credential;
+        if (words >> id >> account >> credential && id == request) {
+            told.emplace_back(account, credential);
+        }
+    });
+    return told;
+}
+
 std::vector<replica_arrival> gateway_fleet::ends_of_runs() const {
     std::vector<replica_arrival> found;
     for_each_replica_line("ended", [&](const auto& replica, auto& words) {
--- a/tests/process/gateway_fleet.hpp
+++ b/tests/process/gateway_fleet.hpp
@@ -27,6 +27,14 @@
 
 namespace pimentoferry::process_tests {
 
+/// A client account of the configuration.
+struct fleet_account {
+    std::string name_;
+    std::vector<std::string> keys_;
+    double requests_per_s_{0}; ///< 0: no quota.
+    double burst_{0};
+};
+
 struct gateway_fleet_options {
     std::size_t gateways_{2};
     std::size_t plain_replicas_{2};
@@ -35,6 +43,8 @@
     std::chrono::milliseconds route_timeout_{4000};
     /// Limit from SIGTERM to the exit of a gateway.
     std::chrono::milliseconds drain_limit_{4000};
+    /// Without any, requests need no key.
+    std::vector<fleet_account> accounts_;
 };
 
 /// A replica stand-in. A restarted replica has a new id.
@@ -103,15 +113,22 @@
     /// Writes the next version of the configuration to the store.
     void put_configuration();
 
+    /// Writes the next version with other accounts.
+    void put_accounts(std::vector<fleet_account> accounts) {
+        options_.accounts_ = std::move(accounts);
+        put_configuration();
+    }
+
     /// Sends switches to a stand-in; true if it accepted them.
     static bool control(std::uint16_t port, const std::string& switches);
 
     /// Sends a request to a gateway over a new connection.
-    standins::http_answer call(std::size_t gateway,
-                               const std::string& path,
-                               const std::string& request_id,
-                               std::chrono::milliseconds deadline =
-                                   std::chrono::milliseconds{3000}) const;
+    standins::http_answer
+    call(std::size_t gateway,
+         const std::string& path,
+         const std::string& request_id,
+         std::chrono::milliseconds deadline = std::chrono::milliseconds{3000},
+         const std::string& key = "") const;
 
     /// Number of runs of each request, by id, over all replicas ever started.
     std::map<std::string, std::size_t> runs() const;
@@ -119,6 +136,11 @@
     /// All arrivals at all replicas ever started.
     std::vector<replica_arrival> arrivals() const;
 
+    /// What replicas were told about the account of a request, in order: the
+    /// account's name, and the credential; "none" for a missing field.
+    std::vector<std::pair<std::string, std::string>>
+    accounts_told(const std::string& request) const;
+
     /// The ends of all runs, but for those that a kill of the replica ended.
     std::vector<replica_arrival> ends_of_runs() const;
 
@@ -155,7 +177,8 @@
 /// Returns the header fields of a caller's request.
 standins::request_headers caller_fields(const std::string& path,
                                         const std::string& request_id,
-                                        std::chrono::milliseconds deadline);
+                                        std::chrono::milliseconds deadline,
+                                        const std::string& key = "");
 
 /// The largest resident memory that a process has had, in bytes; empty if the
 /// process has ended.
