--- a/pimentoferry/rates/rate_ledger.cpp
+++ b/pimentoferry/rates/rate_ledger.cpp
@@ -28,6 +28,15 @@
 
 } // namespace
 
+rate_terms with_tolerance(const rate_terms& terms,
+                          const rate_tolerance& tolerance) {
+    constexpr double used_share = 0.5;
+    const double allowed =
+        terms.per_second_ * tolerance.window_.count() + terms.capacity_;
+    const double exceeded = allowed * tolerance.overage_ + tolerance.slack_;
+    return {terms.per_second_, terms.capacity_ + exceeded * used_share};
+}
+
 double rate_ledger::level(const entry& of, base::time_point now) const {
     const fractional_seconds passed = std::max(now, of.updated_) - of.updated_;
     return std::min(of.terms_.capacity_,
--- a/pimentoferry/rates/rate_ledger.hpp
+++ b/pimentoferry/rates/rate_ledger.hpp
@@ -20,6 +20,7 @@
 
 #include "pimentoferry/base/time.hpp"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <optional>
@@ -38,6 +39,20 @@
     friend bool operator==(const rate_terms&, const rate_terms&) = default;
 };
 
+/// How far the use of a rate may exceed it in a window of time.
+struct rate_tolerance {
+    std::chrono::duration<double> window_{0};
+    double overage_{0}; ///< Share of what the rate allows in a window.
+    double slack_{0};   ///< Units.
+};
+
+/// The terms with a capacity that uses half of the tolerance. Requests are
+/// coarse: a prompt may cost almost as much as a small account may use in a
+/// second, and would be refused although the account is within its quota. The
+/// other half is for what gateways admit without the owner's knowledge.
+rate_terms with_tolerance(const rate_terms& terms,
+                          const rate_tolerance& tolerance);
+
 /// A rate as its owner sees it.
 struct rate_state {
     double level_{0}; ///< Units that may be used now.
