--- a/pimentoferry/config/gateway_settings.hpp
+++ b/pimentoferry/config/gateway_settings.hpp
@@ -43,6 +43,14 @@
     base::milliseconds worth_{10};
 };
 
+/// How far the use of a client account may exceed its quota in a window, over
+/// all gateways.
+struct quota_settings {
+    seconds window_{0};
+    double overage_{0}; ///< Share of what the quota allows in a window.
+    double slack_{0};   ///< In units of the quota.
+};
+
 struct gateway_settings {
     std::string name_; ///< Name of this gateway, unique in the fleet.
     base::failure_domain failure_domain_;
@@ -66,6 +74,7 @@
     retry_settings retries_;
     placement_mode call_placement_{placement_mode::local};
     other_domain_settings other_domains_;
+    quota_settings quotas_;
     std::string log_level_{"info"};
 };
 
--- a/pimentoferry/config/objects.hpp
+++ b/pimentoferry/config/objects.hpp
@@ -168,6 +168,16 @@
     fields.optional("worth_ms", value.worth_, duration);
 }
 
+template <class Fields, class Object>
+void describe_fields(Fields& fields, Object& value, const quota_settings&) {
+    constexpr real_range window{0.1, 3600};
+    constexpr real_range overage{0, 1};
+    constexpr real_range slack{0, 1e12};
+    fields.required("window_s", value.window_, window);
+    fields.optional("overage", value.overage_, overage);
+    fields.optional("slack", value.slack_, slack);
+}
+
 template <class Fields, class Object>
 void describe_fields(Fields& fields, Object& value, const retry_settings&) {
     constexpr real_range ratio{0, 1};
@@ -205,6 +215,7 @@
         {"auto", placement_mode::automatic}};
     fields.optional("call_placement", value.call_placement_, modes);
     fields.optional("other_domains", value.other_domains_, described{});
+    fields.optional("quotas", value.quotas_, described{});
     fields.optional("log_level", value.log_level_, log_level);
 }
 
--- a/pimentoferry/gateway/account_quotas.cpp
+++ b/pimentoferry/gateway/account_quotas.cpp
@@ -54,6 +54,11 @@
     return "unknown";
 }
 
+rates::rate_terms
+account_quotas::terms_of(const routing::account_quota& quota) const {
+    return with_tolerance({quota.per_second_, quota.burst_}, tolerance_);
+}
+
 void account_quotas::set_accounts(
     const std::vector<routing::client_account>& accounts) {
     const auto now = base::boot_now();
@@ -65,8 +70,7 @@
         limited.insert(each.name_);
         auto& state = accounts_[each.name_];
         state.quota_ = *each.quota_;
-        share_.set(each.name_.value_,
-                   {each.quota_->per_second_, each.quota_->burst_}, now);
+        share_.set(each.name_.value_, terms_of(*each.quota_), now);
     }
     std::erase_if(accounts_, [&limited](const auto& each) {
         return !limited.contains(each.first);
@@ -97,9 +101,7 @@
             state.owner_heard_.reset();
         }
         if (owner == peers_.self()) {
-            ledger_.set(account.value_,
-                        {state.quota_.per_second_, state.quota_.burst_},
-                        boot_now);
+            ledger_.set(account.value_, terms_of(state.quota_), boot_now);
         }
     }
     ledger_.retain([this](const std::string& id) {
--- a/pimentoferry/gateway/account_quotas.hpp
+++ b/pimentoferry/gateway/account_quotas.hpp
@@ -18,6 +18,7 @@
 
 #include "pimentoferry/base/ids.hpp"
 #include "pimentoferry/base/time.hpp"
+#include "pimentoferry/config/gateway_settings.hpp"
 #include "pimentoferry/gateway/metrics.hpp"
 #include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/http/awaitable.hpp"
@@ -71,8 +72,11 @@
     account_quotas(boost::asio::io_context& io,
                    peers& peer_gateways,
                    metrics& counters,
+                   const config::quota_settings& settings,
                    std::uint64_t seed)
-        : io_(io), peers_(peer_gateways), counters_(counters), share_(seed) {}
+        : io_(io), peers_(peer_gateways), counters_(counters),
+          tolerance_{settings.window_, settings.overage_, settings.slack_},
+          share_(seed) {}
 
     /// Takes over the accounts of a new configuration.
     void set_accounts(const std::vector<routing::client_account>& accounts);
@@ -117,6 +121,7 @@
         std::optional<base::time_point> owner_heard_; ///< By `boot_now`.
     };
 
+    rates::rate_terms terms_of(const routing::account_quota& quota) const;
     bool knows_fleet() const;
     void update_owners(base::time_point boot_now);
     credit_reply decide_as_owner(base::attempt_id attempt,
@@ -141,6 +146,7 @@
     boost::asio::io_context& io_;
     peers& peers_;
     metrics& counters_;
+    const rates::rate_tolerance tolerance_;
     rates::rate_ledger ledger_;
     rates::rate_share share_;
     rates::fleet_size fleet_;
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -188,8 +188,11 @@
                       placement_.set_engines(shared_.registry_, now);
                       call_places_.set_replicas(shared_.registry_, now);
                   }),
-      permits_(peers_, shared_, limits_),
-      quotas_(io_, peers_, shared_.metrics_, self.value_),
+      permits_(peers_, shared_, limits_), quotas_(io_,
+                                                  peers_,
+                                                  shared_.metrics_,
+                                                  shared_.settings_.quotas_,
+                                                  self.value_),
       call_places_(io_, peers_, shared_.metrics_, shared_.settings_),
       orders_(shared_, store_, base::to_hex(self.value_)),
       caller_service_(shared_), signals_(io_, SIGTERM, SIGINT, SIGHUP),
--- a/pimentoferry/routing/call_scheduler.cpp
+++ b/pimentoferry/routing/call_scheduler.cpp
@@ -184,7 +184,8 @@
 
 bool call_scheduler::is_late(const waiting_call& call,
                              base::time_point now) const {
-    return now + duration_cast<base::clock::duration>(service_time()) >
+    return now + duration_cast<base::clock::duration>(service_time() +
+                                                      deviation_) >
            call.objective_;
 }
 
@@ -284,6 +285,9 @@
         }
         if (message.result_ == call_result::answered) {
             const fractional_ms duration{message.duration_};
+            deviation_ +=
+                (std::chrono::abs(duration - service_time()) - deviation_) *
+                newest_weight;
             service_time_ +=
                 (duration - service_time_) *
                 (service_time_ > fractional_ms{0} ? newest_weight : 1);
--- a/pimentoferry/routing/call_scheduler.hpp
+++ b/pimentoferry/routing/call_scheduler.hpp
@@ -149,6 +149,9 @@
     std::map<std::uint64_t, account_use> accounts_;
     /// Mean duration of answered calls.
     fractional_ms service_time_{0};
+    /// Mean deviation from it. A call that would be in time only if it took no
+    /// longer than the mean is late half of the time.
+    fractional_ms deviation_{0};
     /// Calls a ms, decaying.
     double arrival_rate_{0};
     base::time_point last_arrival_;
--- a/tests/process/gateway_fleet.hpp
+++ b/tests/process/gateway_fleet.hpp
@@ -44,7 +44,7 @@
     /// Limit from SIGTERM to the exit of a gateway.
     std::chrono::milliseconds drain_limit_{4000};
     /// Without any, requests need no key.
-    std::vector<fleet_account> accounts_;
+    std::vector<fleet_account> accounts_{};
 };
 
 /// A replica stand-in. A restarted replica has a new id.
