Bound the request bodies that are held at the same time

Change: a server has a budget for the bodies that are received or served; a body takes its length from it before it is read (with chunks, as it grows), and one that does not fit is refused as not run (503 overloaded). The budget is a sixth of memory_mb, as a body is held twice while it is sent.

--- a/pimentoferry/config/gateway_settings.hpp
+++ b/pimentoferry/config/gateway_settings.hpp
@@ -67,6 +67,9 @@
     /// Bandwidth of the machine in Mbit/s; 0: unknown. Gateways with little
     /// processor time or bandwidth do not schedule streams for others.
     double link_mbps_{0};
+    /// Memory of the process in MB; 0: unknown. Bounds the bodies of requests
+    /// that are held at the same time.
+    std::uint32_t memory_mb_{0};
     /// Time from SIGTERM to the forced end of the process.
     seconds drain_limit_{0};
     /// Longest time for which callers may keep a list of addresses.
--- a/pimentoferry/config/objects.hpp
+++ b/pimentoferry/config/objects.hpp
@@ -206,6 +206,7 @@
     fields.optional("processor_share", value.processor_share_, share);
     constexpr real_range bandwidth{0, 1e6};
     fields.optional("link_mbps", value.link_mbps_, bandwidth);
+    fields.optional("memory_mb", value.memory_mb_, number_range{0, max_uint32});
     fields.required("drain_limit_s", value.drain_limit_, seconds);
     fields.required("address_ttl_s", value.address_ttl_, seconds);
     fields.required("retries", value.retries_, described{});
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -136,6 +136,17 @@
     int exit_code_{exit_ok};
 };
 
+/// The bytes of request bodies that may be held: a part of the memory, as each
+/// body is held twice while it is sent. At least one body of the largest size
+/// is accepted.
+std::size_t body_budget(std::uint32_t memory_mb, std::size_t largest_body) {
+    constexpr std::size_t bytes_per_mb = std::size_t{1} << 20;
+    constexpr std::size_t copies = 2;
+    constexpr std::size_t memory_divisor = 3;
+    const auto bytes = memory_mb * bytes_per_mb / memory_divisor / copies;
+    return memory_mb == 0 ? 0 : std::max(bytes, largest_body);
+}
+
 /// A key that cannot be parsed ends the process when the peer address is
 /// opened.
 wire::fleet_key fleet_key_of(const config::gateway_settings& settings) {
@@ -394,6 +405,8 @@
     const auto& limits = shared_.registry_.routes()->source().limits_;
     http::server_limits applied;
     applied.body_bytes_ = limits.body_bytes_;
+    applied.body_budget_bytes_ =
+        body_budget(shared_.settings_.memory_mb_, limits.body_bytes_);
     applied.header_bytes_ = limits.header_bytes_;
     applied.header_timeout_ = limits.header_timeout_;
     applied.receive_timeout_ = body_timeout;
--- a/pimentoferry/http/connection.cpp
+++ b/pimentoferry/http/connection.cpp
@@ -32,6 +32,8 @@
 // of the chunked coding that does not end.
 constexpr std::size_t max_unparsed_body_bytes = std::size_t{96} << 10;
 constexpr std::size_t max_discarded_bytes = std::size_t{16} << 20;
+// The bodies held are served within some hundred ms.
+constexpr base::milliseconds full_memory_retry_after{300};
 
 base::refusal refusal_of(error_code error) {
     using code = base::refusal_code;
@@ -41,6 +43,10 @@
     if (error == beast::http::error::body_limit) {
         refusal.code_ = code::body_too_large;
         refusal.detail_ = "the request body exceeds the limit";
+    } else if (error == asio::error::no_memory) {
+        refusal.code_ = code::overloaded;
+        refusal.retry_after_ = full_memory_retry_after;
+        refusal.detail_ = "the gateway holds too many request bodies";
     } else if (error == beast::http::error::header_limit) {
         refusal.detail_ = "the request header exceeds the limit";
     } else if (error == beast::http::error::bad_transfer_encoding) {
@@ -97,15 +103,17 @@
 
 connection::connection(asio::ip::tcp::socket socket,
                        const server_limits& limits,
+                       byte_budget& bodies,
                        const handler& handle)
     : stream_(std::move(socket)), limits_(limits), handle_(handle),
-      watch_ended_(stream_.get_executor()),
+      body_(bodies), watch_ended_(stream_.get_executor()),
       caller_disconnected_(std::make_shared<cancellation>()) {}
 
 awaitable<void> connection::run() {
     const auto self = shared_from_this();
     while (co_await receive_request()) {
         co_await serve_request();
+        body_.clear();
         if (!keep_alive_ || stopping_ || caller_disconnected_->requested() ||
             response_state_ != response_state::complete) {
             break;
@@ -136,6 +144,10 @@
     request_parser.body_limit(limits_.body_bytes_);
     buffer_.max_size(limits_.header_bytes_ + max_unparsed_body_bytes);
     const error_code error = co_await read_request(request_parser);
+    if (error) {
+        request_parser.get().body() = {};
+        body_.clear();
+    }
     if (error && request_parser.got_some() && !stopping_) {
         co_await reject(error);
     }
@@ -172,9 +184,24 @@
     }
     if (!error) {
         stream_.expires_after(limits_.receive_timeout_);
-        co_await continue_if_expected(request_parser);
-        co_await beast::http::async_read(stream_, buffer_, request_parser,
-                                         into(error));
+        error = co_await read_body(request_parser);
+    }
+    co_return error;
+}
+
+awaitable<error_code> connection::read_body(parser& request_parser) {
+    const auto length = request_parser.content_length();
+    if (length && !body_.grow_to(static_cast<std::size_t>(*length))) {
+        co_return asio::error::no_memory;
+    }
+    co_await continue_if_expected(request_parser);
+    error_code error;
+    while (!error && !request_parser.is_done()) {
+        co_await beast::http::async_read_some(stream_, buffer_, request_parser,
+                                              into(error));
+        if (!error && !body_.grow_to(request_parser.get().body().size())) {
+            error = asio::error::no_memory;
+        }
     }
     co_return error;
 }
--- a/pimentoferry/http/connection.hpp
+++ b/pimentoferry/http/connection.hpp
@@ -4,6 +4,7 @@
 #define PIMENTOFERRY_HTTP_CONNECTION_HPP
 
 #include "pimentoferry/base/refusal.hpp"
+#include "pimentoferry/http/byte_budget.hpp"
 #include "pimentoferry/http/server.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -19,6 +20,7 @@
 public:
     connection(boost::asio::ip::tcp::socket socket,
                const server_limits& limits,
+               byte_budget& bodies,
                const handler& handle);
 
     /// Serves requests until the connection closes.
@@ -46,6 +48,8 @@
 
     awaitable<bool> receive_request();
     awaitable<boost::system::error_code> read_request(parser& request_parser);
+    /// Reads the body, whose bytes are taken from the budget.
+    awaitable<boost::system::error_code> read_body(parser& request_parser);
     awaitable<void> continue_if_expected(parser& request_parser);
     awaitable<void> reject(boost::system::error_code error);
     awaitable<void> serve_request();
@@ -62,10 +66,11 @@
     void close();
 
     boost::beast::tcp_stream stream_;
-    /// The limits and the handler belong to the listener, which outlives its
-    /// connections.
+    /// The limits, the budget and the handler belong to the listener, which
+    /// outlives its connections.
     const server_limits& limits_;
     const handler& handle_;
+    byte_reservation body_;
     boost::beast::flat_buffer buffer_;
     boost::asio::steady_timer watch_ended_;
     bool watching_{false};
--- a/pimentoferry/http/server.cpp
+++ b/pimentoferry/http/server.cpp
@@ -1,5 +1,6 @@
 #include "pimentoferry/http/server.hpp"
 
+#include "pimentoferry/http/byte_budget.hpp"
 #include "pimentoferry/http/connection.hpp"
 #include "pimentoferry/http/error_token.hpp"
 #include "pimentoferry/http/unresponsive_peer.hpp"
@@ -38,7 +39,9 @@
              const server_limits& limits,
              handler handle)
         : context_(context), acceptor_(context), limits_(limits),
-          handle_(std::move(handle)) {}
+          handle_(std::move(handle)) {
+        bodies_.set_limit(limits.body_budget_bytes_);
+    }
 
     error_code open(const base::endpoint& address) {
         error_code error;
@@ -94,15 +97,18 @@
 
     std::size_t connection_count() const { return connections_.size(); }
 
-    void set_limits(const server_limits& limits) { limits_ = limits; }
+    void set_limits(const server_limits& limits) {
+        limits_ = limits;
+        bodies_.set_limit(limits.body_budget_bytes_);
+    }
 
 private:
     void start_connection(tcp::socket socket) {
         error_code ignored;
         socket.set_option(tcp::no_delay{true}, ignored);
         detect_unresponsive_peer(socket);
-        const auto accepted =
-            std::make_shared<connection>(std::move(socket), limits_, handle_);
+        const auto accepted = std::make_shared<connection>(
+            std::move(socket), limits_, bodies_, handle_);
         connections_.insert(accepted);
         asio::co_spawn(
             context_, [accepted] { return accepted->run(); },
@@ -114,6 +120,7 @@
     asio::io_context& context_;
     tcp::acceptor acceptor_;
     server_limits limits_;
+    byte_budget bodies_;
     handler handle_;
     std::set<std::shared_ptr<connection>> connections_;
 };
--- a/pimentoferry/http/server.hpp
+++ b/pimentoferry/http/server.hpp
@@ -35,6 +35,9 @@
 
 struct server_limits {
     std::size_t body_bytes_{std::size_t{4} << 20};
+    /// All bodies of requests that are received or served at the same time; 0:
+    /// no limit. A request over it is refused as not run.
+    std::size_t body_budget_bytes_{0};
     std::size_t header_bytes_{std::size_t{16} << 10};
     /// For the head of a request, from its first byte; never more than
     /// `receive_timeout_`.
--- a/pimentoferry/http/server_test.cpp
+++ b/pimentoferry/http/server_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(keeps_the_connection_between_requests);
     CPPUNIT_TEST(refuses_malformed_input);
     CPPUNIT_TEST(refuses_oversized_input);
+    CPPUNIT_TEST(bodies_held_together_are_bounded);
     CPPUNIT_TEST(request_behind_an_ambiguous_body_is_not_read);
     CPPUNIT_TEST(truncated_input_closes_only_its_connection);
     CPPUNIT_TEST(closes_the_connection_of_an_unresponsive_caller);
@@ -69,6 +70,39 @@
         CPPUNIT_ASSERT(contains(text, "third"));
     }
 
+    // Guards against many large bodies that together exceed the memory, and
+    // against a budget that is not returned.
+    void bodies_held_together_are_bounded() {
+        server_limits limits;
+        limits.body_budget_bytes_ = 100;
+        running_server server{echo, limits};
+        const std::string body(60, 'x');
+        const std::string chunked =
+            "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+            "chunked\r\n\r\n3c\r\n" +
+            body + "\r\n";
+        for (int round = 0; round < 3; ++round) {
+            raw_connection holder{server.address()};
+            // The budget counts the whole length from the head on.
+            const auto held = post(body, close_field);
+            holder.send(held.substr(0, held.size() - 1));
+            std::this_thread::sleep_for(std::chrono::milliseconds{100});
+            raw_connection refused{server.address()};
+            refused.send(post(body));
+            const auto answer = refused.receive_all();
+            CPPUNIT_ASSERT_MESSAGE(answer, contains(answer, " 503 "));
+            CPPUNIT_ASSERT(contains(answer, "\"not_run\""));
+            CPPUNIT_ASSERT(contains(answer, "Retry-After"));
+            raw_connection in_chunks{server.address()};
+            in_chunks.send(chunked + "0\r\n\r\n");
+            const auto chunks_answer = in_chunks.receive_all();
+            CPPUNIT_ASSERT_MESSAGE(chunks_answer,
+                                   contains(chunks_answer, " 503 "));
+            holder.send("x");
+            CPPUNIT_ASSERT(contains(holder.receive_all(), " 200 "));
+        }
+    }
+
     // Guards against a request that is smuggled in the body of another one.
     void request_behind_an_ambiguous_body_is_not_read() {
         std::atomic<int> requests{0};
