--- a/pimentoferry/cli/arguments.cpp
+++ b/pimentoferry/cli/arguments.cpp
@@ -14,6 +14,7 @@
     char* settings_{nullptr};
     char* admin_{nullptr};
     char* token_file_{nullptr};
+    char* against_{nullptr};
     long from_{0};
     long limit_{0};
     int json_{0};
@@ -38,11 +39,12 @@
 std::variant<arguments, usage_error> parse_arguments(int argc,
                                                      const char** argv) {
     raw_options raw;
-    const std::array<poptOption, 9> table{{
+    const std::array<poptOption, 10> table{{
         {"settings", 's', POPT_ARG_STRING, &raw.settings_, 0, nullptr, nullptr},
         {"admin", 'a', POPT_ARG_STRING, &raw.admin_, 0, nullptr, nullptr},
         {"token-file", 't', POPT_ARG_STRING, &raw.token_file_, 0, nullptr,
          nullptr},
+        {"against", 0, POPT_ARG_STRING, &raw.against_, 0, nullptr, nullptr},
         {"from", 0, POPT_ARG_LONG, &raw.from_, 0, nullptr, nullptr},
         {"limit", 0, POPT_ARG_LONG, &raw.limit_, 0, nullptr, nullptr},
         {"json", 0, POPT_ARG_NONE, &raw.json_, 0, nullptr, nullptr},
@@ -58,6 +60,7 @@
     args.settings_ = take_string(raw.settings_);
     args.admin_ = take_string(raw.admin_);
     args.token_file_ = take_string(raw.token_file_);
+    args.against_ = take_string(raw.against_);
     args.from_ = raw.from_;
     args.limit_ = raw.limit_;
     args.json_ = raw.json_ != 0;
--- a/pimentoferry/cli/arguments.hpp
+++ b/pimentoferry/cli/arguments.hpp
@@ -17,6 +17,7 @@
     std::string settings_;
     std::string admin_;
     std::string token_file_;
+    std::string against_;
     long from_{0};
     long limit_{0};
     bool json_{false};
--- a/pimentoferry/cli/commands.hpp
+++ b/pimentoferry/cli/commands.hpp
@@ -13,6 +13,7 @@
 int run_entry(const arguments& args);
 int run_gateway(const arguments& args);
 int run_check_gateway(const arguments& args);
+int run_check_configuration(const arguments& args);
 
 } // namespace pimentoferry::cli
 
--- a/pimentoferry/cli/exit_codes.hpp
+++ b/pimentoferry/cli/exit_codes.hpp
@@ -9,6 +9,8 @@
 inline constexpr int exit_refused = 1;
 /// The command line is invalid.
 inline constexpr int exit_usage = 2;
+/// `check-configuration`: a file cannot be read.
+inline constexpr int exit_unreadable = 2;
 /// A drain reached its time limit and aborted the remaining requests.
 inline constexpr int exit_cut_off = 3;
 /// No response arrived; whether the command took effect is unknown.
--- a/pimentoferry/cli/help.cpp
+++ b/pimentoferry/cli/help.cpp
@@ -18,7 +18,7 @@
     "  -a, --admin IP:PORT      administration address of any entry\n"
     "  -t, --token-file FILE    file that holds the administration token\n";
 
-constexpr std::array<command_help, 12> commands{{
+constexpr std::array<command_help, 13> commands{{
     {"entry", "entry --settings FILE",
      "Runs an entry. SIGTERM drains it; a second SIGTERM ends it at once.\n"},
     {"check-settings", "check-settings FILE",
@@ -28,6 +28,11 @@
      "PIMENTOFERRY_SETTINGS. SIGTERM drains it; SIGHUP reloads the file.\n"},
     {"check-gateway", "check-gateway FILE",
      "Checks the settings file of a gateway and reports the first error.\n"},
+    {"check-configuration",
+     "check-configuration FILE [--against FILE] [--json]",
+     "Checks a configuration of the users' platform: errors, entries without "
+     "effect, limits that contradict each other; with --against also what "
+     "it changes. Exit codes: 0 no findings, 1 findings, 2 cannot be read.\n"},
     {"ticket validate", "ticket validate FILE [--admin IP:PORT]",
      "Checks a ticket; with --admin also against the state in force.\n"},
     {"ticket apply", "ticket apply FILE --admin IP:PORT",
--- a/pimentoferry/cli/main.cpp
+++ b/pimentoferry/cli/main.cpp
@@ -20,11 +20,12 @@
     int (*run_)(const cli::arguments&);
 };
 
-constexpr std::array<command, 7> commands{{
+constexpr std::array<command, 8> commands{{
     {"entry", cli::run_entry},
     {"check-settings", cli::run_check_settings},
     {"gateway", cli::run_gateway},
     {"check-gateway", cli::run_check_gateway},
+    {"check-configuration", cli::run_check_configuration},
     {"ticket", cli::run_ticket},
     {"status", cli::run_status},
     {"drain", cli::run_drain},
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -308,6 +308,7 @@
     settings["drain_limit_s"] =
         std::chrono::duration<double>{options_.drain_limit_}.count();
     settings["address_ttl_s"] = 5;
+    settings["call_placement"] = options_.call_placement_;
     settings["retries"]["ratio"] = 0.2;
     settings["retries"]["constant"] = 58;
     settings["retries"]["window_s"] = 10;
--- a/tests/process/gateway_fleet.hpp
+++ b/tests/process/gateway_fleet.hpp
@@ -43,6 +43,8 @@
     std::chrono::milliseconds route_timeout_{4000};
     /// Limit from SIGTERM to the exit of a gateway.
     std::chrono::milliseconds drain_limit_{4000};
+    /// See `call_placement` in the settings of a gateway.
+    std::string call_placement_{"local"};
     /// Without any, requests need no key.
     std::vector<fleet_account> accounts_{};
 };
