--- a/pimentoferry/routing/configuration_check.cpp
+++ b/pimentoferry/routing/configuration_check.cpp
@@ -225,6 +225,12 @@
             {"plain_cost", quota ? std::to_string(quota->plain_cost_) : ""}};
 }
 
+std::string object_name(std::string type, const std::string& name) {
+    type += ' ';
+    type += name;
+    return type;
+}
+
 class comparison {
 public:
     template <class Object>
@@ -234,17 +240,17 @@
         for (const auto& [name, old] : before) {
             const auto found = after.find(name);
             if (found == after.end()) {
-                changes_.push_back(
-                    {change_kind::removed, type + " " + name, "", "", ""});
+                changes_.push_back({change_kind::removed,
+                                    object_name(type, name), "", "", ""});
                 continue;
             }
-            add_fields(type + " " + name, fields_of(old),
+            add_fields(object_name(type, name), fields_of(old),
                        fields_of(found->second));
         }
         for (const auto& [name, added] : after) {
             if (!before.contains(name)) {
                 changes_.push_back(
-                    {change_kind::added, type + " " + name, "", "", ""});
+                    {change_kind::added, object_name(type, name), "", "", ""});
             }
         }
     }
@@ -262,8 +268,8 @@
     }
 
     void add_keys(const std::string& object,
-                  std::set<std::string> before,
-                  std::set<std::string> after) {
+                  const std::set<std::string>& before,
+                  const std::set<std::string>& after) {
         const auto missing_in = [](const std::set<std::string>& keys,
                                    const std::set<std::string>& other) {
             return std::ranges::count_if(
