--- a/pimentoferry/routing/call_scheduler_test.cpp
+++ b/pimentoferry/routing/call_scheduler_test.cpp
@@ -103,7 +103,7 @@
 
     void replicas_get_as_many_calls_as_they_have_places() {
         fill(3);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{3 * (slots + 1)},
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3} * (slots + 1),
                              scheduler_->usage().running_);
         CPPUNIT_ASSERT(scheduler_->request(make_call(1), start_).empty());
         const auto made = release(1003, start_);
