Compute owners once for all changes of members

Change: a member change is only noted, owners are computed with the next tick. call_placement leaves out model services.

--- a/pimentoferry/gateway/account_quotas.cpp
+++ b/pimentoferry/gateway/account_quotas.cpp
@@ -91,6 +91,7 @@
 // Rates that this gateway owns are counted from their first moment on, with
 // what `rates::rate_ledger` allows a new owner.
 void account_quotas::update_owners(base::time_point boot_now) {
+    members_changed_ = false;
     const auto live = peers_.live();
     update_fleet(live.size(), boot_now);
     const auto candidates = membership::strongest(live);
@@ -355,10 +356,6 @@
     take(message.ample_, false);
 }
 
-void account_quotas::member_changed() {
-    update_owners(base::boot_now());
-}
-
 // Tells all gateways which accounts are scarce, at once when one becomes so,
 // and which are no longer.
 void account_quotas::send_levels(base::time_point boot_now) {
@@ -391,8 +388,12 @@
     std::erase_if(bypassed_, [now = base::clock::now()](const auto& entry) {
         return entry.second <= now;
     });
-    // A gateway that left counts as running for some time.
-    update_fleet(fleet_.live(), now);
+    if (members_changed_) {
+        update_owners(now);
+    } else {
+        // A gateway that left counts as running for some time.
+        update_fleet(fleet_.live(), now);
+    }
     for (const auto& id : share_.take_unconfirmed(now)) {
         const auto owner = accounts_.at(base::account_name{id}).owner_;
         bypassed_[owner] = base::clock::now() + owner_bypass_duration;
--- a/pimentoferry/gateway/account_quotas.hpp
+++ b/pimentoferry/gateway/account_quotas.hpp
@@ -95,8 +95,9 @@
     void receive(const credit_reply& message);
     void receive(const account_levels& message);
 
-    /// A gateway joined or left, so that owners may have changed.
-    void member_changed();
+    /// A gateway joined or left, so that owners may have changed. They are
+    /// computed with the next tick, once for all changes.
+    void member_changed() { members_changed_ = true; }
 
     /// Must be called at least every 100 ms.
     void tick();
@@ -160,6 +161,7 @@
     base::time_point started_at_{base::clock::now()};
     base::time_point next_levels_;
     std::uint64_t last_attempt_{0};
+    bool members_changed_{false};
 };
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/gateway/call_placement.cpp
+++ b/pimentoferry/gateway/call_placement.cpp
@@ -211,11 +211,19 @@
         return;
     }
     for (const auto& [name, service] : routes->source().services_) {
+        if (service.engine_) {
+            // A call may still refer to the state of a service that was plain.
+            const auto found = services_.find(name);
+            if (found != services_.end()) {
+                found->second.placeable_ = false;
+            }
+            continue;
+        }
         auto& state = state_of(name);
         const auto usable = registry_view.instances().usable(name, now);
         state.scheduler_.set_domain_price(
             {settings_.other_domains_.delay_, settings_.other_domains_.worth_});
-        state.placeable_ = !service.engine_ && !usable.empty();
+        state.placeable_ = !usable.empty();
         state.places_ = 0;
         for (const auto* each : usable) {
             state.places_ += std::max(each->slots_, 1U);
@@ -226,13 +234,20 @@
 }
 
 void call_placement::member_changed(const membership::member& member) {
+    members_changed_ = true;
+    if (membership::is_live(member.state_)) {
+        return;
+    }
+    for (auto& [name, state] : services_) {
+        deliver(state.scheduler_.gateway_lost(member.instance_,
+                                              base::clock::now()));
+    }
+}
+
+void call_placement::update_owners() {
+    members_changed_ = false;
     gateways_ = peers_.live().size();
-    const bool live = membership::is_live(member.state_);
     for (auto& [name, state] : services_) {
-        if (!live) {
-            deliver(state.scheduler_.gateway_lost(member.instance_,
-                                                  base::clock::now()));
-        }
         update_owner(name, state);
     }
 }
@@ -287,6 +302,9 @@
         return;
     }
     next_tick_ = now + tick_interval;
+    if (members_changed_) {
+        update_owners();
+    }
     for (auto& [name, state] : services_) {
         if (state.owner_ == peers_.self()) {
             deliver(state.scheduler_.tick(now));
--- a/pimentoferry/gateway/call_placement.hpp
+++ b/pimentoferry/gateway/call_placement.hpp
@@ -85,7 +85,8 @@
     /// Takes over the services and replicas of the registry after a change.
     void set_replicas(const registry& registry_view, base::time_point now);
 
-    /// A gateway joined or left.
+    /// A gateway joined or left. Owners are computed with the next tick, once
+    /// for all changes: while hundreds of gateways start, changes are many.
     void member_changed(const membership::member& member);
 
     void receive(base::instance_id from, const service_place_message& message);
@@ -121,6 +122,7 @@
     };
 
     service_state& state_of(const base::service_name& service);
+    void update_owners();
     void update_owner(const base::service_name& service, service_state& state);
     void deliver(const routing::call_scheduler::decisions& decisions);
     void send_to_owner(const service_state& state,
@@ -135,6 +137,7 @@
     std::map<base::attempt_id, std::shared_ptr<pending_place>> pending_;
     std::map<base::attempt_id, local_call> calls_;
     std::size_t gateways_{1};
+    bool members_changed_{false};
     std::uint64_t last_attempt_{0};
     base::time_point next_tick_;
 };
