Log the address and the connection of each send, and skipped answers

Cause: the lines of a request name the instance of each send, not its address, and say nothing about the connection. Whether a refusal was believed that came on the connection of an earlier send could not be seen.

Change: lines `send`, `prefill` and `decode` have `address`; `prefill` and `decode` also say whether a new connection was used. An answer to another request that comes in place of the answer is logged and counted.

--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -217,6 +217,7 @@
          {"service", call_.service_.value_},
          {"configuration", std::to_string(call_.routes_->version())},
          {"instance", replica.id_.value_},
+         {"address", base::to_string(replica.address_)},
          {"send", std::to_string(tried_.size())},
          {"view_ms", shared_.view_age(began)},
          {"limit", shared_.limits_->limit_text(replica.id_)},
--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -129,7 +129,8 @@
         call_.exchange_.call(), send_options_for(engine.id_));
     auto options = options_until(began + prefill_timeout);
     options.body_limit_bytes_ = control_body_limit_bytes;
-    options.fresh_connection_ = needs_fresh_connection(engine.id_);
+    const bool fresh = needs_fresh_connection(engine.id_);
+    options.fresh_connection_ = fresh;
     shared_.statements_->observe(options, call_.request_, engine);
     auto received = co_await shared_.client_.call(
         engine.address_, std::move(request), std::move(options));
@@ -156,6 +157,8 @@
         "prefill",
         {{"request", call_.request_.id_},
          {"instance", engine.id_.value_},
+         {"address", base::to_string(engine.address_)},
+         {"fresh_connection", fresh ? "yes" : "no"},
          {"outcome", text},
          {"view_ms", shared_.view_age(began)},
          {"limit", shared_.limits_->limit_text(engine.id_)},
@@ -267,7 +270,8 @@
     auto limits = options_until(call_.deadline_);
     // The body is relayed event by event, so its total size is not bounded.
     limits.body_limit_bytes_ = std::numeric_limits<std::size_t>::max();
-    limits.fresh_connection_ = needs_fresh_connection(engine.id_);
+    const bool fresh = needs_fresh_connection(engine.id_);
+    limits.fresh_connection_ = fresh;
     shared_.statements_->observe(limits, call_.request_, engine);
     auto opened = co_await shared_.client_.open(
         engine.address_, std::move(request), std::move(limits));
@@ -277,6 +281,8 @@
             "decode",
             {{"request", call_.request_.id_},
              {"instance", engine.id_.value_},
+             {"address", base::to_string(engine.address_)},
+             {"fresh_connection", fresh ? "yes" : "no"},
              {"after_event",
               last_event_sent_ ? std::to_string(*last_event_sent_) : "none"},
              {"outcome", outcome},
--- a/pimentoferry/gateway/upstream_statements.cpp
+++ b/pimentoferry/gateway/upstream_statements.cpp
@@ -32,6 +32,15 @@
 void upstream_statements::observe(http::call_options& options,
                                   const caller_request& request,
                                   routing::instance instance) {
+    options.on_skipped_ = [this, request_id = request.id_,
+                           id = instance.id_](const http::response_head& head) {
+        shared_.metrics_.count_send("skipped_answer",
+                                    std::to_string(head.status_));
+        log::log_warn("answer_skipped",
+                      {{"request", request_id},
+                       {"instance", id.value_},
+                       {"status", std::to_string(head.status_)}});
+    };
     options.on_head_ = [this, &request, instance = std::move(instance),
                         sent_at =
                             base::boot_now()](const http::response_head& head) {
--- a/pimentoferry/http/client.hpp
+++ b/pimentoferry/http/client.hpp
@@ -79,6 +79,8 @@
     /// that does not, such as a repeated response to an earlier call on the
     /// connection, is skipped, and the connection is not used again.
     std::function<bool(const response_head&)> is_answer_;
+    /// Called with the head of each response that `is_answer_` rejects.
+    std::function<void(const response_head&)> on_skipped_;
     /// Called with the head of the response to this call before its body is
     /// read, so also if the body is never complete.
     std::function<void(const response_head&)> on_head_;
--- a/pimentoferry/http/upstream_call.cpp
+++ b/pimentoferry/http/upstream_call.cpp
@@ -210,6 +210,9 @@
             co_return error;
         }
         skipped_any_ = true;
+        if (options_.on_skipped_) {
+            options_.on_skipped_(head_);
+        }
         error = co_await skip_body();
         if (error) {
             co_return error;
