Use a new connection when a request goes to an address again

What callers saw: a booking answered 503, not run, that had run, or run by two replicas; a stream that ran at two engines.

Cause: a refusal that names the request is taken for the answer to its latest send. All sends of a request have its id, so the copy of a refusal passes for the answer to the next send on the same connection. Plain calls had no rule against that; streams used a new connection for an instance that they were sent to before. Connections belong to addresses, and one address is that of two instances while the entry of an ended replica is still known and its successor has its address.

Evidence: with each replica registered under an earlier id as well and a copy before the answer, copied_refusal_of_the_same_call_is_not_believed counted two runs of one call, and copied_refusal_of_the_same_stream_at_its_address two runs of one stream.

Change: routed_call records the addresses a request was sent to, for plain calls, prefills and decodes alike. A further send to one uses a new connection, on which no answer to an earlier send can arrive. It costs one connection for each such send.

The stand-in repeats a rejection with its own status, and also after the answer or right after the rejection.

--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -182,6 +182,8 @@
     if (!idempotent) {
         options.longest_idle_ = max_idle_for_non_idempotent;
     }
+    const bool fresh = call_.needs_fresh_connection(replica.address_);
+    options.fresh_connection_ = fresh;
     options.cancel_ = call_.exchange_.caller_gone();
     options.is_answer_ = [this](const http::response_head& head) {
         return shared_.protocol_.is_answer_to_(call_.request_, head);
@@ -218,6 +220,7 @@
          {"configuration", std::to_string(call_.routes_->version())},
          {"instance", replica.id_.value_},
          {"address", base::to_string(replica.address_)},
+         {"fresh_connection", fresh ? "yes" : "no"},
          {"send", std::to_string(tried_.size())},
          {"view_ms", shared_.view_age(began)},
          {"limit", shared_.limits_->limit_text(replica.id_)},
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -20,6 +20,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -108,6 +109,17 @@
     base::time_point deadline_;
     /// Unset if the configuration has no accounts.
     std::optional<request_account> account_{};
+    /// The addresses to which the request has been sent.
+    std::set<base::endpoint> sent_to_{};
+
+    /// Records a send to the address. Returns whether it needs a new
+    /// connection, because the request was sent there before: all its sends
+    /// bear the same id, so on one connection a copy of the first answer could
+    /// not be told from the second one. Instances do not decide this; an
+    /// address may be that of several.
+    bool needs_fresh_connection(const base::endpoint& address) {
+        return !sent_to_.insert(address).second;
+    }
 
     /// What an upstream is told about the account, see `send_options`.
     std::optional<base::account_name> account_name() const;
--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -103,12 +103,6 @@
     return options;
 }
 
-// All sends of a request bear the same id, so a repeated response to an earlier
-// one could not be told from the response to this one on the same connection.
-bool stream_call::needs_fresh_connection(const base::upstream_name& engine) {
-    return !sent_to_.insert(engine).second;
-}
-
 send_options
 stream_call::send_options_for(const base::upstream_name& engine) const {
     return {engine, time_left(call_, base::clock::now()), last_event_sent_,
@@ -129,7 +123,7 @@
         call_.exchange_.call(), send_options_for(engine.id_));
     auto options = options_until(began + prefill_timeout);
     options.body_limit_bytes_ = control_body_limit_bytes;
-    const bool fresh = needs_fresh_connection(engine.id_);
+    const bool fresh = call_.needs_fresh_connection(engine.address_);
     options.fresh_connection_ = fresh;
     shared_.statements_->observe(options, call_.request_, engine);
     auto received = co_await shared_.client_.call(
@@ -270,7 +264,7 @@
     auto limits = options_until(call_.deadline_);
     // The body is relayed event by event, so its total size is not bounded.
     limits.body_limit_bytes_ = std::numeric_limits<std::size_t>::max();
-    const bool fresh = needs_fresh_connection(engine.id_);
+    const bool fresh = call_.needs_fresh_connection(engine.address_);
     limits.fresh_connection_ = fresh;
     shared_.statements_->observe(limits, call_.request_, engine);
     auto opened = co_await shared_.client_.open(
--- a/pimentoferry/gateway/stream_call.hpp
+++ b/pimentoferry/gateway/stream_call.hpp
@@ -10,7 +10,6 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
 
@@ -106,7 +105,6 @@
     std::optional<routing::instance>
     find_engine(const base::upstream_name& engine) const;
     bool caller_disconnected() const;
-    bool needs_fresh_connection(const base::upstream_name& engine);
     /// The sends that the next placement repeats: its prefill, and its decode
     /// if one has been sent before.
     std::uint32_t repeated_sends() const { return decode_sent_ ? 2 : 1; }
@@ -121,7 +119,6 @@
     std::optional<std::uint64_t> last_event_sent_;
     /// Whether this request has sent any event to the caller.
     bool any_event_sent_{false};
-    std::set<base::upstream_name> sent_to_;
     /// Where the last decode was sent.
     routing::instance decode_engine_;
     base::time_point decode_sent_at_;
--- a/standins/platform_replica.cpp
+++ b/standins/platform_replica.cpp
@@ -90,6 +90,7 @@
         milliseconds{number_or(switches, "event_ms", event_interval_.count())};
     repeat_without_id_ =
         number_or(switches, "repeat_without_id", repeat_without_id_);
+    repeat_when_ = text_or(switches, "repeat_when", repeat_when_);
     crash_on_ = text_or(switches, "crash_on", crash_on_);
     endless_shape_ = text_or(switches, "endless_shape", endless_shape_);
     leaving_ = text_or(switches, "leaving", leaving_);
@@ -209,36 +210,43 @@
         json body{json::object{}};
         co_await call.reply(status_accepted, std::move(body));
     } else if (path.starts_with("/api/kv-handle/")) {
-        record_arrival("release");
-        json body{json::object{}};
-        co_await call.reply(status_ok, std::move(body));
+        co_await release(call);
     } else {
         co_await run(call);
     }
 }
 
+net::awaitable<void> platform_replica::release(exchange& call) {
+    record_arrival("release");
+    json body{json::object{}};
+    co_await call.reply(status_ok, std::move(body));
+}
+
 net::awaitable<void> platform_replica::reject(exchange& call, unsigned status) {
     headers fields{{request_id, call.header(request_id)},
                    {"X-Not-Executed", "1"}};
     add_statements(fields);
     record_arrival("rejected", call);
-    rejected_on_[call.peer_port()] = call.header(request_id);
+    rejected_on_[call.peer_port()] = {call.header(request_id), status};
     std::string type = "text/plain";
     std::string body = "not run";
     co_await call.reply_bytes(status, std::move(type), std::move(body),
                               std::move(fields));
+    co_await repeat_rejection(call, "rejection");
 }
 
-net::awaitable<void> platform_replica::repeat_rejection(exchange& call) {
+net::awaitable<void> platform_replica::repeat_rejection(exchange& call,
+                                                        std::string_view when) {
     const auto rejected = rejected_on_.find(call.peer_port());
-    if (rejected == rejected_on_.end() ||
+    if (when != repeat_when_ || rejected == rejected_on_.end() ||
         !consume_fault(pending_faults_["repeat_next"])) {
         co_return;
     }
-    std::string copy = "HTTP/1.1 503 Service Unavailable\r\n"
+    std::string copy = "HTTP/1.1 " + std::to_string(rejected->second.status_) +
+                       " Rejected\r\n"
                        "X-Not-Executed: 1\r\nContent-Length: 7\r\n";
     if (repeat_without_id_ == 0) {
-        copy += "X-Request-Id: " + rejected->second + "\r\n";
+        copy += "X-Request-Id: " + rejected->second.request_ + "\r\n";
     }
     copy += "\r\nnot run";
     co_await call.write_raw(std::move(copy));
@@ -341,7 +349,7 @@
     const running_guard guard{running_};
     record_run(call);
     const run_end ended{call.header(request_id)};
-    co_await repeat_rejection(call);
+    co_await repeat_rejection(call, "before");
     if (consume_fault(pending_faults_["lose_next"])) {
         call.close_unanswered();
     } else if (consume_fault(pending_faults_["cut_head_next"])) {
@@ -364,6 +372,7 @@
         co_await send_endless(call, std::move(begin));
     } else if (stage_.empty()) {
         co_await answer_plain(call);
+        co_await repeat_rejection(call, "after");
     } else {
         co_await decode(call);
     }
--- a/standins/platform_replica.hpp
+++ b/standins/platform_replica.hpp
@@ -34,7 +34,9 @@
 ///
 /// * `repeat_next`: the next N runs on connections on which a request was
 ///   rejected are answered by a copy of that rejection first, then by the own
-///   answer. With `repeat_without_id`, the copy does not name its request.
+///   answer. With `repeat_without_id`, the copy does not name its request. With
+///   `repeat_when`, the copy comes at another moment: `after` the own answer of
+///   a plain call, or `rejection` (right after the rejection itself).
 /// * `cut_head_next`: the next N runs are answered by a part of a head, after
 ///   which the connection is closed.
 /// * `limit`: requests a second that every answer announces, as text; empty:
@@ -62,6 +64,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pimentoferry::standins {
@@ -74,6 +77,7 @@
 
 private:
     void apply(const json& switches);
+    net::awaitable<void> release(exchange& call);
     net::awaitable<void> run(exchange& call);
     net::awaitable<void> work(exchange& call);
     net::awaitable<void> prefill(exchange& call);
@@ -85,7 +89,9 @@
     net::awaitable<void> send_endless(exchange& call, std::string begin);
     net::awaitable<void> send_endless_shape(exchange& call);
     net::awaitable<void> reject(exchange& call, unsigned status);
-    net::awaitable<void> repeat_rejection(exchange& call);
+    /// Writes a copy of the rejection on this connection if one is due `when`.
+    net::awaitable<void> repeat_rejection(exchange& call,
+                                          std::string_view when);
     headers answer_fields(const exchange& call) const;
     json runs() const;
     json arrivals() const;
@@ -111,8 +117,13 @@
     std::uint64_t order_count_{0};
     std::map<std::string, std::int64_t> runs_;
     std::int64_t repeat_without_id_{0};
-    /// The request last rejected on each connection, by the peer's port.
-    std::map<std::uint16_t, std::string> rejected_on_;
+    std::string repeat_when_{"before"};
+    struct rejection {
+        std::string request_;
+        unsigned status_{0};
+    };
+    /// The last rejection on each connection, by the peer's port.
+    std::map<std::uint16_t, rejection> rejected_on_;
     std::string endless_shape_;
     std::string limit_;
     std::string leaving_; ///< Value of `Server-Leaving`; empty: not sent.
--- a/tests/process/faulty_replica_test.cpp
+++ b/tests/process/faulty_replica_test.cpp
@@ -6,6 +6,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <thread>
@@ -27,6 +28,8 @@
     CPPUNIT_TEST(rejection_without_id_is_no_proof_that_a_call_has_not_run);
     CPPUNIT_TEST(rejection_without_id_does_not_move_a_running_stream);
     CPPUNIT_TEST(repeated_rejection_of_the_same_stream_is_not_believed);
+    CPPUNIT_TEST(copied_refusal_of_the_same_call_is_not_believed);
+    CPPUNIT_TEST(copied_refusal_of_the_same_stream_at_its_address);
     CPPUNIT_TEST(error_of_the_next_engine_does_not_enter_a_stream);
     CPPUNIT_TEST(empty_answer_of_the_next_engine_does_not_end_a_stream);
     CPPUNIT_TEST(head_that_stops_midway_is_no_answer);
@@ -65,6 +68,27 @@
                 caller_fields(path, id, 8000ms)};
     }
 
+    /// Registers each replica under a second id too, as that of an earlier
+    /// instance whose entry has not lapsed.
+    void add_earlier_ids(const std::string& stage) {
+        for (const auto& replica : system_->replicas()) {
+            if (replica.stage_ != stage) {
+                continue;
+            }
+            platform_replica_process earlier;
+            earlier.id_ = "earlier-" + replica.id_;
+            earlier.stage_ = stage;
+            earlier.registered_port_ = replica.registered_port_;
+            system_->register_replica(earlier);
+        }
+        std::this_thread::sleep_for(300ms); // The gateways hear of them.
+    }
+
+    std::size_t rejections() {
+        return static_cast<std::size_t>(std::ranges::count(
+            system_->arrivals(), "rejected", &replica_arrival::kind_));
+    }
+
     /// Makes the plain replica reject a call on a connection that is kept.
     void reject_a_call() {
         set_on("", R"({"reject_next":1})");
@@ -192,6 +216,41 @@
         CPPUNIT_ASSERT(runs_of(id) <= 1);
     }
 
+    // Guards against a call that is refused as not run, or sent to another
+    // replica, while it runs: it was refused at the address under the id of an
+    // earlier instance, and a copy of that refusal came as the second answer.
+    void copied_refusal_of_the_same_call_is_not_believed() {
+        start(2, 1);
+        add_earlier_ids("");
+        for (const std::string when : {"before", "after", "rejection"}) {
+            set_on("", R"({"repeat_next":1000,"repeat_when":")" + when + "\"}");
+            for (int i = 0; i < 20; ++i) {
+                const auto id = next_id();
+                const auto answer = system_->call(0, "/book/1", id);
+                CPPUNIT_ASSERT_EQUAL(status_ok, answer.status_);
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, runs_of(id));
+            }
+        }
+        CPPUNIT_ASSERT(rejections() > 0);
+    }
+
+    // Guards against a stream that goes on at a second engine while the first
+    // one runs it, for the same reason.
+    void copied_refusal_of_the_same_stream_at_its_address() {
+        start(1, 2);
+        add_earlier_ids("decode");
+        set_on("decode", R"({"repeat_next":1000})");
+        for (int i = 0; i < 12; ++i) {
+            const auto id = next_id();
+            auto stream = open_stream("/chat/1", id);
+            (void)stream.rest();
+            CPPUNIT_ASSERT(runs_of(id) <= 1);
+            CPPUNIT_ASSERT(stream.status() != status_unavailable ||
+                           runs_of(id) == 0);
+        }
+        CPPUNIT_ASSERT(rejections() > 0);
+    }
+
     // Guards against the text of an error in the middle of a stream.
     void error_of_the_next_engine_does_not_enter_a_stream() {
         check_cut_streams(R"({"fail_next":5})");
