Take no answer that names a request for the answer to a release

What callers saw: nothing was reported. A prefill could fail because the answer to an earlier release came where its own answer was due.

Cause: a release names no request, and its call accepted any answer. The copy of a refusal on the same connection ended it, and the connection was used again before the own answer to the release had arrived.

Change: the call skips answers that name a request, as orders and reports do.

Measured: found by reading, no test that failed before; the engines' tests pass.

--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -172,6 +172,11 @@
     options.deadline_ = base::clock::now() + release_timeout;
     options.connect_timeout_ = connect_timeout;
     options.body_limit_bytes_ = control_body_limit_bytes;
+    // An answer that names a request is not the answer to a release.
+    options.is_answer_ = [is_answer_to = shared_.protocol_.is_answer_to_](
+                             const http::response_head& head) {
+        return is_answer_to({}, head);
+    };
     asio::co_spawn(
         shared_.io_,
         [&shared = shared_, source,
