--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -232,6 +232,10 @@
     replica.process_.signal(SIGKILL);
     fleet_.restart_replica(replica);
     fleet_.register_replica(replica);
+    // Requests for the earlier id are rejected at the address that both have.
+    if (random_below(2) == 0) {
+        repeat_rejections(replica.port_);
+    }
     schedule(registration_lapse,
              [this, before] { fleet_.withdraw_replica(before); });
 }
@@ -255,6 +259,16 @@
                            "{" + before + "\"" + fault + "\":3}");
 }
 
+void fault_injector::repeat_rejections(std::uint16_t port) {
+    static const std::array<const char*, 3> moments{"before", "after",
+                                                    "rejection"};
+    gateway_fleet::control(
+        port, R"({"repeat_next":20,"repeat_without_id":0,)"
+              R"("repeat_when":")" +
+                  std::string{moments.at(random_below(moments.size()))} +
+                  "\"}");
+}
+
 void fault_injector::pause_replica(std::size_t number) {
     auto& replica = fleet_.replicas()[number];
     if (!paused_replicas_.insert(replica.id_).second) {
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -62,6 +62,8 @@
     void make_replica_leave(std::size_t number);
     void exchange_addresses();
     void replace_replica(std::size_t number);
+    /// Makes a replica write copies of its rejections, with their ids.
+    void repeat_rejections(std::uint16_t port);
     void note_disturbed(std::size_t gateway);
     void note_harmed(std::size_t replica);
     void schedule(milliseconds delay, std::function<void()> work);
