Read the software version of instances and what a stream resumes, and log both

Cause: the registration's version and the caller's Resumes were not read, so no log line showed of which version an instance is, nor which stream a request continues. A stream that goes on at another version could not be told from one whose version was forgotten.

Lines `instance`, `place` and `decode` show them. No decision changes.

--- a/pimentoferry/gateway/registry.cpp
+++ b/pimentoferry/gateway/registry.cpp
@@ -87,6 +87,7 @@
                    {"address", base::to_string(instance.address_)},
                    {"state", instance.draining_ ? "draining" : "ready"},
                    {"stage", stage_text(instance)},
+                   {"software_version", instance.software_version_.value_},
                    {"revision", std::to_string(item.revision_)}});
     const auto id_put = instance.id_;
     const auto result = origin.from_copy_
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -78,6 +78,9 @@
          {"prompt_tokens", std::to_string(request.prompt_tokens_)},
          {"expected_output", std::to_string(request.expected_output_tokens_)},
          {"budget_ms", std::to_string(request.budget_.count())},
+         {"after_event",
+          last_event_sent_ ? std::to_string(*last_event_sent_) : "none"},
+         {"resumes", call_.request_.resumes_.value_or("none")},
          {"prefill", grant != nullptr ? grant->prefill_.value_ : "none"},
          {"decode", grant != nullptr ? grant->decode_.value_ : "none"},
          {"ms", std::to_string(std::chrono::duration_cast<base::milliseconds>(
--- a/pimentoferry/gateway/upstream_protocol.hpp
+++ b/pimentoferry/gateway/upstream_protocol.hpp
@@ -61,6 +61,9 @@
     base::milliseconds patience_{0};
     /// The last event that the caller has of a stream it continues.
     std::optional<std::uint64_t> last_event_;
+    /// The caller's request that brought the first event of the stream that it
+    /// continues; unset if it names none, or several.
+    std::optional<std::string> resumes_;
     std::optional<model_prompt> prompt_;
     credential credential_;
 };
--- a/pimentoferry/routing/instance_table.hpp
+++ b/pimentoferry/routing/instance_table.hpp
@@ -31,6 +31,7 @@
 #define PIMENTOFERRY_ROUTING_INSTANCE_TABLE_HPP
 
 #include "pimentoferry/base/ids.hpp"
+#include "pimentoferry/base/software_version.hpp"
 #include "pimentoferry/base/time.hpp"
 
 #include <cstdint>
@@ -57,6 +58,8 @@
     /// Unix time of its start in ms; 0 if unknown. Distinguishes two runs that
     /// register under the same id.
     std::uint64_t started_at_ms_{0};
+    /// Empty if the registration names none.
+    base::software_version software_version_{};
 
     friend bool operator==(const instance&, const instance&) = default;
 };
