Continue a stream only at the software version that began it

Cause: no part of a gateway knew the version of an instance or which stream a caller continues. A stream that broke off went on at any decode engine. After a kill nobody could know, as nothing was kept outside the gateway that had relayed the first event.

Change: routing::origin_table and version_history keep which version began a stream and which versions may have open ones. gateway::origin_exchange tells two keepers of the service, asks them, and lets a keeper write into the store while more than one version is possible, many streams to a call. A request that continues a stream names the version to the scheduler, whose grants and replacements keep to it; the gateway compares once more before it sends. If the version is unknown and not the only one, the caller is refused (not run); also if no engine has it.

Why this works: the version is fixed with the first event, before it is passed on, and is that of the registration with which the engine was chosen. Nobody guesses: an unknown version counts as none unless a single one was in service for as long as callers return.

--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/directory.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
+#include "pimentoferry/gateway/origin_exchange.hpp"
 #include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/gateway/registration.hpp"
 #include "pimentoferry/gateway/runtime.hpp"
@@ -123,6 +124,7 @@
     call_permits permits_;
     account_quotas quotas_;
     call_placement call_places_;
+    origin_exchange origins_;
     stage_orders orders_;
     caller_service caller_service_;
     asio::signal_set signals_;
@@ -205,6 +207,7 @@
                                                   shared_.settings_.quotas_,
                                                   self.value_),
       call_places_(io_, peers_, shared_.metrics_, shared_.settings_),
+      origins_(io_, peers_, store_, shared_.metrics_),
       orders_(shared_, store_, base::to_hex(self.value_)),
       caller_service_(shared_), signals_(io_, SIGTERM, SIGINT, SIGHUP),
       timer_(io_) {
@@ -216,6 +219,7 @@
     shared_.permits_ = &permits_;
     shared_.quotas_ = &quotas_;
     shared_.call_places_ = &call_places_;
+    shared_.origins_ = &origins_;
     shared_.store_answers_ = &follower_.availability();
 }
 
@@ -288,6 +292,16 @@
     handlers.on_place_reply_ = [this](const routing::place_reply& reply) {
         call_places_.receive(reply);
     };
+    handlers.on_began_streams_ = [this](const began_streams& message) {
+        origins_.receive(message);
+    };
+    handlers.on_origin_query_ = [this](base::instance_id from,
+                                       const origin_query& query) {
+        origins_.receive(from, query);
+    };
+    handlers.on_origin_reply_ = [this](const origin_reply& reply) {
+        origins_.receive(reply);
+    };
     handlers.on_member_ = [this](const membership::member& member) {
         placement_.member_changed(member);
         limits_.member_changed(base::clock::now());
@@ -367,6 +381,7 @@
     for (const auto& change : changes) {
         if (const auto* written = std::get_if<store::item_written>(&change)) {
             crashes_.receive(written->item_);
+            origins_.receive(written->item_);
         }
         const auto affected = shared_.registry_.apply(change, received, now);
         configuration_changed =
@@ -383,6 +398,7 @@
     if (configuration_changed || instances_changed) {
         placement_.set_engines(shared_.registry_, now);
         call_places_.set_replicas(shared_.registry_, now);
+        origins_.set_instances(shared_.registry_, now);
     }
     if (!changes.empty()) {
         update_seeds();
@@ -392,6 +408,7 @@
 void gateway_process::on_store_restored() {
     registration_.forget();
     orders_.forget_claims();
+    origins_.forget_records();
 }
 
 void gateway_process::update_seeds() {
@@ -582,6 +599,7 @@
     permits_.tick(now);
     quotas_.tick();
     call_places_.tick(now);
+    origins_.tick(shared_.registry_, follower_.replica(), now);
     orders_.note_era(follower_.replica().current().era_);
     if (drain_began_) {
         stop_when_idle(now);
--- /dev/null
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -0,0 +1,362 @@
+#include "pimentoferry/gateway/origin_exchange.hpp"
+
+#include "pimentoferry/base/hash.hpp"
+#include "pimentoferry/log/log.hpp"
+#include "pimentoferry/membership/ownership.hpp"
+#include "pimentoferry/wire/codec.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <ranges>
+
+namespace pimentoferry::gateway {
+
+namespace {
+
+constexpr const char* versions_key = "pimentoferry/software-versions";
+constexpr const char* streams_prefix = "pimentoferry/stream-origins/";
+// A ring of this many writes, one each interval, reaches back as far as streams
+// are continued.
+constexpr std::size_t ring_size = 128;
+constexpr base::milliseconds review_interval{500};
+constexpr std::size_t max_streams_in_write = 2000;
+// Tolerates the loss of one keeper together with the gateway of a stream.
+constexpr std::size_t keeper_count = 2;
+constexpr base::milliseconds query_timeout{150};
+// If what one keeper has to write is still missing in the store after this
+// time, the next one writes it.
+constexpr base::milliseconds turn{2000};
+// Callers continue a stream until their deadline, which is about the limit of
+// its route.
+constexpr int kept_route_timeouts = 2;
+constexpr base::milliseconds least_keep{30'000};
+
+std::uint64_t stream_hash(const base::service_name& service,
+                          const std::string& request) {
+    return base::hash_combine(base::hash_bytes(service.value_),
+                              base::hash_bytes(request));
+}
+
+/// Adds one stream to the groups of a message.
+void append(std::vector<routing::streams_of_version>& groups,
+            const base::software_version& version,
+            std::uint64_t stream) {
+    const auto found = std::ranges::find(
+        groups, version, &routing::streams_of_version::version_);
+    if (found == groups.end()) {
+        groups.push_back({version, {stream}});
+    } else {
+        found->streams_.push_back(stream);
+    }
+}
+
+std::string slot_key(std::size_t slot) {
+    return streams_prefix + std::to_string(slot);
+}
+
+store::revision revision_of(const store::mirror& replica,
+                            const std::string& key) {
+    const auto found = replica.items().find(key);
+    return found == replica.items().end() ? 0 : found->second.revision_;
+}
+
+/// The slot of the ring that was written first, or not yet.
+std::string oldest_slot(const store::mirror& replica) {
+    const auto slots =
+        std::views::iota(std::size_t{0}, ring_size) |
+        std::views::transform([](std::size_t slot) { return slot_key(slot); });
+    return std::ranges::min(slots, {}, [&replica](const std::string& key) {
+        return revision_of(replica, key);
+    });
+}
+
+} // namespace
+
+std::vector<base::instance_id>
+origin_exchange::keepers_of(const base::service_name& service) const {
+    const auto shard =
+        static_cast<std::uint32_t>(base::hash_bytes(service.value_));
+    auto candidates = membership::shard_candidates(shard, peers_.live());
+    candidates.resize(std::min(candidates.size(), keeper_count));
+    return candidates;
+}
+
+void origin_exchange::began(const base::service_name& service,
+                            const std::string& request,
+                            const base::software_version& version) {
+    const auto now = base::clock::now();
+    auto& state = services_[service];
+    const auto stream = stream_hash(service, request);
+    if (state.origins_.add(stream, version, now)) {
+        state.own_.push_back({now, version, stream});
+        append(state.untold_, version, stream);
+    }
+}
+
+http::awaitable<stream_origin>
+origin_exchange::resolve(base::service_name service,
+                         std::optional<std::string> request) {
+    const auto now = base::clock::now();
+    auto& state = services_[service];
+    stream_origin origin = unknown_origin{};
+    std::string_view source = "unknown";
+    const auto stream = request ? stream_hash(service, *request) : 0;
+    if (const auto only = state.history_.only(now, keep_)) {
+        origin = known_origin{*only};
+        source = "only_version";
+    } else if (const auto version =
+                   request ? state.origins_.find(stream) : std::nullopt) {
+        origin = known_origin{*version};
+        source = "own_table";
+    } else if (request) {
+        origin = co_await ask_keepers(service, stream);
+        source =
+            std::holds_alternative<known_origin>(origin) ? "keeper" : "unknown";
+    }
+    const auto* known = std::get_if<known_origin>(&origin);
+    if (known != nullptr && request) {
+        state.origins_.add(stream, known->version_, now);
+    }
+    counters_.count_send("stream_origin", source);
+    log::log_info(
+        "stream_origin",
+        {{"resumes", request.value_or("none")},
+         {"service", service.value_},
+         {"version", known != nullptr ? known->version_.value_ : "unknown"},
+         {"source", std::string{source}},
+         {"ms", std::to_string(base::age_ms(now, base::clock::now()))}});
+    co_return origin;
+}
+
+http::awaitable<stream_origin>
+origin_exchange::ask_keepers(base::service_name service, std::uint64_t stream) {
+    const base::attempt_id id{peers_.self(), ++last_query_};
+    auto pending = std::make_shared<pending_query>(io_);
+    queries_.emplace(id, pending);
+    auto keepers = keepers_of(service);
+    std::erase(keepers, peers_.self());
+    std::ranges::for_each(keepers, [&](base::instance_id keeper) {
+        peers_.send(keeper, origin_query{id, service, stream});
+    });
+    const auto until = base::clock::now() + query_timeout;
+    while (!pending->version_ && pending->replies_ < keepers.size() &&
+           base::clock::now() < until) {
+        co_await pending->signal_.wait_until(until);
+    }
+    queries_.erase(id);
+    if (pending->version_) {
+        co_return known_origin{*pending->version_};
+    }
+    co_return unknown_origin{pending->replies_ < keepers.size()};
+}
+
+void origin_exchange::set_instances(const registry& registry_view,
+                                    base::time_point now) {
+    const auto routes = registry_view.routes();
+    if (!routes) {
+        return;
+    }
+    keep_ = least_keep;
+    std::ranges::for_each(
+        routes->source().routes_, [this](const routing::route& route) {
+            if (route.kind_ == routing::call_kind::stream) {
+                keep_ = std::max(keep_, route.timeout_ * kept_route_timeouts);
+            }
+        });
+    for (const auto& [name, service] : routes->source().services_) {
+        if (!service.engine_) {
+            continue;
+        }
+        auto& state = services_[name];
+        std::ranges::for_each(registry_view.instances().usable(name, now),
+                              [&](const routing::instance* each) {
+                                  state.history_.seen(each->software_version_,
+                                                      now);
+                              });
+    }
+}
+
+void origin_exchange::receive(const began_streams& message) {
+    const auto now = base::clock::now();
+    auto& state = services_[message.service_];
+    for (const auto& group : message.groups_) {
+        std::ranges::for_each(group.streams_, [&](std::uint64_t stream) {
+            state.origins_.add(stream, group.version_, now);
+        });
+    }
+}
+
+void origin_exchange::receive(base::instance_id from,
+                              const origin_query& query) {
+    peers_.send(from,
+                origin_reply{query.id_, services_[query.service_].origins_.find(
+                                            query.stream_)});
+}
+
+void origin_exchange::receive(const origin_reply& reply) {
+    const auto found = queries_.find(reply.id_);
+    if (found == queries_.end()) {
+        return;
+    }
+    ++found->second->replies_;
+    if (reply.version_) {
+        found->second->version_ = reply.version_;
+    }
+    found->second->signal_.wake();
+}
+
+void origin_exchange::receive(const store::item& item) {
+    const auto now = base::clock::now();
+    if (item.key_ == versions_key) {
+        const auto decoded = wire::decode<versions_in_use>(item.value_);
+        if (const auto* record = std::get_if<versions_in_use>(&decoded)) {
+            std::ranges::for_each(
+                record->services_, [&](const service_versions& each) {
+                    services_[each.service_].history_.load(each.versions_, now);
+                });
+            return;
+        }
+    } else if (item.key_.starts_with(streams_prefix)) {
+        const auto decoded = wire::decode<began_streams>(item.value_);
+        if (const auto* message = std::get_if<began_streams>(&decoded)) {
+            receive(*message);
+            auto& origins = services_[message->service_].origins_;
+            for (const auto& group : message->groups_) {
+                std::ranges::for_each(group.streams_,
+                                      [&origins](std::uint64_t stream) {
+                                          origins.set_recorded(stream);
+                                      });
+            }
+            return;
+        }
+    } else {
+        return;
+    }
+    log::log_warn(
+        "stream_origins_unreadable",
+        {{"key", item.key_}, {"revision", std::to_string(item.revision_)}});
+}
+
+// A keeper that has just become one is told of all streams that may still be
+// continued.
+void origin_exchange::tell_keepers(const base::service_name& service,
+                                   service_state& state) {
+    const auto keepers = keepers_of(service);
+    for (const auto keeper : keepers) {
+        began_streams message{service, state.untold_};
+        if (std::ranges::count(state.keepers_, keeper) == 0) {
+            message.groups_.clear();
+            std::ranges::for_each(state.own_, [&](const own_stream& each) {
+                append(message.groups_, each.version_, each.stream_);
+            });
+        }
+        if (keeper != peers_.self() && !message.groups_.empty()) {
+            peers_.send(keeper, std::move(message));
+        }
+    }
+    state.keepers_ = keepers;
+    state.untold_.clear();
+}
+
+void origin_exchange::forget_old_streams(base::time_point now) {
+    std::size_t versions = 0;
+    for (auto& [service, state] : services_) {
+        state.origins_.expire(now - keep_);
+        while (!state.own_.empty() && state.own_.front().began_ < now - keep_) {
+            state.own_.pop_front();
+        }
+        versions =
+            std::max(versions, state.history_.possible(now, keep_).size());
+    }
+    counters_.set_gauge("software_versions", static_cast<double>(versions));
+}
+
+void origin_exchange::forget_records() {
+    for (auto& [service, state] : services_) {
+        state.origins_.clear_recorded();
+    }
+}
+
+void origin_exchange::tick(const registry& registry_view,
+                           const store::mirror& replica,
+                           base::time_point now) {
+    const bool review = now >= next_review_;
+    for (auto& [service, state] : services_) {
+        if (!state.untold_.empty() || (review && !state.own_.empty())) {
+            tell_keepers(service, state);
+        }
+    }
+    if (!review) {
+        return;
+    }
+    next_review_ = now + review_interval;
+    set_instances(registry_view, now);
+    forget_old_streams(now);
+    write_versions(replica, now);
+    write_streams(replica, now);
+}
+
+void origin_exchange::write(std::string key,
+                            std::string value,
+                            const store::mirror& replica) {
+    write_pending_ = true;
+    const auto expected = revision_of(replica, key);
+    store_.submit({store::token{1}, store::put{std::move(key), std::move(value),
+                                               expected, store::lease_id{}}},
+                  [this](const store::result& result) {
+                      write_pending_ = false;
+                      const bool done = std::holds_alternative<store::written>(
+                          result.outcome_);
+                      counters_.count_store_call("stream_origins",
+                                                 done ? "ok" : "unavailable");
+                  });
+}
+
+void origin_exchange::write_versions(const store::mirror& replica,
+                                     base::time_point now) {
+    versions_in_use known;
+    for (const auto& [service, state] : services_) {
+        auto versions = state.history_.possible(now, keep_);
+        if (!versions.empty()) {
+            known.services_.push_back({service, std::move(versions)});
+        }
+    }
+    const auto stored = replica.items().find(versions_key);
+    auto value = wire::encode(known);
+    if (known.services_.empty() ||
+        (stored != replica.items().end() && stored->second.value_ == value)) {
+        versions_differ_since_.reset();
+        return;
+    }
+    versions_differ_since_ = versions_differ_since_.value_or(now);
+    const auto writers = keepers_of(base::service_name{versions_key});
+    const auto rank =
+        std::ranges::find(writers, peers_.self()) - writers.begin();
+    if (write_pending_ || rank == static_cast<std::ptrdiff_t>(writers.size()) ||
+        now - *versions_differ_since_ < turn * rank) {
+        return;
+    }
+    write(versions_key, std::move(value), replica);
+}
+
+void origin_exchange::write_streams(const store::mirror& replica,
+                                    base::time_point now) {
+    for (auto& [service, state] : services_) {
+        const bool mixed = state.history_.possible(now, keep_).size() > 1;
+        const auto writers = keepers_of(service);
+        const auto rank =
+            std::ranges::find(writers, peers_.self()) - writers.begin();
+        if (write_pending_ || !mixed ||
+            rank == static_cast<std::ptrdiff_t>(writers.size())) {
+            continue;
+        }
+        began_streams message{
+            service,
+            state.origins_.unrecorded(max_streams_in_write, now - turn * rank)};
+        if (!message.groups_.empty()) {
+            write(oldest_slot(replica), wire::encode(message), replica);
+        }
+    }
+}
+
+} // namespace pimentoferry::gateway
--- /dev/null
+++ b/pimentoferry/gateway/origin_exchange.hpp
@@ -0,0 +1,149 @@
+/// Shares among the gateways which software version began each stream, so that
+/// a stream goes on only at that version, whichever gateway its caller comes
+/// to.
+///
+///     exchange.began(service, request, version);       // first event relayed
+///     auto origin = co_await exchange.resolve(service, resumed_request);
+///
+/// Each service has two keepers among the gateways, computed from the members.
+/// A gateway tells both of the streams that it began, every 50 ms, and asks
+/// both when a caller continues a stream that it does not know. If all gateways
+/// that know a stream are killed, the store still does: while several versions
+/// may have begun streams, a keeper writes those that are not written yet, many
+/// to a call, into a ring of keys that every gateway follows. While only one
+/// version is possible, every stream is known to be of it, and nothing is
+/// written but the list of the possible versions.
+///
+/// Alternatives considered: the owner of a service's scheduler alone is lost
+/// together with the gateway that owned the stream in one of three kills of a
+/// third of the fleet; a note to all gateways grows with the square of the
+/// fleet; one write for each stream exceeds what the store accepts.
+#ifndef PIMENTOFERRY_GATEWAY_ORIGIN_EXCHANGE_HPP
+#define PIMENTOFERRY_GATEWAY_ORIGIN_EXCHANGE_HPP
+
+#include "pimentoferry/base/ids.hpp"
+#include "pimentoferry/base/software_version.hpp"
+#include "pimentoferry/base/time.hpp"
+#include "pimentoferry/gateway/metrics.hpp"
+#include "pimentoferry/gateway/peers.hpp"
+#include "pimentoferry/gateway/registry.hpp"
+#include "pimentoferry/http/awaitable.hpp"
+#include "pimentoferry/http/mailbox.hpp"
+#include "pimentoferry/routing/stream_origins.hpp"
+#include "pimentoferry/store/http_store.hpp"
+#include "pimentoferry/store/mirror.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace pimentoferry::gateway {
+
+struct known_origin {
+    base::software_version version_;
+};
+/// It is not known which version began the stream.
+struct unknown_origin {
+    /// A keeper did not reply, so it may be known later.
+    bool keeper_silent_{false};
+};
+using stream_origin = std::variant<known_origin, unknown_origin>;
+
+class origin_exchange {
+public:
+    origin_exchange(boost::asio::io_context& io,
+                    peers& peer_gateways,
+                    store::http_store& store,
+                    metrics& counters)
+        : io_(io), peers_(peer_gateways), store_(store), counters_(counters) {}
+
+    /// The first event of a new stream arrived from an instance of `version`.
+    void began(const base::service_name& service,
+               const std::string& request,
+               const base::software_version& version);
+
+    /// The version that began a stream. `request` is the caller's request that
+    /// brought its first event; unset if the caller names none.
+    http::awaitable<stream_origin> resolve(base::service_name service,
+                                           std::optional<std::string> request);
+
+    /// Notes the versions that are in use after a change of the registry.
+    void set_instances(const registry& registry_view, base::time_point now);
+
+    void receive(const began_streams& message);
+    void receive(base::instance_id from, const origin_query& query);
+    void receive(const origin_reply& reply);
+    /// Takes over what the store keeps.
+    void receive(const store::item& item);
+
+    /// The store has come back from an older copy, so what was written since
+    /// may be missing.
+    void forget_records();
+
+    /// Must be called at least every 100 ms.
+    void tick(const registry& registry_view,
+              const store::mirror& replica,
+              base::time_point now);
+
+private:
+    struct own_stream {
+        base::time_point began_;
+        base::software_version version_;
+        std::uint64_t stream_{0};
+    };
+    struct service_state {
+        routing::origin_table origins_;
+        routing::version_history history_;
+        /// Streams of this gateway, the oldest first.
+        std::deque<own_stream> own_;
+        /// Streams of this gateway that its keepers have not been told.
+        std::vector<routing::streams_of_version> untold_;
+        std::vector<base::instance_id> keepers_;
+    };
+    /// A query of this gateway that waits for its replies.
+    struct pending_query {
+        explicit pending_query(boost::asio::io_context& io) : signal_(io) {}
+
+        http::wake_signal signal_;
+        std::size_t replies_{0};
+        std::optional<base::software_version> version_;
+    };
+
+    std::vector<base::instance_id>
+    keepers_of(const base::service_name& service) const;
+    http::awaitable<stream_origin> ask_keepers(base::service_name service,
+                                               std::uint64_t stream);
+    void tell_keepers(const base::service_name& service, service_state& state);
+    void forget_old_streams(base::time_point now);
+    void write_streams(const store::mirror& replica, base::time_point now);
+    void write_versions(const store::mirror& replica, base::time_point now);
+    void
+    write(std::string key, std::string value, const store::mirror& replica);
+
+    boost::asio::io_context& io_;
+    peers& peers_;
+    store::http_store& store_;
+    metrics& counters_;
+    std::map<base::service_name, service_state> services_;
+    std::map<base::attempt_id, std::shared_ptr<pending_query>> queries_;
+    std::uint64_t last_query_{0};
+    /// See `routing::version_history`.
+    base::milliseconds keep_{0};
+    base::time_point next_review_;
+    bool write_pending_{false};
+    /// Since when the record of the versions differs from what is known here.
+    std::optional<base::time_point> versions_differ_since_;
+};
+
+} // namespace pimentoferry::gateway
+
+#endif
--- a/pimentoferry/gateway/peers.cpp
+++ b/pimentoferry/gateway/peers.cpp
@@ -290,7 +290,10 @@
             },
             [&](const routing::place_reply& m) {
                 handlers_.on_place_reply_(m);
-            }},
+            },
+            [&](const began_streams& m) { handlers_.on_began_streams_(m); },
+            [&](const origin_query& m) { handlers_.on_origin_query_(from, m); },
+            [&](const origin_reply& m) { handlers_.on_origin_reply_(m); }},
         received.message_);
 }
 
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -19,6 +19,7 @@
 #include "pimentoferry/placement/stream_messages.hpp"
 #include "pimentoferry/requests/permit_queue.hpp"
 #include "pimentoferry/routing/call_messages.hpp"
+#include "pimentoferry/routing/stream_origins.hpp"
 #include "pimentoferry/store/mirror.hpp"
 #include "pimentoferry/wire/peer_channel.hpp"
 
@@ -281,6 +282,56 @@
     }
 };
 
+/// Streams that the sender's callers began, see `origin_exchange`.
+struct began_streams {
+    base::service_name service_;
+    std::vector<routing::streams_of_version> groups_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.service_, self.groups_);
+    }
+};
+
+/// Asks a keeper which version began a stream.
+struct origin_query {
+    base::attempt_id id_; ///< Of the query.
+    base::service_name service_;
+    std::uint64_t stream_{0};
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.id_, self.service_, self.stream_);
+    }
+};
+
+struct origin_reply {
+    base::attempt_id id_;
+    /// Unset if the keeper does not know the stream.
+    std::optional<base::software_version> version_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.id_, self.version_);
+    }
+};
+
+struct service_versions {
+    base::service_name service_;
+    std::vector<base::software_version> versions_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.service_, self.versions_);
+    }
+};
+
+/// The versions that may have begun streams which still go on. Kept in the
+/// store.
+struct versions_in_use {
+    std::vector<service_versions> services_;
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.services_);
+    }
+};
+
 /// New alternatives are added at the end.
 using peer_message = std::variant<membership::message,
                                   replica_position,
@@ -301,7 +352,10 @@
                                   credit_reply,
                                   account_levels,
                                   service_place_message,
-                                  routing::place_reply>;
+                                  routing::place_reply,
+                                  began_streams,
+                                  origin_query,
+                                  origin_reply>;
 
 struct peer_handlers {
     /// Returns the changes in this gateway's replica after `since`.
@@ -333,6 +387,10 @@
     std::function<void(base::instance_id from, const service_place_message&)>
         on_place_message_;
     std::function<void(const routing::place_reply&)> on_place_reply_;
+    std::function<void(const began_streams&)> on_began_streams_;
+    std::function<void(base::instance_id from, const origin_query&)>
+        on_origin_query_;
+    std::function<void(const origin_reply&)> on_origin_reply_;
     /// A gateway joined or left, began to drain, or is suspected or dead.
     std::function<void(const membership::member&)> on_member_;
 };
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -43,6 +43,7 @@
 class call_permits;
 class account_quotas;
 class call_placement;
+class origin_exchange;
 
 struct runtime {
     runtime(boost::asio::io_context& io,
@@ -83,6 +84,7 @@
     call_permits* permits_{nullptr};
     account_quotas* quotas_{nullptr};
     call_placement* call_places_{nullptr};
+    origin_exchange* origins_{nullptr};
     const store::availability* store_answers_{nullptr};
     /// When the process ends at the latest; unset unless it drains.
     std::optional<base::time_point> ends_at_;
--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -4,6 +4,7 @@
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/event_splitter.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
+#include "pimentoferry/gateway/origin_exchange.hpp"
 #include "pimentoferry/gateway/upstream_check.hpp"
 #include "pimentoferry/gateway/upstream_statements.hpp"
 #include "pimentoferry/http/proxy.hpp"
@@ -236,6 +237,11 @@
             shared_.streams_->decode_started(attempt);
             shared_.crashes_->answer_began(call_.request_.id_,
                                            parts_of(call_.request_));
+            if (!resumed()) {
+                origin_ = decode_engine_.software_version_;
+                shared_.origins_->began(call_.service_, call_.request_.id_,
+                                        *origin_);
+            }
             if (!any_event_sent_) {
                 shared_.metrics_.observe_first_event(
                     std::chrono::duration_cast<base::milliseconds>(
@@ -365,7 +371,12 @@
         if (!is_authorized(shared_, call_)) {
             co_return stream_not_run{"the key was taken away"};
         }
-        if (engine) {
+        // The owner may have another view of the engines.
+        if (engine && resumed() && engine->software_version_ != origin_) {
+            outcome =
+                stream_not_run{"the decode engine has another software version",
+                               placement::decode_rejection::other_version};
+        } else if (engine) {
             outcome =
                 co_await send_decode(*engine, source, grant.attempt_, guard);
         }
--- a/pimentoferry/gateway/stream_call.hpp
+++ b/pimentoferry/gateway/stream_call.hpp
@@ -96,6 +96,14 @@
     http::awaitable<void> finish(stream_outcome outcome);
     http::awaitable<void>
     refuse_placement(const placement::stream_refusal& refused);
+    /// Refuses to continue a stream if it is not known which version began it.
+    http::awaitable<void> refuse_unknown_origin(bool may_be_known_later);
+    /// Whether the caller has events of the stream.
+    bool resumed() const {
+        return any_event_sent_ || call_.request_.last_event_;
+    }
+    /// Whether an instance of that version is registered.
+    bool is_in_service(const base::software_version& version) const;
     http::awaitable<void> examine_lost_answer(routing::instance engine);
     bool may_continue(const stream_outcome& outcome) const;
     /// How long requests like this one are refused; unset if they are not.
@@ -117,6 +125,9 @@
     bool decode_sent_{false};
     /// Id of the last event sent to the caller.
     std::optional<std::uint64_t> last_event_sent_;
+    /// The version that began the stream. Unset before the first event of a
+    /// new one.
+    std::optional<base::software_version> origin_;
     /// Whether this request has sent any event to the caller.
     bool any_event_sent_{false};
     /// Where the last decode was sent.
--- a/pimentoferry/gateway/stream_placement.cpp
+++ b/pimentoferry/gateway/stream_placement.cpp
@@ -131,6 +131,7 @@
     announcement.prompt_tokens_ = request.prompt_tokens_;
     announcement.max_output_tokens_ = request.max_output_tokens_;
     announcement.expected_output_tokens_ = request.expected_output_tokens_;
+    announcement.software_version_ = request.software_version_;
     services_[service].scheduler_.stream_announced(announcement,
                                                    base::clock::now());
     streams_.insert_or_assign(
@@ -346,7 +347,8 @@
                         : placement::engine_role::decode;
                 engines.push_back({each->id_, role, each->failure_domain_,
                                    service.engine_->slots_,
-                                   service.engine_->kv_tokens_});
+                                   service.engine_->kv_tokens_,
+                                   each->software_version_});
             }
         }
         auto& state = services_[name];
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -2,6 +2,7 @@
 
 #include "pimentoferry/base/hash.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
+#include "pimentoferry/gateway/origin_exchange.hpp"
 #include "pimentoferry/gateway/stream_call.hpp"
 #include "pimentoferry/http/proxy.hpp"
 #include "pimentoferry/log/log.hpp"
@@ -17,6 +18,8 @@
 constexpr std::uint32_t max_placements = 3;
 
 constexpr base::milliseconds no_engine_retry_after{1500};
+// By then the loss of a gateway is known, and others keep what it kept.
+constexpr base::milliseconds unknown_origin_retry_after{1000};
 // Allows for the delivery to the caller and for the error of the prefill
 // estimate.
 constexpr base::milliseconds patience_margin{400};
@@ -60,6 +63,7 @@
     request.time_left_ = time_left(call_, now);
     request.retry_window_ = shared_.protocol_.retry_window_(request.time_left_);
     request.priority_ = call_.priority();
+    request.software_version_ = origin_;
     if (call_.account_ && call_.account_->key_) {
         const auto& account = call_.account_->account_;
         request.account_ = base::hash_bytes(account.name_.value_);
@@ -81,6 +85,7 @@
          {"after_event",
           last_event_sent_ ? std::to_string(*last_event_sent_) : "none"},
          {"resumes", call_.request_.resumes_.value_or("none")},
+         {"software_version", origin_ ? origin_->value_ : "any"},
          {"prefill", grant != nullptr ? grant->prefill_.value_ : "none"},
          {"decode", grant != nullptr ? grant->decode_.value_ : "none"},
          {"ms", std::to_string(std::chrono::duration_cast<base::milliseconds>(
@@ -144,6 +149,15 @@
     auto& budget = shared_.retries(call_.service_);
     budget.note_request(call_.arrived_);
     last_event_sent_ = call_.request_.last_event_;
+    if (last_event_sent_) {
+        const auto origin = co_await shared_.origins_->resolve(
+            call_.service_, call_.request_.resumes_);
+        if (const auto* unknown = std::get_if<unknown_origin>(&origin)) {
+            co_await refuse_unknown_origin(unknown->keeper_silent_);
+            co_return;
+        }
+        origin_ = std::get<known_origin>(origin).version_;
+    }
     stream_outcome outcome = stream_not_run{"no place"};
     for (std::uint32_t i = 0; i < max_placements; ++i) {
         const bool is_retry = i > 0;
@@ -192,6 +206,25 @@
     co_await finish(std::move(outcome));
 }
 
+// A caller that waits learns nothing new, unless a gateway was out of reach.
+http::awaitable<void>
+stream_call::refuse_unknown_origin(bool may_be_known_later) {
+    base::refusal refusal{
+        base::refusal_code::no_upstream, base::ran_state::not_run,
+        may_be_known_later ? std::optional{unknown_origin_retry_after}
+                           : std::nullopt,
+        "the software version that began the stream is not known"};
+    co_await refuse(shared_, call_, std::move(refusal));
+}
+
+bool stream_call::is_in_service(const base::software_version& version) const {
+    return std::ranges::any_of(shared_.registry_.instances().usable(
+                                   call_.service_, base::clock::now()),
+                               [&version](const routing::instance* each) {
+                                   return each->software_version_ == version;
+                               });
+}
+
 http::awaitable<void>
 stream_call::refuse_placement(const placement::stream_refusal& refused) {
     using reason = placement::refusal_reason;
@@ -201,6 +234,13 @@
     if (refused.reason_ == reason::no_engine) {
         refusal.code_ = base::refusal_code::no_upstream;
         refusal.detail_ = "no engine serves";
+    } else if (refused.reason_ == reason::no_version) {
+        refusal.code_ = base::refusal_code::no_upstream;
+        refusal.detail_ =
+            "no engine of the version that began the stream serves";
+        if (origin_ && !is_in_service(*origin_)) {
+            refusal.retry_after_ = std::nullopt;
+        }
     } else if (refused.reason_ == reason::limited) {
         refusal.code_ = base::refusal_code::upstream_limited;
         refusal.detail_ = "the engines with room accept no more requests yet";
--- a/pimentoferry/placement/stream_engines.cpp
+++ b/pimentoferry/placement/stream_engines.cpp
@@ -156,6 +156,8 @@
     for (auto& [id, state] : engines_) {
         if (!state.serves(engine_role::decode, now) || !may_be_sent(id, now) ||
             state.streams_.size() >= state.engine_.slots_ ||
+            (stream.software_version_ &&
+             state.engine_.software_version_ != *stream.software_version_) ||
             (limit.no_prefills_running_ && state.prefill_.prompts() > 0)) {
             continue;
         }
@@ -206,6 +208,16 @@
     });
 }
 
+bool stream_scheduler::has_decode_engine_for(
+    const stream_request& request) const {
+    return std::ranges::any_of(engines_, [&request](const auto& entry) {
+        const auto& engine = entry.second.engine_;
+        return engine.role_ == engine_role::decode &&
+               (!request.software_version_ ||
+                engine.software_version_ == *request.software_version_);
+    });
+}
+
 bool stream_scheduler::fits_any_engine(const stream_request& request) const {
     return std::ranges::any_of(engines_, [&](const auto& entry) {
         const auto& engine = entry.second.engine_;
--- a/pimentoferry/placement/stream_messages.hpp
+++ b/pimentoferry/placement/stream_messages.hpp
@@ -7,9 +7,11 @@
 #define PIMENTOFERRY_PLACEMENT_STREAM_MESSAGES_HPP
 
 #include "pimentoferry/base/ids.hpp"
+#include "pimentoferry/base/software_version.hpp"
 #include "pimentoferry/base/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <tuple>
 #include <variant>
 
@@ -37,6 +39,8 @@
     std::uint64_t account_{0}; ///< Hash of the account's name; 0: none.
     /// Relative share of the account in scarce engine memory.
     std::uint32_t account_weight_{1};
+    /// The version of the decode engine; unset if any may be used.
+    std::optional<base::software_version> software_version_{};
 
     template <class Self>
     static auto fields(Self& self) {
@@ -45,7 +49,7 @@
                         self.expected_output_tokens_, self.budget_,
                         self.patience_, self.prompt_id_, self.time_left_,
                         self.retry_window_, self.priority_, self.account_,
-                        self.account_weight_);
+                        self.account_weight_, self.software_version_);
     }
 };
 
@@ -61,10 +65,11 @@
 };
 
 enum class refusal_reason : std::uint8_t {
-    no_room,   ///< No memory is expected in time.
-    no_engine, ///< There is no decode engine.
-    too_large, ///< The request exceeds the memory of every engine.
-    limited,   ///< The engines with room announced limits that are used up.
+    no_room,    ///< No memory is expected in time.
+    no_engine,  ///< There is no decode engine.
+    too_large,  ///< The request exceeds the memory of every engine.
+    limited,    ///< The engines with room announced limits that are used up.
+    no_version, ///< No decode engine has the software version of the stream.
 };
 
 /// What the owner expected when it refused a request for lack of room.
@@ -130,13 +135,16 @@
     bool prefilled_{false};
     bool started_{false};
     base::milliseconds running_for_{0}; ///< Time since its first event.
+    /// See `stream_request`.
+    std::optional<base::software_version> software_version_{};
 
     template <class Self>
     static auto fields(Self& self) {
         return std::tie(self.attempt_, self.prefill_, self.decode_,
                         self.prompt_tokens_, self.max_output_tokens_,
                         self.expected_output_tokens_, self.prefilled_,
-                        self.started_, self.running_for_);
+                        self.started_, self.running_for_,
+                        self.software_version_);
     }
 };
 
@@ -159,6 +167,9 @@
 enum class decode_rejection : std::uint8_t {
     full,        ///< The engine has no free memory or slot.
     unreachable, ///< No connection, or another instance has its address.
+    /// The engine has another software version than the stream. Nothing was
+    /// sent.
+    other_version,
 };
 
 struct stream_rejected {
--- a/pimentoferry/placement/stream_model.cpp
+++ b/pimentoferry/placement/stream_model.cpp
@@ -72,6 +72,7 @@
     stream.expected_events_ =
         std::clamp(stream.expected_events_, 1.0, stream.max_events_);
     stream.granted_ = now;
+    stream.software_version_ = request.software_version_;
     return stream;
 }
 
--- a/pimentoferry/placement/stream_model.hpp
+++ b/pimentoferry/placement/stream_model.hpp
@@ -50,6 +50,8 @@
     /// Time of the first event; unset before it.
     std::optional<base::time_point> started_;
     base::time_point granted_;
+    /// The version of its decode engine; unset if any may run it.
+    std::optional<base::software_version> software_version_{};
 };
 
 class stream_model {
--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -162,6 +162,12 @@
                 no_engine_retry_after,
                 {}};
     }
+    if (!has_decode_engine_for(request)) {
+        return {request.attempt_,
+                refusal_reason::no_version,
+                no_engine_retry_after,
+                {}};
+    }
     if (!fits_any_engine(request)) {
         return {request.attempt_, refusal_reason::too_large, {}, {}};
     }
@@ -189,7 +195,8 @@
         queued.expires_at_ = std::min(queued.expires_at_, complete);
         queued.gives_up_at_ = std::min(queued.gives_up_at_, complete);
     }
-    if (!fits_any_engine(request) || queued.gives_up_at_ < now) {
+    if (!fits_any_engine(request) || !has_decode_engine_for(request) ||
+        queued.gives_up_at_ < now) {
         return {refuse(request, room_in_time(queued, now), now)};
     }
     if (refused_.contains(request.prompt_id_, now) ||
@@ -260,6 +267,7 @@
     auto stream = model_.make_stream(request, now);
     stream.prefill_ = announcement.prefill_;
     stream.decode_ = announcement.decode_;
+    stream.software_version_ = announcement.software_version_;
     stream.prefilling_ = !announcement.prefilled_;
     if (announcement.started_) {
         stream.started_ = now - announcement.running_for_;
@@ -321,7 +329,8 @@
     const auto rejecting = engines_.find(stream.decode_);
     if (reason == decode_rejection::unreachable) {
         engine_failed(stream.decode_, now);
-    } else if (rejecting != engines_.end()) {
+    } else if (reason == decode_rejection::full &&
+               rejecting != engines_.end()) {
         auto& engine = rejecting->second;
         engine.failed_until_ =
             std::max(engine.failed_until_, now + rejection_backoff);
--- a/pimentoferry/placement/stream_scheduler.hpp
+++ b/pimentoferry/placement/stream_scheduler.hpp
@@ -30,6 +30,9 @@
 /// see `stream_queue`. One grant in eight goes to the request that expires
 /// first, so that no priority and no account waits for good.
 ///
+/// A stream of which its caller has events already goes on at a decode engine
+/// of the software version that began it.
+///
 /// An engine that has announced a limit is granted only as many prefills and
 /// decodes as its allowance lets through; its remaining memory and time do not
 /// count as free.
@@ -65,6 +68,7 @@
     base::failure_domain failure_domain_;
     std::uint32_t slots_{0};
     std::uint64_t kv_tokens_{0}; ///< KV memory, in tokens.
+    base::software_version software_version_{};
 
     friend bool operator==(const stream_engine&,
                            const stream_engine&) = default;
@@ -240,6 +244,8 @@
                           base::time_point until,
                           base::time_point now) const;
     bool has_engine(engine_role role) const;
+    /// Whether a decode engine may run the request.
+    bool has_decode_engine_for(const stream_request& request) const;
     bool fits_any_engine(const stream_request& request) const;
     double free_decode_tokens_at(base::time_point at,
                                  base::time_point now) const;
--- a/pimentoferry/placement/stream_scheduler_test.cpp
+++ b/pimentoferry/placement/stream_scheduler_test.cpp
@@ -46,6 +46,9 @@
     CPPUNIT_TEST(gateways_that_decide_alone_spread_their_streams);
     CPPUNIT_TEST(an_announced_stream_is_no_longer_queued);
     CPPUNIT_TEST(callers_return_within_the_delay_that_they_honour);
+    CPPUNIT_TEST(a_resumed_stream_gets_an_engine_of_its_version);
+    CPPUNIT_TEST(a_rejected_resumed_stream_stays_at_its_version);
+    CPPUNIT_TEST(a_resumed_stream_whose_version_is_gone_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
     stream_scheduler scheduler_{[] {
@@ -108,6 +111,63 @@
              engine("d", engine_role::decode)});
     }
 
+    static stream_engine versioned(const std::string& id,
+                                   const std::string& version) {
+        auto made = engine(id, engine_role::decode);
+        made.software_version_.value_ = version;
+        return made;
+    }
+
+    /// Two decode engines of one version and one of another.
+    void use_two_versions() {
+        use({engine("p", engine_role::prefill), versioned("new", "v2"),
+             versioned("old-1", "v1"), versioned("old-2", "v1")});
+    }
+
+    stream_request resumed(const std::string& version,
+                           std::uint64_t prompt_id = 0) {
+        auto made = make_request(5000, prompt_id);
+        made.software_version_ = base::software_version{version};
+        return made;
+    }
+
+    // Guards against a stream that goes on at another version because an
+    // engine of that version has more free memory.
+    void a_resumed_stream_gets_an_engine_of_its_version() {
+        use_two_versions();
+        for (int i = 0; i < 8; ++i) {
+            now_ += milliseconds{500};
+            const auto grant = granted(resumed("v2"));
+            CPPUNIT_ASSERT(grant.has_value());
+            CPPUNIT_ASSERT_EQUAL(std::string{"new"}, grant->decode_.value_);
+            scheduler_.prefill_finished(grant->attempt_, now_);
+        }
+    }
+
+    // Guards against another version after the first engine rejects the stream.
+    void a_rejected_resumed_stream_stays_at_its_version() {
+        use_two_versions();
+        const auto grant = granted(resumed("v1"));
+        CPPUNIT_ASSERT(grant.has_value());
+        const auto next = scheduler_.decode_rejected(
+            grant->attempt_, decode_rejection::full, now_);
+        const auto* other = std::get_if<stream_grant>(&next.front());
+        CPPUNIT_ASSERT(other != nullptr);
+        CPPUNIT_ASSERT(other->decode_.value_.starts_with("old-"));
+        const auto last = scheduler_.decode_rejected(
+            grant->attempt_, decode_rejection::full, now_);
+        CPPUNIT_ASSERT(std::holds_alternative<stream_refusal>(last.front()));
+    }
+
+    // Guards against a caller that is kept waiting for a version that no engine
+    // has.
+    void a_resumed_stream_whose_version_is_gone_is_refused() {
+        use_two_versions();
+        const auto decided = scheduler_.request(resumed("v3"), now_);
+        CPPUNIT_ASSERT(std::get<stream_refusal>(decided.front()).reason_ ==
+                       refusal_reason::no_version);
+    }
+
     void a_grant_names_both_engines() {
         use_two_engines();
         const auto grant = granted(make_request(5000));
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -259,6 +259,9 @@
     if (!replica.stage_.empty()) {
         entry["stage"] = replica.stage_;
     }
+    if (!replica.software_version_.empty()) {
+        entry["version"] = replica.software_version_;
+    }
     put_registration(replica.id_, http::write_json(entry));
 }
 
--- a/tests/process/gateway_fleet.hpp
+++ b/tests/process/gateway_fleet.hpp
@@ -56,6 +56,8 @@
     std::string stage_; ///< Empty for a plain replica.
     std::int64_t started_at_ms_{0};
     std::uint16_t port_{0};
+    /// In its registration; empty: the registration names none.
+    std::string software_version_;
     /// The port in its registration; differs from `port_` behind a proxy.
     std::uint16_t registered_port_{0};
     std::string log_;
--- /dev/null
+++ b/tests/process/software_version_test.cpp
@@ -0,0 +1,264 @@
+// Runs gateways as processes before engines of two software versions, breaks
+// streams off and takes them up again. Checks that a stream goes on only at the
+// version that began it.
+
+#include "tests/process/gateway_fleet.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <csignal>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace pimentoferry::process_tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+using standins::http_stream;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+
+class software_version_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(software_version_test);
+    CPPUNIT_TEST(a_broken_stream_goes_on_at_its_version);
+    CPPUNIT_TEST(a_stream_of_a_killed_gateway_goes_on_at_its_version);
+    CPPUNIT_TEST(
+        a_stream_goes_on_at_its_version_after_all_gateways_were_killed);
+    CPPUNIT_TEST(a_stream_of_a_version_that_left_is_refused);
+    CPPUNIT_TEST(a_stream_of_the_only_version_goes_on_without_its_request);
+    CPPUNIT_TEST(a_stream_that_nobody_knows_is_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+    // Optional because CppUnit constructs all fixtures before the first test.
+    std::optional<gateway_fleet> system_;
+    std::size_t requests_{0};
+
+    std::string next_id() { return "request-" + std::to_string(++requests_); }
+
+    /// Starts decode engines with these versions.
+    void start(const std::vector<std::string>& versions) {
+        system_.emplace(
+            gateway_fleet_options{.plain_replicas_ = 1,
+                                  .decode_engines_ = versions.size(),
+                                  .route_timeout_ = 20'000ms});
+        CPPUNIT_ASSERT(system_->start_standins());
+        auto version = versions.begin();
+        for (auto& replica : system_->replicas()) {
+            replica.software_version_ =
+                replica.stage_ == "decode" ? *version++ : versions.front();
+        }
+        CPPUNIT_ASSERT(system_->start_gateways());
+        set_on_engines(R"({"event_ms":50,"events":80})");
+        std::this_thread::sleep_for(1000ms); // The versions are recorded.
+    }
+
+    void set_on_engines(const std::string& switches) {
+        for (const auto& replica : system_->replicas()) {
+            if (replica.stage_ == "decode") {
+                CPPUNIT_ASSERT(gateway_fleet::control(replica.port_, switches));
+            }
+        }
+    }
+
+    http_stream begin(std::size_t gateway, const std::string& id) {
+        return {system_->ports(gateway).traffic_, "/talk/1", "",
+                caller_fields("/talk/1", id, 15'000ms)};
+    }
+
+    http_stream take_up(std::size_t gateway,
+                        const std::string& id,
+                        const std::string& began,
+                        std::size_t events) {
+        auto fields = caller_fields("/talk/1", id, 10'000ms);
+        fields.emplace_back("Last-Event-Id", std::to_string(events));
+        if (!began.empty()) {
+            fields.emplace_back("Resumes", began);
+        }
+        return {system_->ports(gateway).traffic_, "/talk/1", "", fields};
+    }
+
+    /// The versions of the engines that ran the request, in order.
+    std::vector<std::string> versions_of(const std::string& request) {
+        std::vector<std::string> versions;
+        for (const auto& arrival : system_->arrivals()) {
+            if (arrival.request_ != request || arrival.kind_ != "run") {
+                continue;
+            }
+            const auto replica =
+                std::ranges::find(system_->replicas(), arrival.replica_,
+                                  &platform_replica_process::id_);
+            CPPUNIT_ASSERT(replica != system_->replicas().end());
+            versions.push_back(replica->software_version_);
+        }
+        return versions;
+    }
+
+    void kill_gateway(std::size_t gateway) {
+        system_->gateway(gateway).signal(SIGKILL);
+        system_->gateway(gateway).wait(2000ms);
+    }
+
+    void restart_gateway(std::size_t gateway) {
+        system_->restart_gateway(gateway);
+        for (int i = 0; i < 100 && !system_->is_ready(gateway); ++i) {
+            std::this_thread::sleep_for(20ms);
+        }
+        CPPUNIT_ASSERT(system_->is_ready(gateway));
+    }
+
+    /// Checks a take-up of a stream that `began` began and returns whether it
+    /// went on.
+    bool check_take_up(http_stream stream,
+                       const std::string& id,
+                       const std::string& began) {
+        const bool goes_on = stream.next_event().has_value();
+        const auto versions = versions_of(id);
+        if (goes_on) {
+            CPPUNIT_ASSERT_EQUAL(status_ok, stream.status());
+            CPPUNIT_ASSERT_EQUAL(versions_of(began).front(), versions.front());
+        } else {
+            CPPUNIT_ASSERT_EQUAL(status_unavailable, stream.status());
+            CPPUNIT_ASSERT(versions.empty());
+        }
+        return goes_on;
+    }
+
+public:
+    void tearDown() override { system_.reset(); }
+
+    // Guards against an answer that is joined from two versions because its
+    // engine broke off.
+    void a_broken_stream_goes_on_at_its_version() {
+        start({"v1", "v1", "v2", "v2"});
+        set_on_engines(R"({"event_ms":2,"events":20})");
+        std::size_t resumed = 0;
+        for (int i = 0; i < 16; ++i) {
+            set_on_engines(R"({"cut_next":1})");
+            const auto id = next_id();
+            auto stream = begin(0, id);
+            (void)stream.rest();
+            const auto versions = versions_of(id);
+            CPPUNIT_ASSERT(!versions.empty());
+            CPPUNIT_ASSERT_EQUAL(versions.size(),
+                                 static_cast<std::size_t>(std::ranges::count(
+                                     versions, versions.front())));
+            resumed += versions.size() - 1;
+        }
+        CPPUNIT_ASSERT(resumed > 0);
+    }
+
+    // Guards against a take-up at another gateway that goes on at the other
+    // version, and against one that is refused though its version is known.
+    void a_stream_of_a_killed_gateway_goes_on_at_its_version() {
+        start({"v1", "v2"});
+        for (int i = 0; i < 6; ++i) {
+            const auto began = next_id();
+            auto stream = begin(0, began);
+            CPPUNIT_ASSERT(stream.next_event().has_value());
+            std::this_thread::sleep_for(200ms);
+            kill_gateway(0);
+            const auto id = next_id();
+            CPPUNIT_ASSERT(check_take_up(take_up(1, id, began, 1), id, began));
+            restart_gateway(0);
+            std::this_thread::sleep_for(500ms);
+        }
+    }
+
+    // Guards against text of two versions after the memory of all gateways was
+    // lost.
+    void a_stream_goes_on_at_its_version_after_all_gateways_were_killed() {
+        start({"v1", "v2"});
+        constexpr std::size_t streams = 8;
+        std::vector<std::string> began;
+        std::vector<http_stream> open;
+        for (std::size_t i = 0; i < streams; ++i) {
+            began.push_back(next_id());
+            open.push_back(begin(i % 2, began.back()));
+        }
+        for (auto& stream : open) {
+            CPPUNIT_ASSERT(stream.next_event().has_value());
+        }
+        std::this_thread::sleep_for(1500ms);
+        kill_gateway(0);
+        kill_gateway(1);
+        restart_gateway(0);
+        restart_gateway(1);
+        std::size_t gone_on = 0;
+        for (std::size_t i = 0; i < streams; ++i) {
+            const auto id = next_id();
+            gone_on += check_take_up(take_up((i + 1) % 2, id, began[i], 1), id,
+                                     began[i])
+                           ? 1
+                           : 0;
+        }
+        CPPUNIT_ASSERT(gone_on >= streams / 2);
+    }
+
+    // Guards against the new version for a stream whose own one has just left,
+    // after all gateways were killed.
+    void a_stream_of_a_version_that_left_is_refused() {
+        start({"v1"});
+        const auto began = next_id();
+        auto stream = begin(0, began);
+        CPPUNIT_ASSERT(stream.next_event().has_value());
+        auto& engine = system_->replicas().back();
+        system_->withdraw_replica(engine.id_);
+        platform_replica_process successor;
+        successor.id_ = "successor";
+        successor.stage_ = "decode";
+        successor.software_version_ = "v2";
+        successor.registered_port_ = engine.port_;
+        CPPUNIT_ASSERT(
+            gateway_fleet::control(engine.port_, R"({"id":"successor"})"));
+        system_->register_replica(successor);
+        std::this_thread::sleep_for(300ms);
+        kill_gateway(0);
+        kill_gateway(1);
+        restart_gateway(0);
+        restart_gateway(1);
+        for (const auto& named : {began, std::string{}}) {
+            const auto id = next_id();
+            auto taken_up = take_up(1, id, named, 1);
+            CPPUNIT_ASSERT(!taken_up.next_event().has_value());
+            CPPUNIT_ASSERT_EQUAL(status_unavailable, taken_up.status());
+        }
+    }
+
+    // Guards against take-ups that are refused although only one version has
+    // served.
+    void a_stream_of_the_only_version_goes_on_without_its_request() {
+        start({"v1", "v1"});
+        kill_gateway(0);
+        kill_gateway(1);
+        restart_gateway(0);
+        restart_gateway(1);
+        for (const std::string named : {"", "request-that-nobody-knows"}) {
+            auto taken_up = take_up(0, next_id(), named, 1);
+            CPPUNIT_ASSERT(taken_up.next_event().has_value());
+            CPPUNIT_ASSERT_EQUAL(status_ok, taken_up.status());
+        }
+    }
+
+    // Guards against a guess at the version of a stream.
+    void a_stream_that_nobody_knows_is_refused() {
+        start({"v1", "v2"});
+        for (const std::string named : {"", "request-that-nobody-knows"}) {
+            const auto id = next_id();
+            auto taken_up = take_up(0, id, named, 1);
+            CPPUNIT_ASSERT(!taken_up.next_event().has_value());
+            CPPUNIT_ASSERT_EQUAL(status_unavailable, taken_up.status());
+            CPPUNIT_ASSERT(versions_of(id).empty());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(software_version_test);
+
+} // namespace
+
+} // namespace pimentoferry::process_tests
