Serve streams that callers continue before new ones

Cause: a take-up came as a request whose first event is late, or whose prompt is known, and stood behind both queues, as a caller that was refused and comes back does. Only new requests were given room.

Change: such requests have a queue of their own, served first and by when their callers give up. A request whose version has no room does not hold up the others. It is refused at once if no room is expected before its caller gives up, or if no engine has its version.

Why: a caller that has a part of an answer has nothing without the rest. The price is paid by new requests under overload, and by prompts that are read again.

--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -63,6 +63,7 @@
     request.time_left_ = time_left(call_, now);
     request.retry_window_ = shared_.protocol_.retry_window_(request.time_left_);
     request.priority_ = call_.priority();
+    request.resumed_ = resumed();
     request.software_version_ = origin_;
     if (call_.account_ && call_.account_->key_) {
         const auto& account = call_.account_->account_;
--- a/pimentoferry/placement/stream_engines.cpp
+++ b/pimentoferry/placement/stream_engines.cpp
@@ -243,6 +243,26 @@
     return room;
 }
 
+double stream_scheduler::free_decode_tokens_of_version(
+    const base::software_version& version,
+    base::time_point at,
+    base::time_point now) const {
+    double room = 0;
+    for (const auto& [id, state] : engines_) {
+        if (!state.serves(engine_role::decode, at) ||
+            state.engine_.software_version_ != version) {
+            continue;
+        }
+        room += static_cast<double>(state.engine_.kv_tokens_) *
+                    settings_.memory_share_ -
+                unexplained_tokens(state, now);
+        for (const auto attempt : state.streams_) {
+            room -= model_.expected_tokens(streams_.at(attempt), now, at).mean_;
+        }
+    }
+    return room;
+}
+
 double stream_scheduler::withheld_decode_tokens_at(base::time_point at,
                                                    base::time_point now) const {
     double withheld = 0;
@@ -450,8 +470,8 @@
 
 stream_usage stream_scheduler::usage(base::time_point now) const {
     stream_usage total;
-    total.queued_ =
-        static_cast<std::uint32_t>(queue_.size() + late_queue_.size());
+    total.queued_ = static_cast<std::uint32_t>(
+        queue_.size() + late_queue_.size() + resumed_queue_.size());
     total.running_ = static_cast<std::uint32_t>(streams_.size());
     for (const auto& [id, state] : engines_) {
         if (state.engine_.role_ == engine_role::decode) {
--- a/pimentoferry/placement/stream_messages.hpp
+++ b/pimentoferry/placement/stream_messages.hpp
@@ -39,17 +39,19 @@
     std::uint64_t account_{0}; ///< Hash of the account's name; 0: none.
     /// Relative share of the account in scarce engine memory.
     std::uint32_t account_weight_{1};
+    /// Whether the caller has events of the stream already.
+    bool resumed_{false};
     /// The version of the decode engine; unset if any may be used.
     std::optional<base::software_version> software_version_{};
 
     template <class Self>
     static auto fields(Self& self) {
-        return std::tie(self.attempt_, self.failure_domain_,
-                        self.prompt_tokens_, self.max_output_tokens_,
-                        self.expected_output_tokens_, self.budget_,
-                        self.patience_, self.prompt_id_, self.time_left_,
-                        self.retry_window_, self.priority_, self.account_,
-                        self.account_weight_, self.software_version_);
+        return std::tie(
+            self.attempt_, self.failure_domain_, self.prompt_tokens_,
+            self.max_output_tokens_, self.expected_output_tokens_, self.budget_,
+            self.patience_, self.prompt_id_, self.time_left_,
+            self.retry_window_, self.priority_, self.account_,
+            self.account_weight_, self.resumed_, self.software_version_);
     }
 };
 
--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -90,8 +90,10 @@
                                            base::time_point now) const {
     const auto ahead = queue_.ahead_of(queued.request_.priority_);
     const auto tokens = static_cast<double>(queued.request_.prompt_tokens_ +
-                                            ahead.prompt_tokens_);
-    const auto prompts = static_cast<double>(ahead.requests_ + 1);
+                                            ahead.prompt_tokens_ +
+                                            resumed_queue_.prompt_tokens());
+    const auto prompts =
+        static_cast<double>(ahead.requests_ + resumed_queue_.size() + 1);
     return make_room_report(queued.request_, queued.expires_at_, tokens,
                             model_.cost().time_of(prompts, tokens), now);
 }
@@ -101,11 +103,11 @@
 room_report stream_scheduler::room_when_late(const queued_request& queued,
                                              base::time_point now) const {
     const fractional_ms time = std::max(queued.gives_up_at_, now) - now;
-    const auto tokens = static_cast<double>(queued.request_.prompt_tokens_ +
-                                            queue_.prompt_tokens() +
-                                            late_queue_.prompt_tokens());
-    const auto prompts =
-        static_cast<double>(queue_.size() + late_queue_.size() + 1);
+    const auto tokens = static_cast<double>(
+        queued.request_.prompt_tokens_ + queue_.prompt_tokens() +
+        late_queue_.prompt_tokens() + resumed_queue_.prompt_tokens());
+    const auto prompts = static_cast<double>(
+        queue_.size() + late_queue_.size() + resumed_queue_.size() + 1);
     return make_room_report(queued.request_, queued.gives_up_at_,
                             tokens + model_.arrival_rate() * time.count(),
                             model_.cost().time_of(prompts, tokens) +
@@ -132,8 +134,8 @@
     room.free_prefill_ = whole_ms(prefill.free_);
     room.withheld_prefill_ = whole_ms(prefill.withheld_);
     room.needed_prefill_ = whole_ms(needed_prefill);
-    room.queued_ =
-        static_cast<std::uint32_t>(queue_.size() + late_queue_.size());
+    room.queued_ = static_cast<std::uint32_t>(
+        queue_.size() + late_queue_.size() + resumed_queue_.size());
     return room;
 }
 
@@ -186,7 +188,8 @@
     queued_request queued{request, latest_start + request.budget_,
                           latest_start +
                               std::max(request.budget_, request.patience_)};
-    if (request.time_left_ > base::milliseconds{0}) {
+    // What is left of a resumed answer is not known, only that it is less.
+    if (request.time_left_ > base::milliseconds{0} && !request.resumed_) {
         // A request whose answer would be cut off by its time limit is not
         // started.
         const auto complete =
@@ -199,6 +202,9 @@
         queued.gives_up_at_ < now) {
         return {refuse(request, room_in_time(queued, now), now)};
     }
+    if (request.resumed_) {
+        return handle_resumed_request(queued, now);
+    }
     if (refused_.contains(request.prompt_id_, now) ||
         queued.expires_at_ < now) {
         return handle_late_request(queued, now);
@@ -216,6 +222,39 @@
     return {};
 }
 
+bool stream_scheduler::expects_room(const queued_request& queued,
+                                    base::time_point now) const {
+    const auto& request = queued.request_;
+    const auto at = queued.gives_up_at_;
+    const double free =
+        request.software_version_
+            ? free_decode_tokens_of_version(*request.software_version_, at, now)
+            : free_decode_tokens_at(at, now);
+    const auto tokens = static_cast<double>(request.prompt_tokens_ +
+                                            resumed_queue_.prompt_tokens());
+    const auto prompts = static_cast<double>(resumed_queue_.size() + 1);
+    return at > now && has_decode_engine_for(request) && free >= tokens &&
+           free_prefill_time_until(latest_prefill_end(request, at), now)
+                   .free_ >= model_.cost().time_of(prompts, tokens);
+}
+
+// Grants a stream that its caller continues, or queues it before all new ones.
+stream_scheduler::decisions
+stream_scheduler::handle_resumed_request(const queued_request& queued,
+                                         base::time_point now) {
+    if (const auto grant =
+            try_grant(queued.request_, queued.gives_up_at_, 0, now)) {
+        return {*grant};
+    }
+    if (!expects_room(queued, now)) {
+        return {refuse(queued.request_, room_when_late(queued, now), now)};
+    }
+    auto resumed = queued;
+    resumed.expires_at_ = queued.gives_up_at_;
+    resumed_queue_.insert(resumed);
+    return {};
+}
+
 // Decides on a request that will miss its first-event deadline: grants it if no
 // other request waits and memory is free, queues it if memory is expected to
 // become free in time, and refuses it otherwise.
@@ -244,7 +283,7 @@
 void stream_scheduler::stream_announced(const stream_announcement& announcement,
                                         base::time_point now) {
     // Its gateway did not wait for the decision on a queued request.
-    for (auto* queue : {&queue_, &late_queue_}) {
+    for (auto* queue : queues()) {
         queue->erase_if([&](const stream_request& waiting) {
             return waiting.attempt_ == announcement.attempt_;
         });
@@ -406,7 +445,7 @@
         model_.observe_answer(found->second, events, now);
     }
     remove_stream(attempt, now);
-    for (auto* queue : {&queue_, &late_queue_}) {
+    for (auto* queue : queues()) {
         queue->erase_if([attempt](const stream_request& waiting) {
             return waiting.attempt_ == attempt;
         });
@@ -425,7 +464,7 @@
     }
     std::ranges::for_each(
         lost, [this, now](auto attempt) { remove_stream(attempt, now); });
-    for (auto* queue : {&queue_, &late_queue_}) {
+    for (auto* queue : queues()) {
         queue->erase_if([gateway](const stream_request& waiting) {
             return waiting.attempt_.instance_ == gateway;
         });
@@ -433,8 +472,34 @@
     return dispatch(now);
 }
 
+// A request whose version has no room does not keep the others waiting.
+void stream_scheduler::dispatch_resumed(decisions& made, base::time_point now) {
+    // Bounds the work of one call after the loss of many streams.
+    constexpr int most_failures = 8;
+    int failures = 0;
+    for (std::size_t i = 0;
+         i < resumed_queue_.size() && failures < most_failures;) {
+        const auto waiting = resumed_queue_.at(i);
+        if (waiting.expires_at_ < now) {
+            made.emplace_back(
+                refuse(waiting.request_, room_when_late(waiting, now), now));
+            resumed_queue_.erase(i);
+            continue;
+        }
+        if (const auto grant =
+                try_grant(waiting.request_, waiting.expires_at_, 0, now)) {
+            made.emplace_back(*grant);
+            resumed_queue_.erase(i);
+            continue;
+        }
+        ++failures;
+        ++i;
+    }
+}
+
 stream_scheduler::decisions stream_scheduler::dispatch(base::time_point now) {
     decisions made;
+    dispatch_resumed(made, now);
     while (!queue_.empty()) {
         const auto expiring = queue_.front();
         if (expiring.expires_at_ < now) {
--- a/pimentoferry/placement/stream_scheduler.hpp
+++ b/pimentoferry/placement/stream_scheduler.hpp
@@ -30,8 +30,9 @@
 /// see `stream_queue`. One grant in eight goes to the request that expires
 /// first, so that no priority and no account waits for good.
 ///
-/// A stream of which its caller has events already goes on at a decode engine
-/// of the software version that began it.
+/// A stream of which its caller has events already is served before all new
+/// ones, at a decode engine of the version that began it if that is known: what
+/// its caller has is worth nothing without the rest.
 ///
 /// An engine that has announced a limit is granted only as many prefills and
 /// decodes as its allowance lets through; its remaining memory and time do not
@@ -52,6 +53,7 @@
 #include "pimentoferry/placement/stream_queue.hpp"
 #include "pimentoferry/requests/allowance.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -249,6 +251,10 @@
     bool fits_any_engine(const stream_request& request) const;
     double free_decode_tokens_at(base::time_point at,
                                  base::time_point now) const;
+    /// The same for the engines of one version.
+    double free_decode_tokens_of_version(const base::software_version& version,
+                                         base::time_point at,
+                                         base::time_point now) const;
     /// Free decode memory that the limits of engines keep from being used.
     double withheld_decode_tokens_at(base::time_point at,
                                      base::time_point now) const;
@@ -275,6 +281,11 @@
                                  double needed_tokens,
                                  fractional_ms needed_prefill,
                                  base::time_point now) const;
+    decisions handle_resumed_request(const queued_request& queued,
+                                     base::time_point now);
+    /// Whether a resumed request can expect an engine before its caller gives
+    /// up.
+    bool expects_room(const queued_request& queued, base::time_point now) const;
     decisions handle_late_request(const queued_request& queued,
                                   base::time_point now);
     base::milliseconds retry_after(const stream_request& request) const;
@@ -291,7 +302,11 @@
     void measure_prefill_speeds(stream_demand& demand,
                                 base::time_point now) const;
     decisions dispatch(base::time_point now);
+    void dispatch_resumed(decisions& made, base::time_point now);
     void dispatch_late(decisions& made, base::time_point now);
+    std::array<stream_queue*, 3> queues() {
+        return {&queue_, &late_queue_, &resumed_queue_};
+    }
     /// The position in `queue` of the request to serve next.
     std::size_t next_in(const stream_queue& queue, base::time_point now) const;
 
@@ -301,6 +316,8 @@
     std::map<base::attempt_id, placed_stream> streams_;
     stream_queue queue_;      ///< Can still meet their deadlines.
     stream_queue late_queue_; ///< Will miss their deadlines.
+    /// Streams of which their callers have events, by when they give up.
+    stream_queue resumed_queue_;
     refused_prompts refused_;
     account_shares account_use_;
     std::uint64_t queued_grants_{0};
--- a/pimentoferry/placement/stream_scheduler_test.cpp
+++ b/pimentoferry/placement/stream_scheduler_test.cpp
@@ -48,6 +48,8 @@
     CPPUNIT_TEST(callers_return_within_the_delay_that_they_honour);
     CPPUNIT_TEST(a_resumed_stream_gets_an_engine_of_its_version);
     CPPUNIT_TEST(a_rejected_resumed_stream_stays_at_its_version);
+    CPPUNIT_TEST(a_resumed_stream_is_served_before_new_ones);
+    CPPUNIT_TEST(a_resumed_stream_without_room_does_not_hold_up_others);
     CPPUNIT_TEST(a_resumed_stream_whose_version_is_gone_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
@@ -127,6 +129,7 @@
     stream_request resumed(const std::string& version,
                            std::uint64_t prompt_id = 0) {
         auto made = make_request(5000, prompt_id);
+        made.resumed_ = true;
         made.software_version_ = base::software_version{version};
         return made;
     }
@@ -159,6 +162,38 @@
         CPPUNIT_ASSERT(std::holds_alternative<stream_refusal>(last.front()));
     }
 
+    // Guards against callers that lose the rest of an answer because they
+    // stand behind all new requests, as callers that were refused do.
+    void a_resumed_stream_is_served_before_new_ones() {
+        use_two_engines();
+        const auto running = fill();
+        const auto first_new = make_request(5000);
+        CPPUNIT_ASSERT(scheduler_.request(first_new, now_).empty());
+        auto taken_up = make_request(5000);
+        taken_up.resumed_ = true;
+        CPPUNIT_ASSERT(scheduler_.request(taken_up, now_).empty());
+        const auto decided = scheduler_.ended(running.front(), 60, now_);
+        CPPUNIT_ASSERT(!decided.empty());
+        CPPUNIT_ASSERT(std::get<stream_grant>(decided.front()).attempt_ ==
+                       taken_up.attempt_);
+    }
+
+    // Guards against a queue that waits for memory of one version while engines
+    // of another have room.
+    void a_resumed_stream_without_room_does_not_hold_up_others() {
+        use({engine("p", engine_role::prefill), versioned("old", "v1")});
+        fill();
+        use({engine("p", engine_role::prefill), versioned("old", "v1"),
+             versioned("new", "v2")});
+        now_ += milliseconds{1000};
+        CPPUNIT_ASSERT(!granted(resumed("v1")));
+        now_ += milliseconds{200};
+        const auto grant = granted(resumed("v2"));
+        CPPUNIT_ASSERT(grant.has_value());
+        now_ += milliseconds{200};
+        CPPUNIT_ASSERT(granted(make_request(5000)).has_value());
+    }
+
     // Guards against a caller that is kept waiting for a version that no engine
     // has.
     void a_resumed_stream_whose_version_is_gone_is_refused() {
