Let the soak replace engines by other versions and take streams up again

Cause: the soak had one software version and callers that never continue a stream, and never lost all gateways at once, so it could not see a text that is joined from two versions.

Change: replicas have three versions in turn as they start and restart; the stand-in names itself in each event; callers take a stream that broke off up again, at any gateway, up to three times; all gateways may be killed at once. No stream may hold events of two versions. A run prints how many take-ups went on.

--- a/standins/platform_replica.cpp
+++ b/standins/platform_replica.cpp
@@ -396,8 +396,8 @@
 std::string platform_replica::event_text(const exchange& call,
                                          std::int64_t event) const {
     const auto number = std::to_string(event);
-    return "id: " + number + "\ndata: " + call.header(request_id) + ":" +
-           number + "\n\n";
+    return "id: " + number + "\nevent: " + id_ +
+           "\ndata: " + call.header(request_id) + ":" + number + "\n\n";
 }
 
 net::awaitable<void> platform_replica::answer_plain(exchange& call) {
--- a/standins/platform_replica.hpp
+++ b/standins/platform_replica.hpp
@@ -2,7 +2,7 @@
 /// when `stage` is set.
 ///
 /// A plain answer is `ID of REQUEST at PATH`; an event `N` of a stream holds
-/// `REQUEST:N`. Every run is printed as a line `run REQUEST PATH` on standard
+/// `REQUEST:N` and has the id of the replica as its type. Every run is printed as a line `run REQUEST PATH` on standard
 /// output before it begins, so that a test can count the runs of a replica
 /// that was killed.
 ///
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -227,6 +227,9 @@
 
 void gateway_fleet::start_replica(platform_replica_process& replica) {
     replica.id_ = "i-" + std::to_string(++replicas_started_);
+    if (!options_.software_versions_.empty()) {
+        replica.software_version_ = version_of(replica.id_);
+    }
     replica.started_at_ms_ =
         std::chrono::duration_cast<std::chrono::milliseconds>(
             std::chrono::system_clock::now().time_since_epoch())
@@ -242,6 +245,14 @@
     replica.port_ = wait_for_port(replica.log_);
 }
 
+std::string gateway_fleet::version_of(const std::string& replica_id) const {
+    // Replicas that are started together share a version by twos.
+    constexpr std::size_t replicas_of_a_version = 2;
+    const auto number = std::stoul(replica_id.substr(2));
+    const auto& versions = options_.software_versions_;
+    return versions.at(number / replicas_of_a_version % versions.size());
+}
+
 void gateway_fleet::restart_replica(platform_replica_process& replica) {
     replica.process_ = {};
     start_replica(replica);
--- a/tests/process/gateway_fleet.hpp
+++ b/tests/process/gateway_fleet.hpp
@@ -47,6 +47,9 @@
     std::string call_placement_{"local"};
     /// Without any, requests need no key.
     std::vector<fleet_account> accounts_{};
+    /// Software versions, which replicas have in turn as they are started and
+    /// restarted. Without any, registrations name none.
+    std::vector<std::string> software_versions_{};
 };
 
 /// A replica stand-in. A restarted replica has a new id.
@@ -105,6 +108,9 @@
     std::vector<platform_replica_process>& replicas() { return replicas_; }
     /// Restarts the process at the same port under a new id.
     void restart_replica(platform_replica_process& replica);
+    /// The software version of any replica ever started, if the options name
+    /// versions.
+    std::string version_of(const std::string& replica_id) const;
     /// Writes the registration of a replica to the store.
     void register_replica(const platform_replica_process& replica,
                           const std::string& state = "ready") const;
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -28,6 +28,8 @@
 constexpr base::milliseconds address_list_lifetime{2000};
 constexpr base::milliseconds directory_timeout{1000};
 constexpr base::milliseconds max_pause{120};
+constexpr int most_take_ups = 3;
+constexpr base::milliseconds take_up_pause{300};
 constexpr int status_ok = 200;
 
 constexpr std::array<std::string_view, 4> paths{"/read/1", "/book/1", "/chat/1",
@@ -107,6 +109,11 @@
              is_stream(record.kind_) ? stream_deadline : request_deadline)) {
         request.fields_.push_back({name, value});
     }
+    if (!record.resumes_.empty()) {
+        request.fields_.push_back({"Resumes", record.resumes_});
+        request.fields_.push_back(
+            {"Last-Event-Id", std::to_string(record.events_before_)});
+    }
     return request;
 }
 
@@ -127,19 +134,52 @@
             continue;
         }
         const auto address = addresses[random_below(addresses.size())];
-        call_record record;
-        record.id_ =
-            "r" + std::to_string(caller) + "-" + std::to_string(++requests_);
+        auto record = make_record(caller, address);
         record.kind_ = static_cast<call_kind>(random_below(paths.size()));
-        record.gateway_ = address.port_;
-        record.sent_ = base::clock::now();
         co_await call(record, address);
         record.ended_ = base::clock::now();
         if (record.status_ == 0) {
             // Callers stop using an address that gave no response.
             std::erase(addresses, address);
         }
+        records_.push_back(record);
+        const bool broken = record.kind_ == call_kind::talk &&
+                            !record.complete_ && !record.events_.empty();
+        if (broken && !addresses.empty()) {
+            co_await take_up(caller, std::move(record), addresses);
+        }
+    }
+}
+
+call_record callers::make_record(std::size_t caller, base::endpoint address) {
+    call_record record;
+    record.id_ =
+        "r" + std::to_string(caller) + "-" + std::to_string(++requests_);
+    record.gateway_ = address.port_;
+    record.sent_ = base::clock::now();
+    return record;
+}
+
+http::awaitable<void> callers::take_up(std::size_t caller,
+                                       call_record broken,
+                                       std::vector<base::endpoint> addresses) {
+    const auto began = broken.id_;
+    auto received = broken.events_.back();
+    for (int i = 0; i < most_take_ups; ++i) {
+        const auto address = addresses[random_below(addresses.size())];
+        auto record = make_record(caller, address);
+        record.kind_ = broken.kind_;
+        record.resumes_ = began;
+        record.events_before_ = received;
+        co_await call(record, address);
+        record.ended_ = base::clock::now();
+        const bool complete = record.complete_ && record.status_ == status_ok;
+        received = record.events_.empty() ? received : record.events_.back();
         records_.push_back(std::move(record));
+        if (complete) {
+            co_return;
+        }
+        co_await pause(io_, take_up_pause);
     }
 }
 
@@ -198,6 +238,7 @@
                 record.from_other_request_ ||
                 event->data_.substr(0, colon) != record.id_;
             record.events_.push_back(number);
+            record.senders_.insert(event->type_);
             continue;
         }
         record.complete_ = std::holds_alternative<http::body_end>(next);
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,10 @@
     /// The replica whose answer said that it leaves; empty: none did.
     std::string leaving_replica_;
     base::time_point head_received_;
+    /// The request that began the stream which this one takes up; empty: none.
+    std::string resumes_;
+    std::uint64_t events_before_{0}; ///< Of the stream that it takes up.
+    std::set<std::string> senders_;  ///< The replicas that sent events.
 };
 
 /// Not thread-safe: call all members on the thread of the io_context.
@@ -49,6 +54,11 @@
     http::awaitable<void> run(std::size_t caller);
     http::awaitable<std::vector<base::endpoint>> resolve_gateways();
     http::awaitable<void> call(call_record& record, base::endpoint address);
+    call_record make_record(std::size_t caller, base::endpoint address);
+    /// Takes up a stream that was broken off, at any gateway, a few times.
+    http::awaitable<void> take_up(std::size_t caller,
+                                  call_record broken,
+                                  std::vector<base::endpoint> addresses);
     http::awaitable<void> read_stream(call_record& record,
                                       http::open_answer& answer);
     http::request make_request(const call_record& record) const;
--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -1,6 +1,7 @@
 #include "tests/soak/checks.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace pimentoferry::soak {
@@ -31,9 +32,9 @@
            ", status " + std::to_string(record.status_);
 }
 
-/// Whether the events are numbered 1, 2, 3 and so on.
-bool in_order(const std::vector<std::uint64_t>& events) {
-    std::uint64_t expected = 0;
+/// Whether the events are numbered in order, from the one after `before` on.
+bool in_order(const std::vector<std::uint64_t>& events, std::uint64_t before) {
+    std::uint64_t expected = before;
     return std::ranges::all_of(
         events, [&expected](auto event) { return event == ++expected; });
 }
@@ -58,10 +59,11 @@
     if (!is_stream(record.kind_) || record.status_ != status_ok) {
         return;
     }
-    if (!in_order(record.events_)) {
+    if (!in_order(record.events_, record.events_before_)) {
         violations.push_back("events missing or twice: " + describe(record));
     }
-    if (record.complete_ && record.events_.size() != stream_events) {
+    if (record.complete_ &&
+        record.events_before_ + record.events_.size() != stream_events) {
         violations.push_back("ended as complete after " +
                              std::to_string(record.events_.size()) +
                              " events: " + describe(record));
@@ -224,6 +226,29 @@
     return violations;
 }
 
+std::vector<violation> check_versions(
+    const std::vector<call_record>& records,
+    const std::function<std::string(const std::string&)>& version_of) {
+    std::map<std::string, std::set<std::string>> versions;
+    for (const auto& record : records) {
+        const auto& stream =
+            record.resumes_.empty() ? record.id_ : record.resumes_;
+        std::ranges::transform(
+            record.senders_,
+            std::inserter(versions[stream], versions[stream].end()),
+            version_of);
+    }
+    std::vector<violation> violations;
+    for (const auto& [stream, held] : versions) {
+        if (held.size() > 1) {
+            violations.push_back("holds events of " +
+                                 std::to_string(held.size()) +
+                                 " software versions: " + stream);
+        }
+    }
+    return violations;
+}
+
 std::vector<violation> check_moves(const std::vector<call_record>& records,
                                    const std::vector<replica_arrival>& arrivals,
                                    const std::vector<replica_arrival>& ends,
--- a/tests/soak/checks.hpp
+++ b/tests/soak/checks.hpp
@@ -7,6 +7,7 @@
 #include "tests/soak/callers.hpp"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -39,6 +40,12 @@
                const std::vector<process_tests::replica_arrival>& arrivals,
                const disturbances& disturbed);
 
+/// Checks that no stream holds events of two software versions, in one answer
+/// or over its caller's tries. `version_of` returns the version of a replica.
+std::vector<violation> check_versions(
+    const std::vector<call_record>& records,
+    const std::function<std::string(const std::string&)>& version_of);
+
 /// Checks that no request goes on at another replica while the one before still
 /// works on it, unless something kept the gateway from telling it.
 std::vector<violation>
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -101,7 +101,7 @@
     if (terminating_.contains(number) || paused_[number]) {
         return;
     }
-    switch (random_below(4)) {
+    switch (random_below(5)) {
     case 0:
         log_fault(name + " gets SIGTERM");
         fleet_.gateway(number).signal(SIGTERM);
@@ -124,6 +124,9 @@
             note_disturbed(number);
         });
         break;
+    case 3:
+        kill_all_gateways();
+        break;
     default:
         log_fault(name + " reads its settings again");
         fleet_.gateway(number).signal(SIGHUP);
@@ -131,6 +134,20 @@
     }
 }
 
+// Gateways that are paused or drain are killed, too.
+void fault_injector::kill_all_gateways() {
+    log_fault("all gateways are killed");
+    for (std::size_t i = 0; i < fleet_.gateway_count(); ++i) {
+        fleet_.gateway(i).signal(SIGKILL);
+    }
+    for (std::size_t i = 0; i < fleet_.gateway_count(); ++i) {
+        fleet_.gateway(i).wait(drain_limit);
+        fleet_.restart_gateway(i);
+        terminating_.erase(i);
+        note_disturbed(i);
+    }
+}
+
 void fault_injector::inject_store_fault() {
     static const std::array<const char*, 5> modes{"down", "silent", "slow",
                                                   "declining", "losing"};
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -54,6 +54,7 @@
 
     void inject();
     void inject_gateway_fault();
+    void kill_all_gateways();
     void inject_store_fault();
     void inject_link_fault();
     void inject_replica_fault();
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -44,6 +44,8 @@
     std::vector<violation> violations_;
     std::size_t calls_{0};
     std::size_t served_{0};
+    std::size_t take_ups_{0}; ///< Streams that callers took up again.
+    std::size_t gone_on_{0};  ///< Those of which at least one event came.
 };
 
 using proxies = std::vector<std::unique_ptr<loopback_proxy>>;
@@ -73,12 +75,22 @@
     return result.get();
 }
 
+void count_take_ups(const std::vector<call_record>& records,
+                    run_result& result) {
+    for (const auto& record : records) {
+        result.take_ups_ += record.resumes_.empty() ? 0 : 1;
+        result.gone_on_ +=
+            record.resumes_.empty() || record.events_.empty() ? 0 : 1;
+    }
+}
+
 run_result run_seed(const options& chosen) {
     process_tests::gateway_fleet fleet{
         {.gateways_ = static_cast<std::size_t>(chosen.gateways_),
          .plain_replicas_ = 3,
          .prefill_engines_ = 2,
-         .decode_engines_ = 3}};
+         .decode_engines_ = 3,
+         .software_versions_ = {"v1", "v2", "v3"}}};
     boost::asio::io_context io{1};
     auto keep_running = boost::asio::make_work_guard(io);
     proxies store_links;
@@ -121,9 +133,15 @@
                                       fleet.ends_of_runs(), faults.disturbed(),
                                       faults.harmed()),
                           std::back_inserter(result.violations_));
+        std::ranges::copy(check_versions(records,
+                                         [&fleet](const std::string& id) {
+                                             return fleet.version_of(id);
+                                         }),
+                          std::back_inserter(result.violations_));
         std::ranges::copy(faults.violations(),
                           std::back_inserter(result.violations_));
         result.calls_ = records.size();
+        count_take_ups(records, result);
         result.served_ = static_cast<std::size_t>(
             std::ranges::count_if(records, [](const call_record& record) {
                 return record.status_ == 200 && record.complete_;
@@ -164,8 +182,9 @@
               << " s with faults\n";
     const auto result = run_seed(chosen);
     std::cout << "seed " << chosen.seed_ << ": " << result.calls_ << " calls, "
-              << result.served_ << " served, " << result.violations_.size()
-              << " findings\n";
+              << result.served_ << " served, " << result.take_ups_
+              << " streams taken up, " << result.gone_on_ << " went on, "
+              << result.violations_.size() << " findings\n";
     for (const auto& each : result.violations_) {
         std::cout << "  BROKEN " << each << '\n';
     }
