--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -50,6 +50,10 @@
     }
 }
 
+const std::string& name_of(const base::software_version& version) {
+    return version.value_;
+}
+
 std::string slot_key(std::size_t slot) {
     return streams_prefix + std::to_string(slot);
 }
@@ -60,6 +64,25 @@
     return found == replica.items().end() ? 0 : found->second.revision_;
 }
 
+/// Whether a record of the store has all versions of `known`. Only the first
+/// writer removes versions: two that forget them at different times would undo
+/// each other's writes.
+bool contains(const std::string& record, const versions_in_use& known) {
+    const auto decoded = wire::decode<versions_in_use>(record);
+    const auto* stored = std::get_if<versions_in_use>(&decoded);
+    return stored != nullptr &&
+           std::ranges::all_of(
+               known.services_, [stored](const service_versions& each) {
+                   const auto found =
+                       std::ranges::find(stored->services_, each.service_,
+                                         &service_versions::service_);
+                   return found != stored->services_.end() &&
+                          std::ranges::includes(
+                              found->versions_, each.versions_,
+                              std::ranges::less{}, name_of, name_of);
+               });
+}
+
 /// The slot of the ring that was written first, or not yet.
 std::string oldest_slot(const store::mirror& replica) {
     const auto slots =
@@ -321,17 +344,20 @@
             known.services_.push_back({service, std::move(versions)});
         }
     }
+    const auto writers = keepers_of(base::service_name{versions_key});
+    const auto rank =
+        std::ranges::find(writers, peers_.self()) - writers.begin();
     const auto stored = replica.items().find(versions_key);
     auto value = wire::encode(known);
-    if (known.services_.empty() ||
-        (stored != replica.items().end() && stored->second.value_ == value)) {
+    const bool up_to_date =
+        stored != replica.items().end() &&
+        (stored->second.value_ == value ||
+         (rank > 0 && contains(stored->second.value_, known)));
+    if (known.services_.empty() || up_to_date) {
         versions_differ_since_.reset();
         return;
     }
     versions_differ_since_ = versions_differ_since_.value_or(now);
-    const auto writers = keepers_of(base::service_name{versions_key});
-    const auto rank =
-        std::ranges::find(writers, peers_.self()) - writers.begin();
     if (write_pending_ || rank == static_cast<std::ptrdiff_t>(writers.size()) ||
         now - *versions_differ_since_ < turn * rank) {
         return;
