--- a/standins/platform_replica.hpp
+++ b/standins/platform_replica.hpp
@@ -2,9 +2,9 @@
 /// when `stage` is set.
 ///
 /// A plain answer is `ID of REQUEST at PATH`; an event `N` of a stream holds
-/// `REQUEST:N` and has the id of the replica as its type. Every run is printed as a line `run REQUEST PATH` on standard
-/// output before it begins, so that a test can count the runs of a replica
-/// that was killed.
+/// `REQUEST:N` and has the id of the replica as its type. Every run is printed
+/// as a line `run REQUEST PATH` on standard output before it begins, so that a
+/// test can count the runs of a replica that was killed.
 ///
 /// An engine accepts prefills in the stage `prefill` and decodes in the stage
 /// `decode`; it does not check whether the KV handle of a decode exists.
