Compare the record of versions as it was received

Cause: a writer decoded the stored record again at each review, and the linter reports memory used after it was freed in msgpack on that path.

Change: the record is kept as it was decoded when it came from the store.

Measured: the linter passes on origin_exchange.cpp; no decision changes.

--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -67,20 +67,15 @@
 /// Whether a record of the store has all versions of `known`. Only the first
 /// writer removes versions: two that forget them at different times would undo
 /// each other's writes.
-bool contains(const std::string& record, const versions_in_use& known) {
-    const auto decoded = wire::decode<versions_in_use>(record);
-    const auto* stored = std::get_if<versions_in_use>(&decoded);
-    return stored != nullptr &&
-           std::ranges::all_of(
-               known.services_, [stored](const service_versions& each) {
-                   const auto found =
-                       std::ranges::find(stored->services_, each.service_,
-                                         &service_versions::service_);
-                   return found != stored->services_.end() &&
-                          std::ranges::includes(
-                              found->versions_, each.versions_,
-                              std::ranges::less{}, name_of, name_of);
-               });
+bool contains(const versions_in_use& recorded, const versions_in_use& known) {
+    return std::ranges::all_of(
+        known.services_, [&recorded](const service_versions& each) {
+            const auto found = std::ranges::find(
+                recorded.services_, each.service_, &service_versions::service_);
+            return found != recorded.services_.end() &&
+                   std::ranges::includes(found->versions_, each.versions_,
+                                         std::ranges::less{}, name_of, name_of);
+        });
 }
 
 /// The slot of the ring that was written first, or not yet.
@@ -233,6 +228,7 @@
     if (item.key_ == versions_key) {
         const auto decoded = wire::decode<versions_in_use>(item.value_);
         if (const auto* record = std::get_if<versions_in_use>(&decoded)) {
+            recorded_versions_ = *record;
             std::ranges::for_each(
                 record->services_, [&](const service_versions& each) {
                     services_[each.service_].history_.load(each.versions_, now);
@@ -349,10 +345,9 @@
         std::ranges::find(writers, peers_.self()) - writers.begin();
     const auto stored = replica.items().find(versions_key);
     auto value = wire::encode(known);
-    const bool up_to_date =
-        stored != replica.items().end() &&
-        (stored->second.value_ == value ||
-         (rank > 0 && contains(stored->second.value_, known)));
+    const bool up_to_date = stored != replica.items().end() &&
+                            (stored->second.value_ == value ||
+                             (rank > 0 && contains(recorded_versions_, known)));
     if (known.services_.empty() || up_to_date) {
         versions_differ_since_.reset();
         return;
--- a/pimentoferry/gateway/origin_exchange.hpp
+++ b/pimentoferry/gateway/origin_exchange.hpp
@@ -140,6 +140,7 @@
     base::milliseconds keep_{0};
     base::time_point next_review_;
     bool write_pending_{false};
+    versions_in_use recorded_versions_; ///< In the store.
     /// Since when the record of the versions differs from what is known here.
     std::optional<base::time_point> versions_differ_since_;
 };
