--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -151,7 +151,8 @@
     }
 }
 
-call_record callers::make_record(std::size_t caller, base::endpoint address) {
+call_record callers::make_record(std::size_t caller,
+                                 const base::endpoint& address) {
     call_record record;
     record.id_ =
         "r" + std::to_string(caller) + "-" + std::to_string(++requests_);
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -54,7 +54,7 @@
     http::awaitable<void> run(std::size_t caller);
     http::awaitable<std::vector<base::endpoint>> resolve_gateways();
     http::awaitable<void> call(call_record& record, base::endpoint address);
-    call_record make_record(std::size_t caller, base::endpoint address);
+    call_record make_record(std::size_t caller, const base::endpoint& address);
     /// Takes up a stream that was broken off, at any gateway, a few times.
     http::awaitable<void> take_up(std::size_t caller,
                                   call_record broken,
