Do not grant again the engine whose version a gateway knows better

What callers saw: nothing was reported. A stream that is continued could use up its sends without any being made, while other engines of its version had room.

Cause: the gateway compares the version of the granted engine before it sends. If the owner's view is behind, it reported the grant, and the owner, which did not leave the engine out, could grant the same one again. Found by reading.

Measured: an_engine_of_an_unexpected_version_is_not_chosen_again failed before and passes.

--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -368,18 +368,19 @@
     const auto rejecting = engines_.find(stream.decode_);
     if (reason == decode_rejection::unreachable) {
         engine_failed(stream.decode_, now);
-    } else if (reason == decode_rejection::full &&
-               rejecting != engines_.end()) {
+    } else if (rejecting != engines_.end()) {
         auto& engine = rejecting->second;
         engine.failed_until_ =
             std::max(engine.failed_until_, now + rejection_backoff);
-        // Streams that this scheduler does not know fill the engine, such as
-        // those of a gateway that lost its power.
-        const double believed_free =
-            free_tokens(engine, {}, 1, now) - stream.prompt_tokens_;
-        engine.unexplained_tokens_ =
-            unexplained_tokens(engine, now) + std::max(0.0, believed_free);
-        engine.unexplained_at_ = now;
+        if (reason == decode_rejection::full) {
+            // Streams that this scheduler does not know fill the engine, such
+            // as those of a gateway that lost its power.
+            const double believed_free =
+                free_tokens(engine, {}, 1, now) - stream.prompt_tokens_;
+            engine.unexplained_tokens_ =
+                unexplained_tokens(engine, now) + std::max(0.0, believed_free);
+            engine.unexplained_at_ = now;
+        }
     }
     const auto prefill = engines_.find(stream.prefill_);
     const auto preferred_domain = prefill != engines_.end()
--- a/pimentoferry/placement/stream_scheduler_test.cpp
+++ b/pimentoferry/placement/stream_scheduler_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(callers_return_within_the_delay_that_they_honour);
     CPPUNIT_TEST(a_resumed_stream_gets_an_engine_of_its_version);
     CPPUNIT_TEST(a_rejected_resumed_stream_stays_at_its_version);
+    CPPUNIT_TEST(an_engine_of_an_unexpected_version_is_not_chosen_again);
     CPPUNIT_TEST(a_resumed_stream_is_served_before_new_ones);
     CPPUNIT_TEST(a_resumed_stream_without_room_does_not_hold_up_others);
     CPPUNIT_TEST(a_resumed_stream_whose_version_is_gone_is_refused);
@@ -162,6 +163,19 @@
         CPPUNIT_ASSERT(std::holds_alternative<stream_refusal>(last.front()));
     }
 
+    // Guards against sends that are spent on one engine whose version the
+    // gateway knows better than the scheduler.
+    void an_engine_of_an_unexpected_version_is_not_chosen_again() {
+        use_two_versions();
+        const auto grant = granted(resumed("v1"));
+        CPPUNIT_ASSERT(grant.has_value());
+        const auto next = scheduler_.decode_rejected(
+            grant->attempt_, decode_rejection::other_version, now_);
+        const auto* other = std::get_if<stream_grant>(&next.front());
+        CPPUNIT_ASSERT(other != nullptr);
+        CPPUNIT_ASSERT(other->decode_ != grant->decode_);
+    }
+
     // Guards against callers that lose the rest of an answer because they
     // stand behind all new requests, as callers that were refused do.
     void a_resumed_stream_is_served_before_new_ones() {
