Take no prefill answer that does not name its request

What callers saw: nothing was reported. An answer too many that names no request, of another prefill on the same connection, would have been taken for the prefill result, and the stream would have gone on from the memory of another request (MIXED).

Cause: only answers with another id were skipped; plain calls and decodes take one without an id for no proof, prefills did not look. Found by reading for the same cause as that of the copies of refusals.

Change: the answer must name the request, as for decodes.

--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -140,7 +140,10 @@
     } else {
         const auto& answer = std::get<http::response>(received);
         const auto result = shared_.protocol_.read_prefill_(answer.body_);
-        if (answer.status_ == 200 && result) {
+        // An answer that does not name the request may be one to another.
+        const bool named = shared_.protocol_.is_of_instance_(
+            call_.request_, {answer.status_, answer.fields_});
+        if (answer.status_ == 200 && result && named) {
             outcome = *result;
             text = "success";
         } else {
