Send an order to change the role over a new connection

What callers saw: nothing was reported. An order that an engine accepts could count as refused, and another engine would be ordered in its place.

Cause: reports and orders name no request. A copy of the refusal of an earlier one, which names none either, could not be told from the answer to an order on the same connection. Found by reading for the same cause as that of the copies of refusals.

--- a/pimentoferry/gateway/stage_orders.cpp
+++ b/pimentoferry/gateway/stage_orders.cpp
@@ -242,6 +242,9 @@
                           *accepted};
     auto order_call = shared_.protocol_.order_call_(next_order);
     shared_.statements_->observe(options, no_caller, engine);
+    // Orders and reports name no request, so a copy of the refusal of an
+    // earlier one could not be told from the answer to this one.
+    options.fresh_connection_ = true;
     const auto order_result = co_await shared_.client_.call(
         engine.address_, std::move(order_call), std::move(options));
     const auto* order_response = std::get_if<http::response>(&order_result);
