Ask the keepers for the version of a stream if the own view is not confirmed

What callers saw: nothing was reported.

Cause: the only version that a gateway knows was taken for that of every stream, before its own record of the stream, and whatever the age of its view.

Change: the record of the stream goes first. The only known version counts only while the store or a peer confirms the view, or if there is no keeper to ask; else the keepers answer by their records and views. Streams that a peer began add their version to those that are possible. A conclusion is no longer recorded as if the stream had been seen.

--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -207,7 +207,7 @@
                                                   shared_.settings_.quotas_,
                                                   self.value_),
       call_places_(io_, peers_, shared_.metrics_, shared_.settings_),
-      origins_(io_, peers_, store_, shared_.metrics_),
+      origins_(io_, peers_, store_, follower_, shared_.metrics_),
       orders_(shared_, store_, base::to_hex(self.value_)),
       caller_service_(shared_), signals_(io_, SIGTERM, SIGINT, SIGHUP),
       timer_(io_) {
--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -99,6 +99,13 @@
     return candidates;
 }
 
+std::vector<base::instance_id>
+origin_exchange::other_keepers_of(const base::service_name& service) const {
+    auto keepers = keepers_of(service);
+    std::erase(keepers, peers_.self());
+    return keepers;
+}
+
 void origin_exchange::began(const base::service_name& service,
                             const std::string& request,
                             const base::software_version& version) {
@@ -119,22 +126,22 @@
     stream_origin origin = unknown_origin{};
     std::string_view source = "unknown";
     const auto stream = request ? stream_hash(service, *request) : 0;
-    if (const auto only = state.history_.only(now, keep_)) {
-        origin = known_origin{*only};
-        source = "only_version";
-    } else if (const auto version =
-                   request ? state.origins_.find(stream) : std::nullopt) {
+    if (const auto version = state.origins_.find(stream)) {
         origin = known_origin{*version};
         source = "own_table";
-    } else if (request) {
+    } else if (const auto only = state.history_.only(now, keep_);
+               only && (follower_.confirmed(now) ||
+                        other_keepers_of(service).empty())) {
+        origin = known_origin{*only};
+        source = "only_version";
+    } else {
+        // A gateway that was stopped or cut off may not have heard of a version
+        // that came into service meanwhile.
         origin = co_await ask_keepers(service, stream);
         source =
             std::holds_alternative<known_origin>(origin) ? "keeper" : "unknown";
     }
     const auto* known = std::get_if<known_origin>(&origin);
-    if (known != nullptr && request) {
-        state.origins_.add(stream, known->version_, now);
-    }
     counters_.count_send("stream_origin", source);
     log::log_info(
         "stream_origin",
@@ -151,8 +158,7 @@
     const base::attempt_id id{peers_.self(), ++last_query_};
     auto pending = std::make_shared<pending_query>(io_);
     queries_.emplace(id, pending);
-    auto keepers = keepers_of(service);
-    std::erase(keepers, peers_.self());
+    const auto keepers = other_keepers_of(service);
     std::ranges::for_each(keepers, [&](base::instance_id keeper) {
         peers_.send(keeper, origin_query{id, service, stream});
     });
@@ -197,6 +203,16 @@
 void origin_exchange::receive(const began_streams& message) {
     const auto now = base::clock::now();
     auto& state = services_[message.service_];
+    for (const auto& group : message.groups_) {
+        // The sender may know a version before this gateway's view has it.
+        state.history_.seen(group.version_, now);
+    }
+    add_streams(state, message, now);
+}
+
+void origin_exchange::add_streams(service_state& state,
+                                  const began_streams& message,
+                                  base::time_point now) {
     for (const auto& group : message.groups_) {
         std::ranges::for_each(group.streams_, [&](std::uint64_t stream) {
             state.origins_.add(stream, group.version_, now);
@@ -206,9 +222,12 @@
 
 void origin_exchange::receive(base::instance_id from,
                               const origin_query& query) {
-    peers_.send(from,
-                origin_reply{query.id_, services_[query.service_].origins_.find(
-                                            query.stream_)});
+    const auto& state = services_[query.service_];
+    auto version = state.origins_.find(query.stream_);
+    if (!version) {
+        version = state.history_.only(base::clock::now(), keep_);
+    }
+    peers_.send(from, origin_reply{query.id_, std::move(version)});
 }
 
 void origin_exchange::receive(const origin_reply& reply) {
@@ -238,8 +257,10 @@
     } else if (item.key_.starts_with(streams_prefix)) {
         const auto decoded = wire::decode<began_streams>(item.value_);
         if (const auto* message = std::get_if<began_streams>(&decoded)) {
-            receive(*message);
-            auto& origins = services_[message->service_].origins_;
+            // The ring also has streams of versions that left long ago.
+            auto& state = services_[message->service_];
+            add_streams(state, *message, now);
+            auto& origins = state.origins_;
             for (const auto& group : message->groups_) {
                 std::ranges::for_each(group.streams_,
                                       [&origins](std::uint64_t stream) {
--- a/pimentoferry/gateway/origin_exchange.hpp
+++ b/pimentoferry/gateway/origin_exchange.hpp
@@ -12,7 +12,8 @@
 /// may have begun streams, a keeper writes those that are not written yet, many
 /// to a call, into a ring of keys that every gateway follows. While only one
 /// version is possible, every stream is known to be of it, and nothing is
-/// written but the list of the possible versions.
+/// written but the list of the possible versions. A gateway whose view is not
+/// confirmed does not conclude that by itself, and asks the keepers.
 ///
 /// Alternatives considered: the owner of a service's scheduler alone is lost
 /// together with the gateway that owned the stream in one of three kills of a
@@ -27,6 +28,7 @@
 #include "pimentoferry/gateway/metrics.hpp"
 #include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/gateway/registry.hpp"
+#include "pimentoferry/gateway/store_follower.hpp"
 #include "pimentoferry/http/awaitable.hpp"
 #include "pimentoferry/http/mailbox.hpp"
 #include "pimentoferry/routing/stream_origins.hpp"
@@ -63,8 +65,10 @@
     origin_exchange(boost::asio::io_context& io,
                     peers& peer_gateways,
                     store::http_store& store,
+                    const store_follower& follower,
                     metrics& counters)
-        : io_(io), peers_(peer_gateways), store_(store), counters_(counters) {}
+        : io_(io), peers_(peer_gateways), store_(store), follower_(follower),
+          counters_(counters) {}
 
     /// The first event of a new stream arrived from an instance of `version`.
     void began(const base::service_name& service,
@@ -120,6 +124,11 @@
 
     std::vector<base::instance_id>
     keepers_of(const base::service_name& service) const;
+    std::vector<base::instance_id>
+    other_keepers_of(const base::service_name& service) const;
+    static void add_streams(service_state& state,
+                            const began_streams& message,
+                            base::time_point now);
     http::awaitable<stream_origin> ask_keepers(base::service_name service,
                                                std::uint64_t stream);
     void tell_keepers(const base::service_name& service, service_state& state);
@@ -132,6 +141,7 @@
     boost::asio::io_context& io_;
     peers& peers_;
     store::http_store& store_;
+    const store_follower& follower_;
     metrics& counters_;
     std::map<base::service_name, service_state> services_;
     std::map<base::attempt_id, std::shared_ptr<pending_query>> queries_;
--- a/pimentoferry/gateway/store_follower.cpp
+++ b/pimentoferry/gateway/store_follower.cpp
@@ -68,6 +68,10 @@
            now - *own_answer < response_validity;
 }
 
+bool store_follower::confirmed(base::time_point now) const {
+    return current(now) || now - confirmed_at_ < confirmation_validity;
+}
+
 void store_follower::start(std::function<bool()> should_watch) {
     should_watch_ = std::move(should_watch);
     asio::co_spawn(
--- a/pimentoferry/gateway/store_follower.hpp
+++ b/pimentoferry/gateway/store_follower.hpp
@@ -81,6 +81,10 @@
     /// Whether the store itself has confirmed the replica recently.
     bool current(base::time_point now) const;
 
+    /// Whether the store, or a peer that the store has confirmed, has confirmed
+    /// the replica recently.
+    bool confirmed(base::time_point now) const;
+
     /// Empty, at revision 0, before the first listing or update.
     const store::mirror& replica() const { return replica_; }
 
--- a/tests/process/software_version_test.cpp
+++ b/tests/process/software_version_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(a_stream_of_a_version_that_left_is_refused);
     CPPUNIT_TEST(a_stream_of_the_only_version_goes_on_without_its_request);
     CPPUNIT_TEST(a_stream_that_nobody_knows_is_refused);
+    CPPUNIT_TEST(a_gateway_that_was_stopped_does_not_guess_the_version);
     CPPUNIT_TEST_SUITE_END();
 
     // Optional because CppUnit constructs all fixtures before the first test.
@@ -255,6 +256,43 @@
             CPPUNIT_ASSERT(versions_of(id).empty());
         }
     }
+
+    // Guards against a gateway that was stopped while a version came into
+    // service, and takes the only one that it knows for that of every stream.
+    void a_gateway_that_was_stopped_does_not_guess_the_version() {
+        start({"v1", "v1"});
+        auto& stays = system_->replicas().at(2);
+        auto& replaced = system_->replicas().at(3);
+        CPPUNIT_ASSERT(stays.stage_ == "decode" && replaced.stage_ == "decode");
+        system_->gateway(0).signal(SIGSTOP);
+        system_->withdraw_replica(replaced.id_);
+        CPPUNIT_ASSERT(
+            gateway_fleet::control(replaced.port_, R"({"id":"successor"})"));
+        platform_replica_process successor;
+        successor.id_ = "successor";
+        successor.stage_ = "decode";
+        successor.software_version_ = "v2";
+        successor.registered_port_ = replaced.port_;
+        system_->register_replica(successor);
+        // Full, so that the stream begins at the successor.
+        CPPUNIT_ASSERT(gateway_fleet::control(stays.port_, R"({"slots":0})"));
+        std::this_thread::sleep_for(500ms);
+        const auto began = next_id();
+        auto stream = begin(1, began);
+        CPPUNIT_ASSERT(stream.next_event().has_value());
+        CPPUNIT_ASSERT(gateway_fleet::control(stays.port_, R"({"slots":64})"));
+        kill_gateway(1);
+        const auto id = next_id();
+        auto taken_up = take_up(0, id, began, 1);
+        system_->gateway(0).signal(SIGCONT);
+        (void)taken_up.next_event();
+        const auto arrivals = system_->arrivals();
+        CPPUNIT_ASSERT(
+            std::ranges::none_of(arrivals, [&](const replica_arrival& arrival) {
+                return arrival.request_ == id && arrival.kind_ == "run" &&
+                       arrival.replica_ == stays.id_;
+            }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(software_version_test);
