Keep versions and streams for the longer limit until it has passed

What callers saw: nothing was reported. A configuration with a shorter limit of a route made gateways forget versions and streams at once; a stream that was still open could go on at the only version that was left (ORDER).

Cause: the time was computed from the present routes alone. Found by the review.

Change: routing::retention grows at once and shrinks after the larger time has passed.

Measured: what_is_kept_outlasts_a_shorter_limit; the class did not exist before.

--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -129,7 +129,7 @@
     if (const auto version = state.origins_.find(stream)) {
         origin = known_origin{*version};
         source = "own_table";
-    } else if (const auto only = state.history_.only(now, keep_);
+    } else if (const auto only = state.history_.only(now, keep_.time());
                only && (follower_.confirmed(now) ||
                         other_keepers_of(service).empty())) {
         origin = known_origin{*only};
@@ -180,13 +180,14 @@
     if (!routes) {
         return;
     }
-    keep_ = least_keep;
+    auto wanted = least_keep;
     std::ranges::for_each(
-        routes->source().routes_, [this](const routing::route& route) {
+        routes->source().routes_, [&wanted](const routing::route& route) {
             if (route.kind_ == routing::call_kind::stream) {
-                keep_ = std::max(keep_, route.timeout_ * kept_route_timeouts);
+                wanted = std::max(wanted, route.timeout_ * kept_route_timeouts);
             }
         });
+    keep_.update(wanted, now);
     for (const auto& [name, service] : routes->source().services_) {
         if (!service.engine_) {
             continue;
@@ -225,7 +226,7 @@
     const auto& state = services_[query.service_];
     auto version = state.origins_.find(query.stream_);
     if (!version) {
-        version = state.history_.only(base::clock::now(), keep_);
+        version = state.history_.only(base::clock::now(), keep_.time());
     }
     peers_.send(from, origin_reply{query.id_, std::move(version)});
 }
@@ -301,12 +302,13 @@
 void origin_exchange::forget_old_streams(base::time_point now) {
     std::size_t versions = 0;
     for (auto& [service, state] : services_) {
-        state.origins_.expire(now - keep_);
-        while (!state.own_.empty() && state.own_.front().began_ < now - keep_) {
+        state.origins_.expire(now - keep_.time());
+        while (!state.own_.empty() &&
+               state.own_.front().began_ < now - keep_.time()) {
             state.own_.pop_front();
         }
-        versions =
-            std::max(versions, state.history_.possible(now, keep_).size());
+        versions = std::max(versions,
+                            state.history_.possible(now, keep_.time()).size());
     }
     counters_.set_gauge("software_versions", static_cast<double>(versions));
 }
@@ -356,7 +358,7 @@
                                      base::time_point now) {
     versions_in_use known;
     for (const auto& [service, state] : services_) {
-        auto versions = state.history_.possible(now, keep_);
+        auto versions = state.history_.possible(now, keep_.time());
         if (!versions.empty()) {
             known.services_.push_back({service, std::move(versions)});
         }
@@ -384,7 +386,8 @@
 void origin_exchange::write_streams(const store::mirror& replica,
                                     base::time_point now) {
     for (auto& [service, state] : services_) {
-        const bool mixed = state.history_.possible(now, keep_).size() > 1;
+        const bool mixed =
+            state.history_.possible(now, keep_.time()).size() > 1;
         const auto writers = keepers_of(service);
         const auto rank =
             std::ranges::find(writers, peers_.self()) - writers.begin();
--- a/pimentoferry/gateway/origin_exchange.hpp
+++ b/pimentoferry/gateway/origin_exchange.hpp
@@ -146,8 +146,8 @@
     std::map<base::service_name, service_state> services_;
     std::map<base::attempt_id, std::shared_ptr<pending_query>> queries_;
     std::uint64_t last_query_{0};
-    /// See `routing::version_history`.
-    base::milliseconds keep_{0};
+    /// How long streams and versions are kept.
+    routing::retention keep_;
     base::time_point next_review_;
     bool write_pending_{false};
     versions_in_use recorded_versions_; ///< In the store.
--- a/pimentoferry/routing/stream_origins.cpp
+++ b/pimentoferry/routing/stream_origins.cpp
@@ -89,6 +89,13 @@
     }
 }
 
+void retention::update(base::milliseconds wanted, base::time_point now) {
+    if (wanted >= time_ || now - wanted_at_ >= time_) {
+        time_ = wanted;
+        wanted_at_ = now;
+    }
+}
+
 void version_history::seen(const base::software_version& version,
                            base::time_point now) {
     watched_since_ = watched_since_.value_or(now);
--- a/pimentoferry/routing/stream_origins.hpp
+++ b/pimentoferry/routing/stream_origins.hpp
@@ -82,6 +82,18 @@
     std::deque<std::pair<base::time_point, std::uint64_t>> order_;
 };
 
+/// A time that follows a wanted one. It grows at once, and shrinks only after
+/// the larger one has passed: what was kept for it may still be asked for.
+class retention {
+public:
+    void update(base::milliseconds wanted, base::time_point now);
+    base::milliseconds time() const { return time_; }
+
+private:
+    base::milliseconds time_{0};
+    base::time_point wanted_at_; ///< When a time as long was last wanted.
+};
+
 class version_history {
 public:
     /// An instance of the version may get new streams.
--- a/pimentoferry/routing/stream_origins_test.cpp
+++ b/pimentoferry/routing/stream_origins_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(a_version_that_left_may_have_open_streams);
     CPPUNIT_TEST(a_process_that_has_just_started_knows_no_only_version);
     CPPUNIT_TEST(a_recorded_version_is_possible_after_a_restart);
+    CPPUNIT_TEST(what_is_kept_outlasts_a_shorter_limit);
     CPPUNIT_TEST_SUITE_END();
 
     const software_version old_{"v1"};
@@ -99,6 +100,20 @@
         history_.seen(new_, now_ + keep);
         CPPUNIT_ASSERT(history_.only(now_ + keep, keep) == new_);
     }
+
+    // Guards against streams that are forgotten, and versions that are no
+    // longer possible, because a new configuration has a shorter limit.
+    void what_is_kept_outlasts_a_shorter_limit() {
+        retention kept;
+        const milliseconds longer = 4 * keep;
+        kept.update(longer, now_);
+        kept.update(keep, now_ + milliseconds{1});
+        CPPUNIT_ASSERT(kept.time() == longer);
+        kept.update(keep, now_ + longer);
+        CPPUNIT_ASSERT(kept.time() == keep);
+        kept.update(longer, now_ + longer);
+        CPPUNIT_ASSERT(kept.time() == longer);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stream_origins_test);
