Let streams of each version wait for room by themselves

What callers saw: nothing was reported.

Cause: the bound on failed tries in one call counted all versions together, from the front of the queue. Found by the review, which also showed that the test did not reach the queue.

Change: the bound counts by version. The test queues ten streams of a full version before one of another and lets streams of that end.

--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -477,23 +477,26 @@
 void stream_scheduler::dispatch_resumed(decisions& made, base::time_point now) {
     // Bounds the work of one call after the loss of many streams.
     constexpr int most_failures = 8;
-    int failures = 0;
-    for (std::size_t i = 0;
-         i < resumed_queue_.size() && failures < most_failures;) {
-        const auto waiting = resumed_queue_.at(i);
+    std::map<std::optional<base::software_version>, int> failures;
+    for (std::size_t i = 0; i < resumed_queue_.size();) {
+        const auto& waiting = resumed_queue_.at(i);
         if (waiting.expires_at_ < now) {
             made.emplace_back(
                 refuse(waiting.request_, room_when_late(waiting, now), now));
             resumed_queue_.erase(i);
             continue;
         }
-        if (const auto grant =
-                try_grant(waiting.request_, waiting.expires_at_, 0, now)) {
+        auto& failed = failures[waiting.request_.software_version_];
+        const auto grant =
+            failed < most_failures
+                ? try_grant(waiting.request_, waiting.expires_at_, 0, now)
+                : std::nullopt;
+        if (grant) {
             made.emplace_back(*grant);
             resumed_queue_.erase(i);
             continue;
         }
-        ++failures;
+        ++failed;
         ++i;
     }
 }
--- a/pimentoferry/placement/stream_scheduler_test.cpp
+++ b/pimentoferry/placement/stream_scheduler_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <cmath>
 #include <map>
 #include <set>
@@ -61,6 +62,7 @@
     }()};
     base::time_point now_{std::chrono::hours{1}};
     std::uint64_t sequence_{0};
+    std::map<base::attempt_id, std::string> decode_of_; ///< Of `fill`.
 
     static stream_engine engine(const std::string& id, engine_role role) {
         return {base::upstream_name{id}, role, {}, 64, engine_tokens};
@@ -103,6 +105,7 @@
                 return running;
             }
             running.push_back(grant->attempt_);
+            decode_of_[grant->attempt_] = grant->decode_.value_;
             now_ += milliseconds{100};
             scheduler_.prefill_finished(grant->attempt_, now_);
             scheduler_.decode_started(grant->attempt_, now_);
@@ -193,19 +196,33 @@
     }
 
     // Guards against a queue that waits for memory of one version while engines
-    // of another have room.
+    // of another have room, also behind many of the first version.
     void a_resumed_stream_without_room_does_not_hold_up_others() {
-        use({engine("p", engine_role::prefill), versioned("old", "v1")});
-        fill();
         use({engine("p", engine_role::prefill), versioned("old", "v1"),
              versioned("new", "v2")});
-        now_ += milliseconds{1000};
-        CPPUNIT_ASSERT(!granted(resumed("v1")));
-        now_ += milliseconds{200};
-        const auto grant = granted(resumed("v2"));
-        CPPUNIT_ASSERT(grant.has_value());
-        now_ += milliseconds{200};
-        CPPUNIT_ASSERT(granted(make_request(5000)).has_value());
+        const auto running = fill();
+        constexpr int waiting = 10;
+        for (int i = 0; i < waiting; ++i) {
+            auto request = resumed("v1");
+            request.prompt_tokens_ = 100;
+            request.patience_ = milliseconds{20'000};
+            CPPUNIT_ASSERT(scheduler_.request(request, now_).empty());
+        }
+        auto last = resumed("v2");
+        last.patience_ = milliseconds{20'500};
+        CPPUNIT_ASSERT(scheduler_.request(last, now_).empty());
+        // Two streams at the engine of the other version end.
+        std::vector<base::attempt_id> granted_now;
+        for (const auto attempt : running) {
+            if (decode_of_[attempt] == "new") {
+                for (const auto& each : scheduler_.ended(attempt, 60, now_)) {
+                    granted_now.push_back(
+                        std::get<stream_grant>(each).attempt_);
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{1},
+                             std::ranges::count(granted_now, last.attempt_));
     }
 
     // Guards against a caller that is kept waiting for a version that no engine
