Tell keepers of recent streams again, and let the ring of the store reach back far enough

What callers saw: nothing was reported. A stream whose message to a keeper was lost was not known there; with limits of routes over 32 s, the ring of 128 writes was shorter than the time in which streams are continued (LOST).

Cause: each stream was told once over a channel that may drop messages; writes were spaced by a constant. A writer that is not the first one added versions that nobody uses. Found by the review.

Change: streams of the last second are told again every 500 ms, a gateway keeps at most 20,000 for new keepers, writes are spaced by the time that is kept and the number of services, and other writers add a version only while it is in use.

--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -15,11 +15,15 @@
 
 constexpr const char* versions_key = "pimentoferry/software-versions";
 constexpr const char* streams_prefix = "pimentoferry/stream-origins/";
-// A ring of this many writes, one each interval, reaches back as far as streams
-// are continued.
+// The writes are spaced so that the ring reaches back as far as streams are
+// continued.
 constexpr std::size_t ring_size = 128;
 constexpr base::milliseconds review_interval{500};
 constexpr std::size_t max_streams_in_write = 2000;
+// Within the size of a message; a gateway with more forgets the oldest.
+constexpr std::size_t max_own_streams = 20'000;
+// Streams that began within this time are told to the keepers again.
+constexpr base::milliseconds repeated_streams{1000};
 // Tolerates the loss of one keeper together with the gateway of a stream.
 constexpr std::size_t keeper_count = 2;
 constexpr base::milliseconds query_timeout{150};
@@ -113,8 +117,11 @@
     auto& state = services_[service];
     const auto stream = stream_hash(service, request);
     if (state.origins_.add(stream, version, now)) {
+        if (state.own_.size() >= max_own_streams) {
+            state.own_.pop_front();
+        }
         state.own_.push_back({now, version, stream});
-        append(state.untold_, version, stream);
+        state.untold_ = true;
     }
 }
 
@@ -278,25 +285,35 @@
         {{"key", item.key_}, {"revision", std::to_string(item.revision_)}});
 }
 
-// A keeper that has just become one is told of all streams that may still be
-// continued.
+std::vector<routing::streams_of_version>
+origin_exchange::own_streams(const service_state& state,
+                             base::time_point since) {
+    std::vector<routing::streams_of_version> groups;
+    const auto first =
+        std::ranges::lower_bound(state.own_, since, {}, &own_stream::began_);
+    std::for_each(first, state.own_.end(), [&groups](const own_stream& each) {
+        append(groups, each.version_, each.stream_);
+    });
+    return groups;
+}
+
+// Messages may be lost, so recent streams are told again. A keeper that has
+// just become one is told of all streams that may still be continued.
 void origin_exchange::tell_keepers(const base::service_name& service,
-                                   service_state& state) {
+                                   service_state& state,
+                                   base::time_point now) {
     const auto keepers = keepers_of(service);
     for (const auto keeper : keepers) {
-        began_streams message{service, state.untold_};
-        if (std::ranges::count(state.keepers_, keeper) == 0) {
-            message.groups_.clear();
-            std::ranges::for_each(state.own_, [&](const own_stream& each) {
-                append(message.groups_, each.version_, each.stream_);
-            });
-        }
+        const bool is_new = std::ranges::count(state.keepers_, keeper) == 0;
+        began_streams message{
+            service, is_new ? own_streams(state, base::time_point::min())
+                            : own_streams(state, now - repeated_streams)};
         if (keeper != peers_.self() && !message.groups_.empty()) {
             peers_.send(keeper, std::move(message));
         }
     }
     state.keepers_ = keepers;
-    state.untold_.clear();
+    state.untold_ = false;
 }
 
 void origin_exchange::forget_old_streams(base::time_point now) {
@@ -324,8 +341,8 @@
                            base::time_point now) {
     const bool review = now >= next_review_;
     for (auto& [service, state] : services_) {
-        if (!state.untold_.empty() || (review && !state.own_.empty())) {
-            tell_keepers(service, state);
+        if (state.untold_ || (review && !state.own_.empty())) {
+            tell_keepers(service, state, now);
         }
     }
     if (!review) {
@@ -354,23 +371,30 @@
                   });
 }
 
-void origin_exchange::write_versions(const store::mirror& replica,
-                                     base::time_point now) {
+versions_in_use origin_exchange::versions_since(base::time_point now,
+                                                base::milliseconds time) const {
     versions_in_use known;
     for (const auto& [service, state] : services_) {
-        auto versions = state.history_.possible(now, keep_.time());
+        auto versions = state.history_.possible(now, time);
         if (!versions.empty()) {
             known.services_.push_back({service, std::move(versions)});
         }
     }
+    return known;
+}
+
+void origin_exchange::write_versions(const store::mirror& replica,
+                                     base::time_point now) {
+    const auto known = versions_since(now, keep_.time());
     const auto writers = keepers_of(base::service_name{versions_key});
     const auto rank =
         std::ranges::find(writers, peers_.self()) - writers.begin();
     const auto stored = replica.items().find(versions_key);
     auto value = wire::encode(known);
-    const bool up_to_date = stored != replica.items().end() &&
-                            (stored->second.value_ == value ||
-                             (rank > 0 && contains(recorded_versions_, known)));
+    const bool up_to_date =
+        stored != replica.items().end() &&
+        (stored->second.value_ == value ||
+         (rank > 0 && contains(recorded_versions_, versions_since(now, turn))));
     if (known.services_.empty() || up_to_date) {
         versions_differ_since_.reset();
         return;
@@ -391,7 +415,7 @@
         const auto writers = keepers_of(service);
         const auto rank =
             std::ranges::find(writers, peers_.self()) - writers.begin();
-        if (write_pending_ || !mixed ||
+        if (write_pending_ || !mixed || now < state.next_write_ ||
             rank == static_cast<std::ptrdiff_t>(writers.size())) {
             continue;
         }
@@ -400,6 +424,9 @@
             state.origins_.unrecorded(max_streams_in_write, now - turn * rank)};
         if (!message.groups_.empty()) {
             write(oldest_slot(replica), wire::encode(message), replica);
+            const auto writers_of_ring = static_cast<int>(services_.size());
+            state.next_write_ =
+                now + keep_.time() * writers_of_ring / int{ring_size};
         }
     }
 }
--- a/pimentoferry/gateway/origin_exchange.hpp
+++ b/pimentoferry/gateway/origin_exchange.hpp
@@ -109,9 +109,10 @@
         routing::version_history history_;
         /// Streams of this gateway, the oldest first.
         std::deque<own_stream> own_;
-        /// Streams of this gateway that its keepers have not been told.
-        std::vector<routing::streams_of_version> untold_;
+        /// Whether the keepers have not been told of some of these.
+        bool untold_{false};
         std::vector<base::instance_id> keepers_;
+        base::time_point next_write_;
     };
     /// A query of this gateway that waits for its replies.
     struct pending_query {
@@ -131,7 +132,14 @@
                             base::time_point now);
     http::awaitable<stream_origin> ask_keepers(base::service_name service,
                                                std::uint64_t stream);
-    void tell_keepers(const base::service_name& service, service_state& state);
+    static std::vector<routing::streams_of_version>
+    own_streams(const service_state& state, base::time_point since);
+    void tell_keepers(const base::service_name& service,
+                      service_state& state,
+                      base::time_point now);
+    /// The versions of each service that were in use within `time`.
+    versions_in_use versions_since(base::time_point now,
+                                   base::milliseconds time) const;
     void forget_old_streams(base::time_point now);
     void write_streams(const store::mirror& replica, base::time_point now);
     void write_versions(const store::mirror& replica, base::time_point now);
