Correct the usage in the header of the origins of streams

Cause: the example named a call without its second argument, and said that the table forgets by itself.

Change: the comment only.

Measured: the formatter passes on the file and routing_test passes.

--- a/pimentoferry/routing/stream_origins.hpp
+++ b/pimentoferry/routing/stream_origins.hpp
@@ -8,10 +8,11 @@
 ///     origins.find(stream);            // unset: not known
 ///
 ///     history.seen(version, now);      // while an instance of it is usable
-///     history.only(now);               // a single possible version, or unset
+///     history.only(now, keep);         // a single possible version, or unset
 ///
-/// Both forget after `keep`, the longest time in which a caller continues a
-/// stream. Neither has a clock; the passed times must not decrease.
+/// `keep` is the longest time in which a caller continues a stream, see
+/// `retention`; the caller of `origin_table::expire` applies it to the table.
+/// No class has a clock; the passed times must not decrease.
 #ifndef PIMENTOFERRY_ROUTING_STREAM_ORIGINS_HPP
 #define PIMENTOFERRY_ROUTING_STREAM_ORIGINS_HPP
 
