Send large updates of the store's data on request, one at a time

Callers saw 404 for routes whose configuration had been acknowledged more than config_apply_ms before. Cause: a gateway that is behind asks two peers every 500 ms, and each of them sent the whole configuration, whatever was on its way. On links of 10 Mbit/s copies of one version delayed each other until versions were 8 s late. Change: a large difference is offered; the receiver asks one peer at a time, senders promise only what their link can send soon, and an awaited copy keeps the receiver from asking the store for another one.

--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "pimentoferry/gateway/origin_exchange.hpp"
 #include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/gateway/registration.hpp"
+#include "pimentoferry/gateway/replica_exchange.hpp"
 #include "pimentoferry/gateway/runtime.hpp"
 #include "pimentoferry/gateway/stage_orders.hpp"
 #include "pimentoferry/gateway/store_follower.hpp"
@@ -117,6 +118,7 @@
     store_follower follower_;
     registration registration_;
     peers peers_;
+    replica_exchange replicas_;
     stream_placement placement_;
     crash_guard crashes_;
     limit_guard limits_;
@@ -189,6 +191,7 @@
                     settings.name_,
                     settings.peer_address_),
       peers_(io_, settings, self, make_peer_handlers()),
+      replicas_(peers_, follower_, settings.link_mbps_),
       placement_(
           io_, peers_, shared_.metrics_, shared_.allowances_, settings.region_),
       crashes_(peers_, store_, shared_.metrics_, fleet_key_of(settings)),
@@ -225,11 +228,20 @@
 
 peer_handlers gateway_process::make_peer_handlers() {
     peer_handlers handlers;
-    handlers.read_replica_ = [this](store::position since) {
-        return follower_.update_since(since, base::clock::now());
+    handlers.on_replica_position_ = [this](base::instance_id from,
+                                           const replica_position& message) {
+        replicas_.receive(from, message);
     };
-    handlers.merge_replica_ = [this](const replica_update& update) {
-        follower_.merge(update);
+    handlers.on_replica_offer_ = [this](base::instance_id from,
+                                        const replica_offer& message) {
+        replicas_.receive(from, message);
+    };
+    handlers.on_replica_request_ = [this](base::instance_id from,
+                                          const replica_request& message) {
+        replicas_.receive(from, message);
+    };
+    handlers.on_replica_update_ = [this](const replica_update& message) {
+        replicas_.receive(message);
     };
     handlers.on_stream_message_ = [this](base::instance_id from,
                                          service_stream_message message) {
@@ -591,7 +603,8 @@
         peers_.update_self(false, routes ? routes->version() : 0,
                            shared_.in_flight_, now);
     }
-    peers_.tick(follower_.replica().current(), now);
+    peers_.tick(now);
+    replicas_.tick(now);
     placement_.tick(now);
     crashes_.tick(follower_.replica(), now);
     limits_.tick(now);
--- a/pimentoferry/gateway/peers.cpp
+++ b/pimentoferry/gateway/peers.cpp
@@ -14,18 +14,12 @@
 
 namespace {
 
-// A change that only some gateways receive reaches the others in about two
-// rounds; a configuration has to take effect everywhere within 2 s.
-constexpr base::milliseconds compare_interval{500};
 // Every change completes every watch, and each watch is a billed call to the
 // store: with all of 87 gateways watching, these calls were the largest cost.
 // Four watchers tolerate the loss of three, and a gateway that receives no
 // response from them watches the store itself.
 constexpr std::ptrdiff_t store_watcher_count = 4;
 
-// A configuration of some hundred routes; registrations are far smaller.
-constexpr std::size_t large_update_bytes = std::size_t{64} << 10;
-
 // Messages may come from senders that are not members; the number of addresses
 // kept is limited to that of a large fleet.
 constexpr std::size_t max_reply_addresses = 4096;
@@ -93,27 +87,8 @@
     return std::nullopt;
 }
 
-void peers::tick(store::position replica_at, base::time_point now) {
+void peers::tick(base::time_point now) {
     handle(membership::tick{}, now);
-    if (now >= next_compare_) {
-        next_compare_ = now + compare_interval;
-        compare_replicas(replica_at);
-    }
-}
-
-void peers::compare_replicas(store::position replica_at) {
-    std::vector<base::instance_id> targets;
-    const auto add_random = [&](const std::vector<base::instance_id>& from) {
-        std::vector<base::instance_id> candidates = from;
-        std::erase(candidates, self());
-        std::ranges::sample(candidates, std::back_inserter(targets), 1,
-                            random_);
-    };
-    add_random(watchers());
-    add_random(others());
-    for (const auto to : targets) {
-        send(to, replica_position{replica_at});
-    }
 }
 
 std::vector<base::instance_id> peers::others() const {
@@ -240,20 +215,15 @@
                 handle(membership::peer_message{from, std::move(m)}, now);
             },
             [&](const replica_position& m) {
-                auto update = handlers_.read_replica_(m.at_);
-                if (update.current_ || update.delta_.end() > m.at_) {
-                    if (update.delta_.bytes() >= large_update_bytes) {
-                        log::log_info(
-                            "large_update_sent",
-                            {{"to", base::to_hex(from.value_)},
-                             {"since", std::to_string(m.at_.at_)},
-                             {"revision", std::to_string(update.delta_.to_)},
-                             {"bytes", std::to_string(update.delta_.bytes())}});
-                    }
-                    send(from, std::move(update));
-                }
+                handlers_.on_replica_position_(from, m);
+            },
+            [&](const replica_offer& m) {
+                handlers_.on_replica_offer_(from, m);
+            },
+            [&](const replica_request& m) {
+                handlers_.on_replica_request_(from, m);
             },
-            [&](const replica_update& m) { handlers_.merge_replica_(m); },
+            [&](const replica_update& m) { handlers_.on_replica_update_(m); },
             [&](service_stream_message& m) {
                 handlers_.on_stream_message_(from, std::move(m));
             },
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -1,12 +1,9 @@
 /// The other gateways of the fleet: membership, and the messages exchanged with
 /// them about the store's data and about streams.
 ///
-/// Membership follows `membership::swim`. The local replicas of the store's
-/// data are compared with a few peers at a time: a gateway sends the position
-/// up to which its replica is complete, and a peer with a later one sends the
-/// difference. Only a few gateways watch the store, see `watches_store`;
-/// the others query those. A gateway that cannot reach the store receives
-/// changes in the same way.
+/// Membership follows `membership::swim`. Only a few gateways watch the store,
+/// see `watches_store`; the others receive its changes from them, see
+/// `replica_exchange`.
 ///
 /// All functions and handlers run on the thread of the io_context.
 #ifndef PIMENTOFERRY_GATEWAY_PEERS_HPP
@@ -42,6 +39,28 @@
 /// The sender's replica of the store is complete up to this revision.
 struct replica_position {
     store::position at_;
+    /// Whether the store or a watcher has confirmed the replica recently.
+    bool confirmed_{false};
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.at_, self.confirmed_);
+    }
+};
+
+/// The sender would send a large update to the receiver, if asked for it.
+struct replica_offer {
+    store::position end_;
+    /// About that of the update; 0: the sender declines a request for one.
+    std::uint64_t bytes_{0};
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.end_, self.bytes_);
+    }
+};
+
+/// Asks for the update that the receiver has offered.
+struct replica_request {
+    store::position at_; ///< Of the sender's replica.
     template <class Self>
     static auto fields(Self& self) {
         return std::tie(self.at_);
@@ -355,12 +374,18 @@
                                   routing::place_reply,
                                   began_streams,
                                   origin_query,
-                                  origin_reply>;
+                                  origin_reply,
+                                  replica_offer,
+                                  replica_request>;
 
 struct peer_handlers {
-    /// Returns the changes in this gateway's replica after `since`.
-    std::function<replica_update(store::position since)> read_replica_;
-    std::function<void(const replica_update&)> merge_replica_;
+    std::function<void(base::instance_id from, const replica_position&)>
+        on_replica_position_;
+    std::function<void(base::instance_id from, const replica_offer&)>
+        on_replica_offer_;
+    std::function<void(base::instance_id from, const replica_request&)>
+        on_replica_request_;
+    std::function<void(const replica_update&)> on_replica_update_;
     std::function<void(base::instance_id from, service_stream_message)>
         on_stream_message_;
     std::function<void(const placement::stream_reply&)> on_stream_reply_;
@@ -409,9 +434,14 @@
     /// Whether this gateway is one of the few that watch the store.
     bool watches_store() const;
 
-    /// Must be called about every 100 ms. `replica_at` is the position up to
-    /// which this gateway's replica of the store is complete.
-    void tick(store::position replica_at, base::time_point now);
+    /// The gateways that watch the store.
+    std::vector<base::instance_id> watchers() const;
+
+    /// All live gateways but this one.
+    std::vector<base::instance_id> others() const;
+
+    /// Must be called about every 100 ms.
+    void tick(base::time_point now);
 
     /// Sets the addresses at which other gateways may be found.
     void set_seeds(const std::vector<base::endpoint>& seeds,
@@ -450,9 +480,6 @@
     void receive(wire::envelope<peer_message> received);
     void handle(const membership::event& event, base::time_point now);
     void perform(const membership::send_message& action);
-    void compare_replicas(store::position replica_at);
-    std::vector<base::instance_id> watchers() const;
-    std::vector<base::instance_id> others() const;
 
     boost::asio::io_context& io_;
     peer_handlers handlers_;
@@ -461,7 +488,6 @@
     /// Reply addresses of senders, for those that are not members yet.
     std::map<base::instance_id, base::endpoint> reply_addresses_;
     std::mt19937_64 random_;
-    base::time_point next_compare_;
 };
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/gateway/store_follower.cpp
+++ b/pimentoferry/gateway/store_follower.cpp
@@ -84,8 +84,9 @@
         // temporary aggregates as arguments in the functions below: GCC 12
         // miscompiles both in a co_await expression.
         bool done = false;
-        const bool confirmed =
-            base::clock::now() - confirmed_at_ < confirmation_validity;
+        const auto now = base::clock::now();
+        const bool confirmed = now - confirmed_at_ < confirmation_validity ||
+                               now < update_expected_until_;
         if (listed_ && confirmed && !should_watch_()) {
             asio::steady_timer pause{io_, confirmation_check_interval};
             boost::system::error_code ignored;
--- a/pimentoferry/gateway/store_follower.hpp
+++ b/pimentoferry/gateway/store_follower.hpp
@@ -78,6 +78,12 @@
     /// Merges the changes that a peer sent, and when the store answered it.
     void merge(const replica_update& update);
 
+    /// Keeps this gateway from watching the store itself until then, because a
+    /// peer sends an update: a copy from the store would share its link.
+    void expect_update(base::time_point until) {
+        update_expected_until_ = until;
+    }
+
     /// Whether the store itself has confirmed the replica recently.
     bool current(base::time_point now) const;
 
@@ -125,6 +131,7 @@
     store::availability availability_;
     std::function<bool()> should_watch_;
     base::time_point confirmed_at_; ///< Last confirmation by a peer.
+    base::time_point update_expected_until_;
     bool listed_{false};
     store::era era_{0}; ///< The latest one heard of.
     /// Answers in a row that contradict `era_`.
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -292,6 +292,11 @@
 void gateway_fleet::put_configuration() {
     auto configuration =
         make_configuration(++version_, options_.route_timeout_);
+    for (std::size_t i = 0; i < options_.unused_routes_; ++i) {
+        configuration["routes"].append(make_route("unused-" + std::to_string(i),
+                                                  "safe", "desk",
+                                                  options_.route_timeout_));
+    }
     for (const auto& account : options_.accounts_) {
         configuration["tenants"].append(make_account(account));
     }
@@ -319,6 +324,9 @@
     settings["store_address"] = loopback_address(own.store_);
     settings["fleet_key"] = std::string(64, 'a');
     settings["processor_share"] = 1.0;
+    if (options_.link_mbps_ > 0) {
+        settings["link_mbps"] = options_.link_mbps_;
+    }
     settings["drain_limit_s"] =
         std::chrono::duration<double>{options_.drain_limit_}.count();
     settings["address_ttl_s"] = 5;
--- a/tests/process/gateway_fleet.hpp
+++ b/tests/process/gateway_fleet.hpp
@@ -50,6 +50,10 @@
     /// Software versions, which replicas have in turn as they are started and
     /// restarted. Without any, registrations name none.
     std::vector<std::string> software_versions_{};
+    /// Routes of the configuration that nobody calls.
+    std::size_t unused_routes_{0};
+    /// Bandwidth that each gateway is told of; 0: none.
+    double link_mbps_{0};
 };
 
 /// A replica stand-in. A restarted replica has a new id.
