Keep requests from instances that ask this gateway for a pause

Replicas that had turned a request away with 503 and Retry-After got further requests from the same gateway before that time was over. Cause: no code read the field of an upstream's answer. Change: the pause is read with the other statements of an instance and kept for the gateway that was told. Plain calls, the owner's choices, prefills and decodes leave the instance out; callers are refused at once, with the time until the first pause ends, if nothing else is left.

--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -40,6 +40,8 @@
 // the time that they are told to wait, and over this time at least.
 constexpr double limited_retry_spread = 1;
 constexpr base::milliseconds least_limited_retry_spread{100};
+// Callers of replicas that have paused do not return together.
+constexpr base::milliseconds paused_retry_spread{300};
 
 /// The result of one send.
 struct send_result {
@@ -129,11 +131,20 @@
     struct no_place {
         base::milliseconds retry_after_{0};
     };
-    using choice =
-        std::variant<routing::instance, no_replica, limited_replicas, no_place>;
+    /// All replicas have asked this gateway for a pause.
+    struct paused_replicas {
+        base::milliseconds wait_{0};
+    };
+    using choice = std::variant<routing::instance,
+                                no_replica,
+                                limited_replicas,
+                                no_place,
+                                paused_replicas>;
 
     http::awaitable<void> run_attempts();
     http::awaitable<choice> choose();
+    /// Chooses among replicas that have not asked for a pause.
+    http::awaitable<choice> choose_unpaused();
     /// Lets the owner of the service choose; unset if it does not reply.
     http::awaitable<std::optional<choice>> choose_by_owner();
     /// Chooses without the owner, and tells it.
@@ -146,7 +157,10 @@
     choose_limited(std::vector<const routing::instance*> limited);
     std::vector<const routing::instance*>
     untried_replicas(base::time_point now) const;
+    /// The replica, unless it is gone or has asked for a pause meanwhile.
+    const routing::instance* find_open(const base::upstream_name& id) const;
     http::awaitable<void> refuse_limited(base::milliseconds wait);
+    http::awaitable<void> refuse_paused(base::milliseconds wait);
     http::awaitable<void> refuse_no_place(base::milliseconds retry_after);
     http::awaitable<send_result> send(routing::instance replica);
     /// Keeps calls of all gateways away from a replica that has ended.
@@ -316,17 +330,37 @@
 std::vector<const routing::instance*>
 plain_call::untried_replicas(base::time_point now) const {
     auto replicas = shared_.registry_.instances().usable(call_.service_, now);
-    std::erase_if(replicas, [this](const routing::instance* each) {
+    std::erase_if(replicas, [this, now](const routing::instance* each) {
         return each->stage_ == routing::engine_stage::prefill ||
-               tried_.contains(each->id_);
+               tried_.contains(each->id_) || shared_.pauses_.paused(*each, now);
     });
     return replicas;
 }
 
+const routing::instance*
+plain_call::find_open(const base::upstream_name& id) const {
+    const auto now = base::clock::now();
+    const auto* found = shared_.registry_.instances().find_usable(id, now);
+    return found != nullptr && !shared_.pauses_.paused(*found, now) ? found
+                                                                    : nullptr;
+}
+
+http::awaitable<plain_call::choice> plain_call::choose() {
+    const auto now = base::clock::now();
+    auto replicas = shared_.registry_.instances().usable(call_.service_, now);
+    std::erase_if(replicas, [](const routing::instance* each) {
+        return each->stage_ == routing::engine_stage::prefill;
+    });
+    if (const auto wait = shared_.pauses_.wait_for_any(replicas, now)) {
+        co_return paused_replicas{*wait};
+    }
+    co_return co_await choose_unpaused();
+}
+
 // Replicas without a limit take the calls that limited ones cannot. A limited
 // replica is used when the others are failing or full, and now and then to
 // learn whether its limit has ended.
-http::awaitable<plain_call::choice> plain_call::choose() {
+http::awaitable<plain_call::choice> plain_call::choose_unpaused() {
     const auto now = base::clock::now();
     auto open = untried_replicas(now);
     std::vector<const routing::instance*> limited;
@@ -358,8 +392,7 @@
     auto permitted = co_await choose_limited(std::move(limited));
     const bool use_fallback =
         fallback && !std::holds_alternative<routing::instance>(permitted) &&
-        shared_.registry_.instances().find_usable(fallback->id_,
-                                                  base::clock::now());
+        find_open(fallback->id_) != nullptr;
     co_return use_fallback ? choice{*fallback} : std::move(permitted);
 }
 
@@ -383,6 +416,12 @@
     request.time_left_ = time_left(call_, now);
     request.retry_window_ = shared_.protocol_.retry_window_(request.time_left_);
     request.excluded_ = {tried_.begin(), tried_.end()};
+    for (const auto* each :
+         shared_.registry_.instances().usable(call_.service_, now)) {
+        if (shared_.pauses_.paused(*each, now)) {
+            request.excluded_.push_back(each->id_);
+        }
+    }
     request.may_repeat_ = call_.route_.kind_ == routing::call_kind::idempotent;
     auto cancel = call_.exchange_.caller_gone();
     const auto outcome = co_await shared_.call_places_->acquire(
@@ -403,12 +442,10 @@
          {"ms", std::to_string(base::age_ms(now, base::clock::now()))}});
     if (grant != nullptr) {
         place_ = grant->attempt_;
-        const auto* replica = shared_.registry_.instances().find_usable(
-            grant->replica_, base::clock::now());
-        if (replica != nullptr) {
+        if (const auto* replica = find_open(grant->replica_)) {
             co_return choice{*replica};
         }
-        // This gateway knows of its end before the owner.
+        // This gateway knows of its end, or of a pause, before the owner.
         release_place(routing::call_result::abandoned, {}, false);
         co_return std::nullopt;
     }
@@ -476,10 +513,8 @@
     const auto decision = co_await shared_.permits_->acquire(
         call_.service_, std::move(request), std::move(cancel));
     const auto* grant = std::get_if<requests::permit_grant>(&decision);
-    const auto* replica = grant != nullptr
-                              ? shared_.registry_.instances().find_usable(
-                                    grant->replica_, base::clock::now())
-                              : nullptr;
+    const auto* replica =
+        grant != nullptr ? find_open(grant->replica_) : nullptr;
     const auto& service = call_.service_.value_;
     shared_.metrics_.count_limited(service,
                                    grant != nullptr ? "granted" : "refused");
@@ -510,6 +545,15 @@
     co_await refuse(shared_, call_, std::move(refusal));
 }
 
+http::awaitable<void> plain_call::refuse_paused(base::milliseconds wait) {
+    const auto spread = std::chrono::duration_cast<base::milliseconds>(
+        paused_retry_spread * shared_.random_fraction());
+    base::refusal refusal{base::refusal_code::overloaded,
+                          base::ran_state::not_run, wait + spread,
+                          "the replicas have asked for a pause"};
+    co_await refuse(shared_, call_, std::move(refusal));
+}
+
 http::awaitable<void>
 plain_call::refuse_no_place(base::milliseconds retry_after) {
     base::refusal refusal{base::refusal_code::overloaded,
@@ -563,6 +607,11 @@
             co_await refuse_no_place(crowded->retry_after_);
             co_return;
         }
+        const auto* paused = std::get_if<paused_replicas>(&chosen);
+        if (paused != nullptr && possible_runs_ == 0 && !caller_gone) {
+            co_await refuse_paused(paused->wait_);
+            co_return;
+        }
         const auto* replica = std::get_if<routing::instance>(&chosen);
         const bool is_retry = !tried_.empty();
         if (caller_gone) {
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -13,6 +13,7 @@
 #include "pimentoferry/requests/allowance.hpp"
 #include "pimentoferry/requests/retry_budget.hpp"
 #include "pimentoferry/routing/replica_picker.hpp"
+#include "pimentoferry/routing/requested_pauses.hpp"
 #include "pimentoferry/store/availability.hpp"
 
 #include <cstdint>
@@ -73,6 +74,7 @@
     registry registry_;
     http::client client_;
     routing::replica_picker picker_;
+    routing::requested_pauses pauses_;
     metrics metrics_;
     /// Counts the requests to instances that announced a limit.
     requests::allowance_table allowances_;
--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -117,6 +117,10 @@
     return found != nullptr ? std::optional{*found} : std::nullopt;
 }
 
+bool stream_call::is_paused(const routing::instance& engine) const {
+    return shared_.pauses_.paused(engine, base::clock::now());
+}
+
 http::awaitable<std::variant<prefill_result, stream_outcome>>
 stream_call::prefill(const routing::instance& engine) {
     const auto began = base::clock::now();
@@ -366,6 +370,7 @@
         "the decode engine is gone", placement::decode_rejection::unreachable};
     for (std::uint32_t i = 0; i < max_decode_sends; ++i) {
         const auto engine = find_engine(grant.decode_);
+        const bool paused = engine && is_paused(*engine);
         // Other crashes may have been reported while the prompt was read.
         if (quarantined_for()) {
             co_return stream_not_run{
@@ -375,7 +380,11 @@
             co_return stream_not_run{"the key was taken away"};
         }
         // The owner may have another view of the engines.
-        if (engine && resumed() && engine->software_version_ != origin_) {
+        if (paused) {
+            outcome = stream_not_run{"the decode engine has asked for a pause",
+                                     placement::decode_rejection::excluded};
+        } else if (engine && resumed() &&
+                   engine->software_version_ != origin_) {
             outcome =
                 stream_not_run{"the decode engine has another software version",
                                placement::decode_rejection::other_version};
@@ -391,7 +400,9 @@
         if (i + 1 == max_decode_sends || !budget.take(base::clock::now())) {
             break;
         }
-        const auto reason = std::get<stream_not_run>(outcome).reason_;
+        const auto reason = engine && is_paused(*engine)
+                                ? placement::decode_rejection::excluded
+                                : std::get<stream_not_run>(outcome).reason_;
         const auto decision =
             co_await shared_.streams_->replace_decode(grant.attempt_, reason);
         const auto* next_grant =
@@ -420,9 +431,15 @@
             shared_.streams_->engine_failed(call_.service_, grant.prefill_);
             co_return stream_not_run{"the prefill engine is gone"};
         }
+        if (is_paused(*prefill_engine)) {
+            co_return stream_not_run{"the prefill engine has asked for a pause",
+                                     placement::decode_rejection::excluded};
+        }
         auto prefill_outcome = co_await prefill(*prefill_engine);
         if (auto* failed = std::get_if<stream_outcome>(&prefill_outcome)) {
-            if (!std::holds_alternative<caller_disconnect>(*failed)) {
+            // A pause concerns this gateway only, and no other one.
+            if (!std::holds_alternative<caller_disconnect>(*failed) &&
+                !is_paused(*prefill_engine)) {
                 shared_.streams_->engine_failed(call_.service_, grant.prefill_);
             }
             co_return std::move(*failed);
--- a/pimentoferry/gateway/stream_call.hpp
+++ b/pimentoferry/gateway/stream_call.hpp
@@ -102,6 +102,8 @@
     bool resumed() const {
         return any_event_sent_ || call_.request_.last_event_;
     }
+    /// Time until an engine of each role may be used.
+    base::milliseconds wait_for_pauses() const;
     /// Whether an instance of that version is registered.
     bool is_in_service(const base::software_version& version) const;
     http::awaitable<void> examine_lost_answer(routing::instance engine);
@@ -112,6 +114,8 @@
     send_options send_options_for(const base::upstream_name& engine) const;
     std::optional<routing::instance>
     find_engine(const base::upstream_name& engine) const;
+    /// Whether the engine has asked this gateway for a pause that lasts.
+    bool is_paused(const routing::instance& engine) const;
     bool caller_disconnected() const;
     /// The sends that the next placement repeats: its prefill, and its decode
     /// if one has been sent before.
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -20,6 +20,8 @@
 constexpr base::milliseconds no_engine_retry_after{1500};
 // By then the loss of a gateway is known, and others keep what it kept.
 constexpr base::milliseconds unknown_origin_retry_after{1000};
+// Callers of engines that have paused do not return together.
+constexpr base::milliseconds paused_retry_spread{300};
 // Allows for the delivery to the caller and for the error of the prefill
 // estimate.
 constexpr base::milliseconds patience_margin{400};
@@ -65,6 +67,12 @@
     request.priority_ = call_.priority();
     request.resumed_ = resumed();
     request.software_version_ = origin_;
+    for (const auto* each :
+         shared_.registry_.instances().usable(call_.service_, now)) {
+        if (shared_.pauses_.paused(*each, now)) {
+            request.excluded_.push_back(each->id_);
+        }
+    }
     if (call_.account_ && call_.account_->key_) {
         const auto& account = call_.account_->account_;
         request.account_ = base::hash_bytes(account.name_.value_);
@@ -226,6 +234,25 @@
                                });
 }
 
+base::milliseconds stream_call::wait_for_pauses() const {
+    const auto now = base::clock::now();
+    const auto engines =
+        shared_.registry_.instances().usable(call_.service_, now);
+    const auto wait_for = [&](routing::engine_stage stage) {
+        auto of_stage = engines;
+        std::erase_if(of_stage, [stage](const routing::instance* each) {
+            return each->stage_ != stage;
+        });
+        return shared_.pauses_.wait_for_any(of_stage, now)
+            .value_or(base::milliseconds{0});
+    };
+    const auto spread = std::chrono::duration_cast<base::milliseconds>(
+        paused_retry_spread * shared_.random_fraction());
+    return std::max(wait_for(routing::engine_stage::prefill),
+                    wait_for(routing::engine_stage::decode)) +
+           spread;
+}
+
 http::awaitable<void>
 stream_call::refuse_placement(const placement::stream_refusal& refused) {
     using reason = placement::refusal_reason;
@@ -245,6 +272,9 @@
     } else if (refused.reason_ == reason::limited) {
         refusal.code_ = base::refusal_code::upstream_limited;
         refusal.detail_ = "the engines with room accept no more requests yet";
+    } else if (refused.reason_ == reason::excluded) {
+        refusal.retry_after_ = wait_for_pauses();
+        refusal.detail_ = "the engines have asked for a pause";
     } else if (refused.reason_ == reason::too_large) {
         refusal.retry_after_ = std::nullopt;
         refusal.detail_ = "the request exceeds the memory of every engine";
--- a/pimentoferry/gateway/upstream_protocol.hpp
+++ b/pimentoferry/gateway/upstream_protocol.hpp
@@ -140,6 +140,20 @@
     unreadable, ///< The answer has the field with a value that is not known.
 };
 
+/// An answer that asks for no pause.
+struct no_pause {};
+/// The instance rejected the request and wants no other one from this gateway
+/// for so long.
+struct requested_pause {
+    base::milliseconds duration_{0};
+};
+/// The answer names a pause that cannot be read.
+struct unreadable_pause {
+    std::string text_;
+};
+using pause_statement =
+    std::variant<no_pause, requested_pause, unreadable_pause>;
+
 struct upstream_protocol {
     std::function<std::variant<caller_request, malformed_request>(
         const http::request&)>
@@ -180,6 +194,7 @@
         meaning_of_;
     std::function<limit_statement(const http::field_list&)> read_limit_;
     std::function<leaving_statement(const http::field_list&)> read_leaving_;
+    std::function<pause_statement(const http::response_head&)> read_pause_;
     std::function<std::optional<prefill_result>(std::string_view body)>
         read_prefill_;
 
--- a/pimentoferry/gateway/upstream_statements.cpp
+++ b/pimentoferry/gateway/upstream_statements.cpp
@@ -50,6 +50,7 @@
                 limits_.answer_received(instance, head.fields_, sent_at);
             }
             read_leaving(request, instance, head.fields_);
+            read_pause(request, instance, head);
         }
     };
 }
@@ -79,6 +80,31 @@
     }
 }
 
+void upstream_statements::read_pause(const caller_request& request,
+                                     const routing::instance& instance,
+                                     const http::response_head& head) {
+    const auto now = base::clock::now();
+    const auto statement = shared_.protocol_.read_pause_(head);
+    if (const auto* unreadable = std::get_if<unreadable_pause>(&statement)) {
+        if (now >= next_unreadable_pause_line_) {
+            next_unreadable_pause_line_ = now + unreadable_line_interval;
+            log::log_warn("pause_unreadable",
+                          {{"request", request.id_},
+                           {"instance", instance.id_.value_},
+                           {"text", unreadable->text_}});
+        }
+        return;
+    }
+    const auto* pause = std::get_if<requested_pause>(&statement);
+    if (pause != nullptr &&
+        shared_.pauses_.note(instance, pause->duration_, now)) {
+        log::log_info("instance_paused",
+                      {{"instance", instance.id_.value_},
+                       {"ms", std::to_string(pause->duration_.count())},
+                       {"request", request.id_}});
+    }
+}
+
 bool upstream_statements::note_leaving(const routing::leaving_run& heard,
                                        std::string_view told_by,
                                        const std::string& request) {
@@ -107,6 +133,11 @@
 }
 
 void upstream_statements::tick(base::time_point now) {
+    std::ranges::for_each(shared_.pauses_.expire(now), [](const base::
+                                                              upstream_name&
+                                                                  instance) {
+        log::log_info("instance_pause_ended", {{"instance", instance.value_}});
+    });
     if (now < next_exchange_) {
         return;
     }
--- a/pimentoferry/gateway/upstream_statements.hpp
+++ b/pimentoferry/gateway/upstream_statements.hpp
@@ -1,9 +1,9 @@
 /// What upstream instances say of themselves in their answers.
 ///
-/// An answer may announce a limit of requests (see `limit_guard`), or that its
-/// instance leaves. Both are read here, from the head of every answer that the
-/// instance itself gave, whatever its status and whether or not its body is
-/// ever complete:
+/// An answer may announce a limit of requests (see `limit_guard`), that its
+/// instance leaves, or that it wants a pause. All are read here, from the head
+/// of every answer that the instance itself gave, whatever its status and
+/// whether or not its body is ever complete:
 ///
 ///     statements.observe(options, call.request_, engine);
 ///     co_await client.call(engine.address_, request, std::move(options));
@@ -12,6 +12,9 @@
 /// `routing::instance_table::note_leaving`. The gateway that hears it first
 /// tells all others at once, and each gateway tells one other what it knows
 /// every 500 ms, so that gateways that start or were cut off have it soon.
+///
+/// An instance that asks for a pause gets no requests from this gateway until
+/// the pause is over, see `routing::requested_pauses`. Others are not told.
 #ifndef PIMENTOFERRY_GATEWAY_UPSTREAM_STATEMENTS_HPP
 #define PIMENTOFERRY_GATEWAY_UPSTREAM_STATEMENTS_HPP
 
@@ -53,6 +56,9 @@
     void read_leaving(const caller_request& request,
                       const routing::instance& instance,
                       const http::field_list& fields);
+    void read_pause(const caller_request& request,
+                    const routing::instance& instance,
+                    const http::response_head& head);
     bool note_leaving(const routing::leaving_run& heard,
                       std::string_view told_by,
                       const std::string& request);
@@ -63,6 +69,7 @@
     std::function<void()> on_leaving_;
     base::time_point next_exchange_;
     base::time_point next_unreadable_line_;
+    base::time_point next_unreadable_pause_line_;
 };
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/placement/stream_engines.cpp
+++ b/pimentoferry/placement/stream_engines.cpp
@@ -116,7 +116,8 @@
         max_waiting_prompts, max_waiting_prompts * model_.mean_prompt_tokens());
     base::time_point best_end;
     for (auto& [id, state] : engines_) {
-        if (!state.serves(engine_role::prefill, now) || !may_be_sent(id, now)) {
+        if (!state.serves(engine_role::prefill, now) || !may_be_sent(id, now) ||
+            std::ranges::count(request.excluded_, id) > 0) {
             continue;
         }
         const auto wait = state.prefill_.wait(cost, now);
@@ -156,6 +157,7 @@
     for (auto& [id, state] : engines_) {
         if (!state.serves(engine_role::decode, now) || !may_be_sent(id, now) ||
             state.streams_.size() >= state.engine_.slots_ ||
+            std::ranges::count(stream.excluded_, id) > 0 ||
             (stream.software_version_ &&
              state.engine_.software_version_ != *stream.software_version_) ||
             (limit.no_prefills_running_ && state.prefill_.prompts() > 0)) {
@@ -218,6 +220,15 @@
     });
 }
 
+bool stream_scheduler::excludes_all(const stream_request& request,
+                                    engine_role role) const {
+    return has_engine(role) &&
+           std::ranges::all_of(engines_, [&](const auto& entry) {
+               return entry.second.engine_.role_ != role ||
+                      std::ranges::count(request.excluded_, entry.first) > 0;
+           });
+}
+
 bool stream_scheduler::fits_any_engine(const stream_request& request) const {
     return std::ranges::any_of(engines_, [&](const auto& entry) {
         const auto& engine = entry.second.engine_;
--- a/pimentoferry/placement/stream_messages.hpp
+++ b/pimentoferry/placement/stream_messages.hpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <tuple>
 #include <variant>
+#include <vector>
 
 namespace pimentoferry::placement {
 
@@ -43,15 +44,18 @@
     bool resumed_{false};
     /// The version of the decode engine; unset if any may be used.
     std::optional<base::software_version> software_version_{};
+    /// Engines that the requesting gateway may not use now.
+    std::vector<base::upstream_name> excluded_{};
 
     template <class Self>
     static auto fields(Self& self) {
-        return std::tie(
-            self.attempt_, self.failure_domain_, self.prompt_tokens_,
-            self.max_output_tokens_, self.expected_output_tokens_, self.budget_,
-            self.patience_, self.prompt_id_, self.time_left_,
-            self.retry_window_, self.priority_, self.account_,
-            self.account_weight_, self.resumed_, self.software_version_);
+        return std::tie(self.attempt_, self.failure_domain_,
+                        self.prompt_tokens_, self.max_output_tokens_,
+                        self.expected_output_tokens_, self.budget_,
+                        self.patience_, self.prompt_id_, self.time_left_,
+                        self.retry_window_, self.priority_, self.account_,
+                        self.account_weight_, self.resumed_,
+                        self.software_version_, self.excluded_);
     }
 };
 
@@ -72,6 +76,7 @@
     too_large,  ///< The request exceeds the memory of every engine.
     limited,    ///< The engines with room announced limits that are used up.
     no_version, ///< No decode engine has the software version of the stream.
+    excluded,   ///< The request excludes all engines of a role.
 };
 
 /// What the owner expected when it refused a request for lack of room.
@@ -172,6 +177,9 @@
     /// The engine has another software version than the stream. Nothing was
     /// sent.
     other_version,
+    /// The gateway may not use the engine now. It may have sent the stream
+    /// there, and been told so.
+    excluded,
 };
 
 struct stream_rejected {
--- a/pimentoferry/placement/stream_model.cpp
+++ b/pimentoferry/placement/stream_model.cpp
@@ -73,6 +73,7 @@
         std::clamp(stream.expected_events_, 1.0, stream.max_events_);
     stream.granted_ = now;
     stream.software_version_ = request.software_version_;
+    stream.excluded_ = request.excluded_;
     return stream;
 }
 
--- a/pimentoferry/placement/stream_model.hpp
+++ b/pimentoferry/placement/stream_model.hpp
@@ -52,6 +52,8 @@
     base::time_point granted_;
     /// The version of its decode engine; unset if any may run it.
     std::optional<base::software_version> software_version_{};
+    /// Engines that its gateway may not use, see `stream_request`.
+    std::vector<base::upstream_name> excluded_{};
 };
 
 class stream_model {
--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -173,6 +173,10 @@
     if (!fits_any_engine(request)) {
         return {request.attempt_, refusal_reason::too_large, {}, {}};
     }
+    if (excludes_all(request, engine_role::decode) ||
+        excludes_all(request, engine_role::prefill)) {
+        return {request.attempt_, refusal_reason::excluded, {}, {}};
+    }
     if (room.limits_bind()) {
         return {request.attempt_, refusal_reason::limited,
                 std::max(retry_after(request), allowance_wait(room)), room};
@@ -199,6 +203,8 @@
         queued.gives_up_at_ = std::min(queued.gives_up_at_, complete);
     }
     if (!fits_any_engine(request) || !has_decode_engine_for(request) ||
+        excludes_all(request, engine_role::decode) ||
+        excludes_all(request, engine_role::prefill) ||
         queued.gives_up_at_ < now) {
         return {refuse(request, room_in_time(queued, now), now)};
     }
@@ -368,6 +374,8 @@
     const auto rejecting = engines_.find(stream.decode_);
     if (reason == decode_rejection::unreachable) {
         engine_failed(stream.decode_, now);
+    } else if (reason == decode_rejection::excluded) {
+        stream.excluded_.push_back(stream.decode_);
     } else if (rejecting != engines_.end()) {
         auto& engine = rejecting->second;
         engine.failed_until_ =
--- a/pimentoferry/placement/stream_scheduler.hpp
+++ b/pimentoferry/placement/stream_scheduler.hpp
@@ -248,6 +248,8 @@
     bool has_engine(engine_role role) const;
     /// Whether a decode engine may run the request.
     bool has_decode_engine_for(const stream_request& request) const;
+    /// Whether there are engines of the role, and the request excludes them.
+    bool excludes_all(const stream_request& request, engine_role role) const;
     bool fits_any_engine(const stream_request& request) const;
     double free_decode_tokens_at(base::time_point at,
                                  base::time_point now) const;
--- a/standins/platform_replica.cpp
+++ b/standins/platform_replica.cpp
@@ -94,6 +94,7 @@
     crash_on_ = text_or(switches, "crash_on", crash_on_);
     endless_shape_ = text_or(switches, "endless_shape", endless_shape_);
     leaving_ = text_or(switches, "leaving", leaving_);
+    retry_after_ = text_or(switches, "retry_after", retry_after_);
     crash_on_part_ = text_or(switches, "crash_on_part", crash_on_part_);
     if (const auto limit = text_or(switches, "limit", limit_);
         limit != limit_) {
@@ -226,6 +227,9 @@
     headers fields{{request_id, call.header(request_id)},
                    {"X-Not-Executed", "1"}};
     add_statements(fields);
+    if (status == status_full && !retry_after_.empty()) {
+        fields.emplace_back("Retry-After", retry_after_);
+    }
     record_arrival("rejected", call);
     rejected_on_[call.peer_port()] = {call.header(request_id), status};
     std::string type = "text/plain";
--- a/standins/platform_replica.hpp
+++ b/standins/platform_replica.hpp
@@ -47,6 +47,8 @@
 ///   (informational answers), `answers` (to another request), `bytes` (no
 ///   HTTP), `event` (one that does not end), `events`, `trickle` (one byte at
 ///   a time). Empty: a body, the head of a prefill, or an event.
+/// * `retry_after`: what a rejection as full says in `Retry-After`; empty:
+///   nothing.
 /// * `leaving`: what every answer says in `Server-Leaving`; empty: nothing.
 ///
 /// `GET /runs` answers with the number of runs of each request, `GET /arrivals`
@@ -126,6 +128,7 @@
     std::map<std::uint16_t, rejection> rejected_on_;
     std::string endless_shape_;
     std::string limit_;
+    std::string retry_after_;
     std::string leaving_; ///< Value of `Server-Leaving`; empty: not sent.
     std::chrono::steady_clock::time_point limited_since_;
     std::map<std::string, std::int64_t> arrivals_; ///< By kind.
