Serve callers of a gateway without links to upstreams through another one

Callers of gateways that had lost their links to all replicas were refused for as long as that lasted, with sound gateways beside them. Cause: a gateway took the loss of its own links for the end of each replica, refused, stayed in the address lists of callers, and told the others that replicas refuse connections and engines fail. Change: two instances that cannot be reached in a row show that the gateway is isolated, until a new connection is answered. It then leaves the address lists, passes requests to another gateway and reports nothing about upstreams. A single request that reached no upstream is passed on as well.

--- a/pimentoferry/gateway/caller_service.cpp
+++ b/pimentoferry/gateway/caller_service.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/gateway/caller_service.hpp"
 
 #include "pimentoferry/gateway/account_quotas.hpp"
+#include "pimentoferry/gateway/peer_relay.hpp"
 #include "pimentoferry/gateway/plain_relay.hpp"
 #include "pimentoferry/gateway/stream_relay.hpp"
 #include "pimentoferry/log/log.hpp"
@@ -137,6 +138,10 @@
     routed_call call{
         exchange, std::move(request), routes, *matched_route, name, arrived,
         deadline, std::move(account)};
+    if (shared_.relay_->should_relay(call) &&
+        co_await shared_.relay_->relay(call)) {
+        co_return;
+    }
     const auto account_name = call.account_name();
     const double cost = quota_cost_of(call);
     if (!co_await within_quota(call, cost)) {
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "pimentoferry/gateway/directory.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
 #include "pimentoferry/gateway/origin_exchange.hpp"
+#include "pimentoferry/gateway/peer_relay.hpp"
 #include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/gateway/registration.hpp"
 #include "pimentoferry/gateway/replica_exchange.hpp"
@@ -119,6 +120,7 @@
     registration registration_;
     peers peers_;
     replica_exchange replicas_;
+    peer_relay relay_;
     stream_placement placement_;
     crash_guard crashes_;
     limit_guard limits_;
@@ -192,6 +194,7 @@
                     settings.peer_address_),
       peers_(io_, settings, self, make_peer_handlers()),
       replicas_(peers_, follower_, settings.link_mbps_),
+      relay_(peers_, shared_),
       placement_(
           io_, peers_, shared_.metrics_, shared_.allowances_, settings.region_),
       crashes_(peers_, store_, shared_.metrics_, fleet_key_of(settings)),
@@ -223,6 +226,7 @@
     shared_.quotas_ = &quotas_;
     shared_.call_places_ = &call_places_;
     shared_.origins_ = &origins_;
+    shared_.relay_ = &relay_;
     shared_.store_answers_ = &follower_.availability();
 }
 
@@ -314,6 +318,10 @@
     handlers.on_origin_reply_ = [this](const origin_reply& reply) {
         origins_.receive(reply);
     };
+    handlers.on_upstream_reach_report_ =
+        [this](base::instance_id from, const upstream_reach_report& message) {
+            relay_.receive(from, message);
+        };
     handlers.on_member_ = [this](const membership::member& member) {
         placement_.member_changed(member);
         limits_.member_changed(base::clock::now());
@@ -454,7 +462,8 @@
         co_await exchange.respond(answer);
         co_return;
     }
-    const auto addresses = addresses_for(query->failure_domain_, peers_.live());
+    const auto addresses =
+        addresses_for(query->failure_domain_, relay_.serving(peers_.live()));
     const auto longest = std::chrono::duration_cast<base::milliseconds>(
         shared_.settings_.address_ttl_);
     const auto answer = adapter_.directory_.write_answer_(
@@ -605,6 +614,7 @@
     }
     peers_.tick(now);
     replicas_.tick(now);
+    relay_.tick(now);
     placement_.tick(now);
     crashes_.tick(follower_.replica(), now);
     limits_.tick(now);
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -58,6 +58,15 @@
     }
 };
 
+/// Whether the sender reaches no upstream.
+struct upstream_reach_report {
+    bool isolated_{false};
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.isolated_);
+    }
+};
+
 /// Asks for the update that the receiver has offered.
 struct replica_request {
     store::position at_; ///< Of the sender's replica.
@@ -376,7 +385,8 @@
                                   origin_query,
                                   origin_reply,
                                   replica_offer,
-                                  replica_request>;
+                                  replica_request,
+                                  upstream_reach_report>;
 
 struct peer_handlers {
     std::function<void(base::instance_id from, const replica_position&)>
@@ -416,6 +426,8 @@
     std::function<void(base::instance_id from, const origin_query&)>
         on_origin_query_;
     std::function<void(const origin_reply&)> on_origin_reply_;
+    std::function<void(base::instance_id from, const upstream_reach_report&)>
+        on_upstream_reach_report_;
     /// A gateway joined or left, began to drain, or is suspected or dead.
     std::function<void(const membership::member&)> on_member_;
 };
--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -5,6 +5,7 @@
 #include "pimentoferry/gateway/call_placement.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
+#include "pimentoferry/gateway/peer_relay.hpp"
 #include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/gateway/upstream_check.hpp"
 #include "pimentoferry/gateway/upstream_statements.hpp"
@@ -213,6 +214,7 @@
     send_result outcome;
     if (const auto* failure = std::get_if<http::call_failure>(&received)) {
         outcome.failure_ = *failure;
+        shared_.relay_->send_failed(replica, *failure);
     } else {
         outcome.answer_ = std::get<http::response>(std::move(received));
         outcome.meaning_ = shared_.protocol_.meaning_of_(
@@ -222,7 +224,9 @@
     const auto duration =
         std::chrono::duration_cast<base::milliseconds>(now - began);
     shared_.picker_.ended(replica.id_, result_of(outcome), duration, now);
-    release_place(result_of(outcome), duration, outcome.connection_refused());
+    // To an isolated gateway every replica seems to refuse connections.
+    release_place(result_of(outcome), duration,
+                  outcome.connection_refused() && !shared_.relay_->isolated());
     if (outcome.connection_refused()) {
         report_ended(replica.id_);
     }
@@ -247,6 +251,9 @@
 }
 
 void plain_call::report_ended(const base::upstream_name& replica) {
+    if (shared_.relay_->isolated()) {
+        return;
+    }
     if (shared_.picker_.connection_refused(replica, base::clock::now())) {
         log::log_info(
             "replica_refuses_connections",
@@ -657,6 +664,11 @@
                    status);
         co_return;
     }
+    const bool unreached = last.failure_ && !last.failure_->sent_;
+    if (possible_runs_ == 0 && unreached && !tried_.empty() &&
+        co_await shared_.relay_->relay(call_)) {
+        co_return;
+    }
     base::refusal refusal;
     if (possible_runs_ == 0) {
         const bool full = last.meaning_ == answer_meaning::rejected;
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -14,6 +14,7 @@
 #include "pimentoferry/requests/retry_budget.hpp"
 #include "pimentoferry/routing/replica_picker.hpp"
 #include "pimentoferry/routing/requested_pauses.hpp"
+#include "pimentoferry/routing/upstream_reach.hpp"
 #include "pimentoferry/store/availability.hpp"
 
 #include <cstdint>
@@ -45,6 +46,7 @@
 class account_quotas;
 class call_placement;
 class origin_exchange;
+class peer_relay;
 
 struct runtime {
     runtime(boost::asio::io_context& io,
@@ -87,6 +89,7 @@
     account_quotas* quotas_{nullptr};
     call_placement* call_places_{nullptr};
     origin_exchange* origins_{nullptr};
+    peer_relay* relay_{nullptr};
     const store::availability* store_answers_{nullptr};
     /// When the process ends at the latest; unset unless it drains.
     std::optional<base::time_point> ends_at_;
--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -5,6 +5,7 @@
 #include "pimentoferry/gateway/event_splitter.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
 #include "pimentoferry/gateway/origin_exchange.hpp"
+#include "pimentoferry/gateway/peer_relay.hpp"
 #include "pimentoferry/gateway/upstream_check.hpp"
 #include "pimentoferry/gateway/upstream_statements.hpp"
 #include "pimentoferry/http/proxy.hpp"
@@ -138,6 +139,8 @@
     std::string text = "failed";
     if (const auto* failure = std::get_if<http::call_failure>(&received)) {
         text = to_string(failure->kind_);
+        shared_.relay_->send_failed(engine, *failure);
+        unreached_ = true;
         if (failure->kind_ == http::failure_kind::cancelled) {
             outcome = stream_outcome{caller_disconnect{}};
         }
@@ -308,6 +311,8 @@
     };
     if (const auto* failure = std::get_if<http::call_failure>(&opened)) {
         log_outcome(std::string{to_string(failure->kind_)});
+        shared_.relay_->send_failed(engine, *failure);
+        unreached_ = unreached_ || !failure->sent_;
         if (failure->kind_ == http::failure_kind::cancelled) {
             co_return caller_disconnect{};
         }
@@ -439,7 +444,7 @@
         if (auto* failed = std::get_if<stream_outcome>(&prefill_outcome)) {
             // A pause concerns this gateway only, and no other one.
             if (!std::holds_alternative<caller_disconnect>(*failed) &&
-                !is_paused(*prefill_engine)) {
+                !is_paused(*prefill_engine) && !shared_.relay_->isolated()) {
                 shared_.streams_->engine_failed(call_.service_, grant.prefill_);
             }
             co_return std::move(*failed);
--- a/pimentoferry/gateway/stream_call.hpp
+++ b/pimentoferry/gateway/stream_call.hpp
@@ -126,6 +126,8 @@
     /// Decodes that may have run.
     std::uint32_t possible_runs_{0};
     /// Whether a decode has reached an engine, which may have rejected it.
+    /// An engine could not be reached; another gateway may reach it.
+    bool unreached_{false};
     bool decode_sent_{false};
     /// Id of the last event sent to the caller.
     std::optional<std::uint64_t> last_event_sent_;
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -3,6 +3,7 @@
 #include "pimentoferry/base/hash.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/origin_exchange.hpp"
+#include "pimentoferry/gateway/peer_relay.hpp"
 #include "pimentoferry/gateway/stream_call.hpp"
 #include "pimentoferry/http/proxy.hpp"
 #include "pimentoferry/log/log.hpp"
@@ -198,6 +199,9 @@
             outcome = caller_disconnect{};
         } else if (const auto* refused =
                        std::get_if<placement::stream_refusal>(&decision)) {
+            if (unreached_) {
+                break;
+            }
             if (!call_.exchange_.begun() && possible_runs_ == 0) {
                 co_await refuse_placement(*refused);
                 co_return;
@@ -208,6 +212,9 @@
             auto grant = std::get<placement::stream_grant>(decision);
             outcome = co_await run_attempt(std::move(grant), guard);
         }
+        if (unreached_ && shared_.relay_->isolated()) {
+            break;
+        }
         if (!may_continue(outcome) || base::clock::now() >= call_.deadline_) {
             break;
         }
@@ -320,6 +327,10 @@
         co_await refuse_unauthorized(shared_, call_);
         co_return;
     }
+    if (possible_runs_ == 0 && unreached_ &&
+        co_await shared_.relay_->relay(call_)) {
+        co_return;
+    }
     base::refusal refusal;
     if (const auto* not_run = std::get_if<stream_not_run>(&outcome);
         not_run != nullptr && possible_runs_ == 0) {
--- a/pimentoferry/gateway/upstream_check.cpp
+++ b/pimentoferry/gateway/upstream_check.cpp
@@ -1,5 +1,6 @@
 #include "pimentoferry/gateway/upstream_check.hpp"
 
+#include "pimentoferry/gateway/peer_relay.hpp"
 #include "pimentoferry/gateway/upstream_statements.hpp"
 #include "pimentoferry/http/error_token.hpp"
 
@@ -57,7 +58,7 @@
     return "unknown";
 }
 
-http::awaitable<upstream_state> check_upstream(runtime& shared,
+http::awaitable<upstream_state> probe_upstream(runtime& shared,
                                                routing::instance upstream) {
     http::call_options options;
     options.deadline_ = base::clock::now() + check_timeout;
@@ -73,6 +74,9 @@
         shared.statements_->observe(call_options, no_caller, upstream);
         const auto result = co_await shared.client_.call(
             upstream.address_, std::move(request), std::move(call_options));
+        if (const auto* failure = std::get_if<http::call_failure>(&result)) {
+            shared.relay_->send_failed(upstream, *failure);
+        }
         state = state_after(result);
         if (!state && base::clock::now() + recheck_pause >= options.deadline_) {
             state = upstream_state::silent;
@@ -83,13 +87,23 @@
             co_await pause.async_wait(http::internal::into(ignored));
         }
     }
+    co_return *state;
+}
+
+http::awaitable<upstream_state> check_upstream(runtime& shared,
+                                               routing::instance upstream) {
+    auto state = co_await probe_upstream(shared, upstream);
+    if (state == upstream_state::gone) {
+        const bool isolated = co_await shared.relay_->confirm_isolation();
+        state = isolated ? upstream_state::silent : state;
+    }
     const auto& instances = shared.registry_.instances();
     if (state == upstream_state::gone &&
         (instances.leaves(upstream) || instances.leaves(upstream.id_))) {
         state = upstream_state::left;
     }
-    shared.metrics_.count_send("upstream_check", to_string(*state));
-    co_return *state;
+    shared.metrics_.count_send("upstream_check", to_string(state));
+    co_return state;
 }
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/gateway/upstream_check.hpp
+++ b/pimentoferry/gateway/upstream_check.hpp
@@ -29,6 +29,11 @@
 http::awaitable<upstream_state> check_upstream(runtime& shared,
                                                routing::instance upstream);
 
+/// As `check_upstream`, but neither `left`, nor `silent` because this gateway
+/// itself is cut off from all upstreams.
+http::awaitable<upstream_state> probe_upstream(runtime& shared,
+                                               routing::instance upstream);
+
 } // namespace pimentoferry::gateway
 
 #endif
--- a/pimentoferry/gateway/upstream_protocol.hpp
+++ b/pimentoferry/gateway/upstream_protocol.hpp
@@ -66,6 +66,8 @@
     std::optional<std::string> resumes_;
     std::optional<model_prompt> prompt_;
     credential credential_;
+    /// Another gateway has passed the request on.
+    bool relayed_{false};
 };
 
 /// The request lacks something without which it cannot be served.
@@ -206,6 +208,12 @@
     std::function<http::request(const role_order&)> order_call_;
 
     std::function<http::response(const base::refusal&)> write_refusal_;
+
+    /// The caller's request, to be passed to another gateway.
+    std::function<http::request(const http::request&,
+                                base::milliseconds time_left)>
+        relayed_call_;
+    std::function<bool(const http::response_head&)> is_event_stream_;
 };
 
 /// A caller's query for the addresses to use.
--- a/pimentoferry/gateway/upstream_statements.cpp
+++ b/pimentoferry/gateway/upstream_statements.cpp
@@ -2,6 +2,7 @@
 
 #include "pimentoferry/base/boot_time.hpp"
 #include "pimentoferry/base/hash.hpp"
+#include "pimentoferry/gateway/peer_relay.hpp"
 #include "pimentoferry/log/log.hpp"
 
 #include <algorithm>
@@ -41,6 +42,7 @@
                        {"instance", id.value_},
                        {"status", std::to_string(head.status_)}});
     };
+    options.on_new_connection_ = [this] { shared_.relay_->connected(); };
     options.on_head_ = [this, &request, instance = std::move(instance),
                         sent_at =
                             base::boot_now()](const http::response_head& head) {
--- a/pimentoferry/http/client.hpp
+++ b/pimentoferry/http/client.hpp
@@ -84,6 +84,9 @@
     /// Called with the head of the response to this call before its body is
     /// read, so also if the body is never complete.
     std::function<void(const response_head&)> on_head_;
+    /// Called when a response is received on a connection that this call has
+    /// opened, before `on_head_`.
+    std::function<void()> on_new_connection_;
 };
 
 struct client_limits {
--- a/pimentoferry/http/upstream_call.cpp
+++ b/pimentoferry/http/upstream_call.cpp
@@ -114,7 +114,8 @@
         sent = co_await send_on_pooled(head, call.body_);
     }
     error_code error;
-    if (!sent) {
+    const bool is_new_connection = !sent;
+    if (is_new_connection) {
         error = co_await connect();
         if (error) {
             auto failure = to_failure(error);
@@ -131,6 +132,9 @@
     if (error) {
         co_return to_failure(error);
     }
+    if (is_new_connection && options_.on_new_connection_) {
+        options_.on_new_connection_();
+    }
     if (options_.on_head_) {
         options_.on_head_(head_);
     }
--- /dev/null
+++ b/pimentoferry/routing/upstream_reach_test.cpp
@@ -0,0 +1,43 @@
+#include "pimentoferry/routing/upstream_reach.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace pimentoferry::routing {
+
+namespace {
+
+class upstream_reach_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(upstream_reach_test);
+    CPPUNIT_TEST(one_instance_that_ended_does_not_isolate_the_gateway);
+    CPPUNIT_TEST(a_new_connection_to_any_instance_ends_the_isolation);
+    CPPUNIT_TEST_SUITE_END();
+
+    upstream_reach reach_;
+
+    // Guards against a gateway that takes the crash of a replica for its own.
+    void one_instance_that_ended_does_not_isolate_the_gateway() {
+        for (int i = 0; i < 5; ++i) {
+            CPPUNIT_ASSERT(!reach_.failed(base::upstream_name{"a"}));
+        }
+        CPPUNIT_ASSERT(!reach_.isolated());
+        CPPUNIT_ASSERT(!reach_.connected());
+        CPPUNIT_ASSERT(!reach_.failed(base::upstream_name{"b"}));
+        CPPUNIT_ASSERT(!reach_.isolated());
+    }
+
+    // Guards against a gateway that stays out of use after its links are back.
+    void a_new_connection_to_any_instance_ends_the_isolation() {
+        reach_.failed(base::upstream_name{"a"});
+        CPPUNIT_ASSERT(reach_.failed(base::upstream_name{"b"}));
+        CPPUNIT_ASSERT(!reach_.failed(base::upstream_name{"c"}));
+        CPPUNIT_ASSERT(reach_.isolated());
+        CPPUNIT_ASSERT(reach_.connected());
+        CPPUNIT_ASSERT(!reach_.isolated());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(upstream_reach_test);
+
+} // namespace
+
+} // namespace pimentoferry::routing
--- a/tests/soak/loopback_proxy.cpp
+++ b/tests/soak/loopback_proxy.cpp
@@ -1,6 +1,11 @@
 #include "tests/soak/loopback_proxy.hpp"
 
+#include <algorithm>
 #include <array>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
 
 namespace pimentoferry::soak {
 
@@ -23,6 +28,39 @@
     socket.close(ignored);
 }
 
+/// Whether the process has a connected socket with this local port.
+bool owns_port(pid_t process, std::uint16_t port) {
+    const auto directory = "/proc/" + std::to_string(process);
+    std::ifstream table{directory + "/net/tcp"};
+    std::string line;
+    std::string socket;
+    constexpr int hexadecimal = 16;
+    while (std::getline(table, line)) {
+        std::istringstream words{line};
+        std::string slot;
+        std::string local;
+        std::string skipped;
+        std::string inode;
+        words >> slot >> local;
+        for (int i = 0; i < 7; ++i) {
+            words >> skipped;
+        }
+        words >> inode;
+        const auto colon = local.find(':');
+        if (colon != std::string::npos &&
+            std::stoul(local.substr(colon + 1), nullptr, hexadecimal) == port &&
+            inode != "0") {
+            socket = "socket:[" + inode + "]";
+        }
+    }
+    std::error_code ignored;
+    return std::ranges::any_of(
+        std::filesystem::directory_iterator{directory + "/fd", ignored},
+        [&](const auto& entry) {
+            return std::filesystem::read_symlink(entry, ignored) == socket;
+        });
+}
+
 } // namespace
 
 struct loopback_proxy::connection {
@@ -30,12 +68,27 @@
         : client_(std::move(client)), server_(client_.get_executor()),
           shared_(std::move(shared)), generation_(shared_->generation_) {}
 
+    /// The fault that applies to this connection.
+    link_fault fault() {
+        const auto client = shared_->client_.load();
+        if (client != 0 && client != checked_client_) {
+            checked_client_ = client;
+            error_code ignored;
+            is_of_client_ =
+                owns_port(client, client_.remote_endpoint(ignored).port());
+        }
+        return client == 0 || is_of_client_ ? shared_->fault_.load()
+                                            : link_fault::none;
+    }
+
     bool is_stale() const { return shared_->generation_ != generation_; }
 
     tcp::socket client_;
     tcp::socket server_;
     std::shared_ptr<state> shared_;
     std::uint64_t generation_;
+    pid_t checked_client_{0};
+    bool is_of_client_{false};
     bool blackholed_{false}; ///< Bytes were dropped; nothing more is delivered.
 };
 
@@ -58,7 +111,7 @@
         if (failure) {
             co_return;
         }
-        if (shared->fault_ == link_fault::refusing) {
+        if (shared->fault_ == link_fault::refusing && shared->client_ == 0) {
             abort(socket);
             continue;
         }
@@ -101,7 +154,7 @@
         const auto size = co_await from.async_read_some(
             net::buffer(buffer),
             net::redirect_error(net::use_awaitable, failure));
-        const auto fault = link->shared_->fault_.load();
+        const auto fault = link->fault();
         link->blackholed_ =
             link->blackholed_ || fault == link_fault::silent || fault == lost;
         if (failure || link->blackholed_) {
--- a/tests/soak/loopback_proxy.hpp
+++ b/tests/soak/loopback_proxy.hpp
@@ -6,13 +6,16 @@
 ///
 /// Bytes that a fault drops are never delivered, and a connection that lost
 /// some delivers nothing after the fault either, as after a network partition.
-/// `set` and `reset` may be called from any thread; everything else runs on the
-/// thread of the io_context.
+/// A fault may be limited to the connections of one process (`set_for`).
+/// `set`, `set_for` and `reset` may be called from any thread; everything else
+/// runs on the thread of the io_context.
 #ifndef PIMENTOFERRY_TESTS_SOAK_LOOPBACK_PROXY_HPP
 #define PIMENTOFERRY_TESTS_SOAK_LOOPBACK_PROXY_HPP
 
 #include "standins/asio.hpp"
 
+#include <sys/types.h>
+
 #include <atomic>
 #include <cstdint>
 #include <memory>
@@ -34,7 +37,12 @@
     loopback_proxy(boost::asio::io_context& io, std::uint16_t target);
 
     std::uint16_t port() const { return port_; }
-    void set(link_fault fault) { shared_->fault_ = fault; }
+    void set(link_fault fault) { set_for(0, fault); }
+    /// Applies the fault to connections that the process opened; 0: to all.
+    void set_for(pid_t client, link_fault fault) {
+        shared_->client_ = client;
+        shared_->fault_ = fault;
+    }
     /// Resets all open connections.
     void reset() { ++shared_->generation_; }
 
@@ -43,6 +51,7 @@
     struct state {
         std::uint16_t target_{0};
         std::atomic<link_fault> fault_{link_fault::none};
+        std::atomic<pid_t> client_{0}; ///< The process that faults apply to.
         std::atomic<std::uint64_t> generation_{0};
     };
     struct connection;
