Take no answer whose status is not one of HTTP

A replica in trouble may send a status such as 000, which the caller got as an answer of the replica. Cause: the parser takes any three digits. Change: a status below 100 or above 599 makes the response malformed. Evidence: status_outside_of_the_protocol_is_a_failure fails without the change. A part of a body without length that is reset during an upload was not taken for complete before either: the write that fails ends the call; a test guards that.

--- a/pimentoferry/http/client_test.cpp
+++ b/pimentoferry/http/client_test.cpp
@@ -107,6 +107,8 @@
     CPPUNIT_TEST(repeated_response_to_an_earlier_call_is_skipped);
     CPPUNIT_TEST(responses_to_other_calls_without_end_are_a_failure);
     CPPUNIT_TEST(head_that_ends_early_is_a_failure);
+    CPPUNIT_TEST(status_outside_of_the_protocol_is_a_failure);
+    CPPUNIT_TEST(answer_that_is_reset_during_an_upload_is_a_failure);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context context_;
@@ -475,6 +477,46 @@
         CPPUNIT_ASSERT(std::get<call_failure>(result).sent_);
     }
 
+    // Guards against a caller that gets a status such as 000 as an answer.
+    void status_outside_of_the_protocol_is_a_failure() {
+        for (const char* status : {"000", "099", "600", "999"}) {
+            raw_upstream upstream{[status](raw_upstream::tcp::socket& socket) {
+                read_request(socket);
+                send(socket, "HTTP/1.1 " + std::string{status} +
+                                 " Odd\r\nContent-Length: 2\r\n\r\nok");
+            }};
+            const auto result = call(upstream.address(),
+                                     with_deadline_in(std::chrono::seconds{2}));
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                std::string{status}, std::string{"malformed"},
+                std::string{to_string(failure(result).kind_)});
+        }
+    }
+
+    // Guards against a part of a body without length that counts as complete,
+    // because the write of the upload has consumed the error of the reset.
+    void answer_that_is_reset_during_an_upload_is_a_failure() {
+        for (const std::size_t received : {0, 4'096, 400'000, 2'000'000}) {
+            raw_upstream upstream{[received](
+                                      raw_upstream::tcp::socket& socket) {
+                boost::system::error_code ignored;
+                std::string part(received, ' ');
+                boost::asio::read(socket, boost::asio::buffer(part), ignored);
+                send(socket, "HTTP/1.1 200 OK\r\n\r\npart of a body");
+                std::this_thread::sleep_for(std::chrono::milliseconds{50});
+                socket.set_option(boost::asio::socket_base::linger{true, 0},
+                                  ignored);
+                socket.close(ignored);
+            }};
+            const std::string body(std::size_t{16} << 20, 'x');
+            const auto result =
+                run(context_,
+                    client_.call(upstream.address(), json_request("/x", body),
+                                 with_deadline_in(std::chrono::seconds{5})));
+            CPPUNIT_ASSERT(failure(result).sent_);
+        }
+    }
+
     // Guards against an upstream that closes in the middle of a head, whose
     // response would be taken for one with an empty body.
     void head_that_ends_early_is_a_failure() {
--- a/pimentoferry/http/upstream_call.cpp
+++ b/pimentoferry/http/upstream_call.cpp
@@ -41,6 +41,10 @@
     return head + "\r\n";
 }
 
+// Statuses of HTTP (RFC 9110, section 15). The parser takes any three digits.
+constexpr int lowest_status = 100;
+constexpr int highest_status = 599;
+
 /// Returns how long the upstream keeps an idle connection open, from
 /// `Keep-Alive: timeout=SECONDS`, less a margin for the transit of the next
 /// call. There is no limit without the field.
@@ -256,6 +260,9 @@
             head_.fields_.push_back(
                 {std::string{f.name_string()}, std::string{f.value()}});
         }
+        if (head_.status_ < lowest_status || head_.status_ > highest_status) {
+            error = beast::http::error::bad_status;
+        }
         if (framing_fault(head_.fields_, message.version())) {
             error = beast::http::error::bad_transfer_encoding;
         }
