Let no gateway out of step guess the version of a stream

A gateway that had stood still or been cut off while replicas of a new software version joined continued their streams at another version. Cause: it took the only version that it knew for that of any stream while its view had been confirmed within 1.3 to 2.5 s, before the version came. Change: keepers are asked first and answer for the only version if their own view is confirmed; the own view counts if it is confirmed after the caller asked.

--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -1,16 +1,22 @@
 #include "pimentoferry/gateway/origin_exchange.hpp"
 
 #include "pimentoferry/base/hash.hpp"
+#include "pimentoferry/http/error_token.hpp"
 #include "pimentoferry/log/log.hpp"
 #include "pimentoferry/membership/ownership.hpp"
 #include "pimentoferry/wire/codec.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include <algorithm>
 #include <iterator>
 #include <ranges>
 
 namespace pimentoferry::gateway {
 
+namespace asio = boost::asio;
+
 namespace {
 
 constexpr const char* versions_key = "pimentoferry/software-versions";
@@ -27,6 +33,11 @@
 // Tolerates the loss of one keeper together with the gateway of a stream.
 constexpr std::size_t keeper_count = 2;
 constexpr base::milliseconds query_timeout{150};
+// Peers confirm the view of a gateway every 500 ms.
+constexpr base::milliseconds confirmation_wait{700};
+constexpr base::milliseconds confirmation_poll{20};
+// A gateway that was stopped reads messages late that it received before.
+constexpr base::milliseconds late_confirmations{100};
 // If what one keeper has to write is still missing in the store after this
 // time, the next one writes it.
 constexpr base::milliseconds turn{2000};
@@ -136,17 +147,19 @@
     if (const auto version = state.origins_.find(stream)) {
         origin = known_origin{*version};
         source = "own_table";
-    } else if (const auto only = state.history_.only(now, keep_.time());
-               only && (follower_.confirmed(now) ||
-                        other_keepers_of(service).empty())) {
-        origin = known_origin{*only};
-        source = "only_version";
     } else {
         // A gateway that was stopped or cut off may not have heard of a version
         // that came into service meanwhile.
         origin = co_await ask_keepers(service, stream);
-        source =
-            std::holds_alternative<known_origin>(origin) ? "keeper" : "unknown";
+        source = "keeper";
+    }
+    if (std::holds_alternative<unknown_origin>(origin)) {
+        source = "unknown";
+        const auto only = co_await only_version(service, now);
+        if (only) {
+            origin = known_origin{*only};
+            source = "only_version";
+        }
     }
     const auto* known = std::get_if<known_origin>(&origin);
     counters_.count_send("stream_origin", source);
@@ -160,6 +173,27 @@
     co_return origin;
 }
 
+http::awaitable<std::optional<base::software_version>>
+origin_exchange::only_version(base::service_name service,
+                              base::time_point asked_at) {
+    auto& history = services_[service].history_;
+    const auto only = [&] {
+        return history.only(base::clock::now(), keep_.time());
+    };
+    if (other_keepers_of(service).empty()) {
+        co_return only();
+    }
+    const auto since = asked_at + late_confirmations;
+    const auto until = asked_at + confirmation_wait;
+    while (only() && !follower_.confirmed_since(since) &&
+           base::clock::now() < until) {
+        asio::steady_timer pause{io_, confirmation_poll};
+        boost::system::error_code ignored;
+        co_await pause.async_wait(http::internal::into(ignored));
+    }
+    co_return follower_.confirmed_since(since) ? only() : std::nullopt;
+}
+
 http::awaitable<stream_origin>
 origin_exchange::ask_keepers(base::service_name service, std::uint64_t stream) {
     const base::attempt_id id{peers_.self(), ++last_query_};
@@ -232,8 +266,9 @@
                               const origin_query& query) {
     const auto& state = services_[query.service_];
     auto version = state.origins_.find(query.stream_);
-    if (!version) {
-        version = state.history_.only(base::clock::now(), keep_.time());
+    const auto now = base::clock::now();
+    if (!version && follower_.confirmed(now)) {
+        version = state.history_.only(now, keep_.time());
     }
     peers_.send(from, origin_reply{query.id_, std::move(version)});
 }
--- a/pimentoferry/gateway/origin_exchange.hpp
+++ b/pimentoferry/gateway/origin_exchange.hpp
@@ -130,6 +130,10 @@
     static void add_streams(service_state& state,
                             const began_streams& message,
                             base::time_point now);
+    /// The only version that the stream can have, by a view that was confirmed
+    /// after the caller asked; unset if there are several or none is confirmed.
+    http::awaitable<std::optional<base::software_version>>
+    only_version(base::service_name service, base::time_point asked_at);
     http::awaitable<stream_origin> ask_keepers(base::service_name service,
                                                std::uint64_t stream);
     static std::vector<routing::streams_of_version>
--- a/pimentoferry/gateway/peer_relay.cpp
+++ b/pimentoferry/gateway/peer_relay.cpp
@@ -28,7 +28,6 @@
 constexpr base::milliseconds longest_idle{2000};
 // Gateways tried with one request.
 constexpr std::size_t max_relays = 2;
-constexpr base::milliseconds no_upstream_retry_after{500};
 
 } // namespace
 
@@ -123,7 +122,7 @@
 }
 
 std::vector<membership::member>
-peer_relay::serving(std::vector<membership::member> live) const {
+peer_relay::serving(const std::vector<membership::member>& live) const {
     auto reaching = live;
     std::erase_if(reaching, [this](const membership::member& each) {
         return each.draining_ ||
--- a/pimentoferry/gateway/peer_relay.hpp
+++ b/pimentoferry/gateway/peer_relay.hpp
@@ -53,7 +53,7 @@
 
     /// The members to name to callers: those that reach upstreams, if any.
     std::vector<membership::member>
-    serving(std::vector<membership::member> live) const;
+    serving(const std::vector<membership::member>& live) const;
 
     void receive(base::instance_id from, const upstream_reach_report& message);
 
--- a/pimentoferry/gateway/store_follower.cpp
+++ b/pimentoferry/gateway/store_follower.cpp
@@ -72,6 +72,12 @@
     return current(now) || now - confirmed_at_ < confirmation_validity;
 }
 
+bool store_follower::confirmed_since(base::time_point since) const {
+    const auto& own_answer = availability_.last_own_answer();
+    return (listed_ && own_answer && *own_answer >= since) ||
+           confirmed_at_ >= since;
+}
+
 void store_follower::start(std::function<bool()> should_watch) {
     should_watch_ = std::move(should_watch);
     asio::co_spawn(
--- a/pimentoferry/gateway/store_follower.hpp
+++ b/pimentoferry/gateway/store_follower.hpp
@@ -91,6 +91,9 @@
     /// the replica recently.
     bool confirmed(base::time_point now) const;
 
+    /// Whether that was at `since` or later.
+    bool confirmed_since(base::time_point since) const;
+
     /// Empty, at revision 0, before the first listing or update.
     const store::mirror& replica() const { return replica_; }
 
--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -405,9 +405,10 @@
         if (i + 1 == max_decode_sends || !budget.take(base::clock::now())) {
             break;
         }
-        const auto reason = engine && is_paused(*engine)
-                                ? placement::decode_rejection::excluded
-                                : std::get<stream_not_run>(outcome).reason_;
+        auto reason = std::get<stream_not_run>(outcome).reason_;
+        if (engine && is_paused(*engine)) {
+            reason = placement::decode_rejection::excluded;
+        }
         const auto decision =
             co_await shared_.streams_->replace_decode(grant.attempt_, reason);
         const auto* next_grant =
