Let the soak cut gateways off from all replicas and ask for pauses

Cause: no run of the soak had a gateway without links to replicas, nor a rejection with Retry-After, so overlapping faults never met either.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -101,7 +101,7 @@
     if (terminating_.contains(number) || paused_[number]) {
         return;
     }
-    switch (random_below(5)) {
+    switch (random_below(6)) {
     case 0:
         log_fault(name + " gets SIGTERM");
         fleet_.gateway(number).signal(SIGTERM);
@@ -127,6 +127,9 @@
     case 3:
         kill_all_gateways();
         break;
+    case 4:
+        isolate_gateway(number);
+        break;
     default:
         log_fault(name + " reads its settings again");
         fleet_.gateway(number).signal(SIGHUP);
@@ -134,6 +137,30 @@
     }
 }
 
+// Cuts the gateway off from all replicas; another process of it is not.
+void fault_injector::isolate_gateway(std::size_t number) {
+    log_fault("gateway " + std::to_string(number) +
+              " is cut off from all replicas");
+    const auto process = fleet_.gateway(number).pid();
+    const auto note = [this, number] {
+        note_disturbed(number);
+        for (std::size_t i = 0; i < replica_links_.size(); ++i) {
+            note_harmed(i);
+        }
+    };
+    note();
+    std::ranges::for_each(replica_links_, [process](const auto& link) {
+        link->set_for(process, link_fault::silent);
+    });
+    schedule(random_duration(1000, 5000), [this, note] {
+        std::ranges::for_each(replica_links_, [](const auto& link) {
+            link->set(link_fault::none);
+            link->reset();
+        });
+        note();
+    });
+}
+
 // Gateways that are paused or drain are killed, too.
 void fault_injector::kill_all_gateways() {
     log_fault("all gateways are killed");
@@ -271,7 +298,9 @@
     const std::string before = fault == "repeat_next"
                                    ? R"("reject_next":2,"repeat_without_id":)" +
                                          std::to_string(random_below(2)) + ","
-                                   : "";
+                               : fault == "reject_next" && random_below(2) == 0
+                                   ? R"("retry_after":"1.5",)"
+                                   : R"("retry_after":"",)";
     gateway_fleet::control(replica.port_,
                            "{" + before + "\"" + fault + "\":3}");
 }
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -55,6 +55,7 @@
     void inject();
     void inject_gateway_fault();
     void kill_all_gateways();
+    void isolate_gateway(std::size_t number);
     void inject_store_fault();
     void inject_link_fault();
     void inject_replica_fault();
