Do not call a request not run after one of two gateways may have run it

An idempotent request whose answer from one gateway was lost, and that could not be sent to a second one, was refused with a status that promises that it has not run. Cause: the result of the last gateway alone decided. Change: a loss at any gateway counts. Found by reading; no test shows it.

--- a/pimentoferry/gateway/peer_relay.cpp
+++ b/pimentoferry/gateway/peer_relay.cpp
@@ -170,7 +170,7 @@
     }
     const bool may_repeat = call.route_.kind_ == routing::call_kind::idempotent;
     std::set<base::instance_id> tried;
-    auto result = relay_result::not_sent;
+    bool may_have_run = false;
     while (tried.size() < max_relays && base::clock::now() < call.deadline_) {
         const auto peer = choose(tried);
         if (!peer) {
@@ -179,15 +179,16 @@
         tried.insert(peer->instance_);
         log::log_info("relay", {{"request", call.request_.id_},
                                 {"gateway", peer->name_}});
-        result = co_await relay_to(peer->traffic_address_, call);
+        const auto result = co_await relay_to(peer->traffic_address_, call);
         if (result == relay_result::done) {
             co_return true;
         }
-        if (result == relay_result::lost && !may_repeat) {
+        may_have_run = may_have_run || result == relay_result::lost;
+        if (may_have_run && !may_repeat) {
             break;
         }
     }
-    if (result == relay_result::not_sent) {
+    if (!may_have_run) {
         co_return false;
     }
     const bool timed_out = base::clock::now() >= call.deadline_;
