Record refused connections also while the gateway seems isolated

With all replicas of a service ended, gateways tried them again with every call until their registrations lapsed. Cause: the change for isolated gateways returned before the own record of the refusal, where it should only have told nobody else.

--- a/pimentoferry/gateway/plain_relay.cpp
+++ b/pimentoferry/gateway/plain_relay.cpp
@@ -251,10 +251,8 @@
 }
 
 void plain_call::report_ended(const base::upstream_name& replica) {
-    if (shared_.relay_->isolated()) {
-        return;
-    }
-    if (shared_.picker_.connection_refused(replica, base::clock::now())) {
+    if (shared_.picker_.connection_refused(replica, base::clock::now()) &&
+        !shared_.relay_->isolated()) {
         log::log_info(
             "replica_refuses_connections",
             {{"request", call_.request_.id_}, {"instance", replica.value_}});
