Log what the version of a continued stream was concluded from

Cause: stream_origin names its source and time only, so a gateway that asked nobody, one that took an old confirmation for a new one and a record that lacks a version look alike. Change: stream_origin has the possible versions, the keepers asked and heard, and the age of the view; stream_origin_told is the keeper's side; software_versions_recorded is each record of the versions that is received. No decision changes.

--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -69,6 +69,15 @@
     return version.value_;
 }
 
+/// For log lines: the versions, separated by commas.
+std::string text_of(const std::vector<base::software_version>& versions) {
+    std::string text;
+    std::ranges::for_each(versions, [&text](const auto& version) {
+        text += (text.empty() ? "" : ",") + version.value_;
+    });
+    return text.empty() ? "none" : text;
+}
+
 std::string slot_key(std::size_t slot) {
     return streams_prefix + std::to_string(slot);
 }
@@ -143,6 +152,7 @@
     auto& state = services_[service];
     stream_origin origin = unknown_origin{};
     std::string_view source = "unknown";
+    keeper_replies replies;
     const auto stream = request ? stream_hash(service, *request) : 0;
     if (const auto version = state.origins_.find(stream)) {
         origin = known_origin{*version};
@@ -150,27 +160,51 @@
     } else {
         // A gateway that was stopped or cut off may not have heard of a version
         // that came into service meanwhile.
-        origin = co_await ask_keepers(service, stream);
-        source = "keeper";
+        replies = co_await ask_keepers(service, stream);
+        if (replies.version_) {
+            origin = known_origin{*replies.version_};
+            source = "keeper";
+        } else {
+            origin = unknown_origin{replies.received_ < replies.asked_};
+        }
     }
     if (std::holds_alternative<unknown_origin>(origin)) {
-        source = "unknown";
         const auto only = co_await only_version(service, now);
         if (only) {
             origin = known_origin{*only};
             source = "only_version";
         }
     }
-    const auto* known = std::get_if<known_origin>(&origin);
     counters_.count_send("stream_origin", source);
+    log_origin(service, request, origin, source, replies, now);
+    co_return origin;
+}
+
+void origin_exchange::log_origin(const base::service_name& service,
+                                 const std::optional<std::string>& request,
+                                 const stream_origin& origin,
+                                 std::string_view source,
+                                 const keeper_replies& replies,
+                                 base::time_point asked_at) const {
+    const auto now = base::clock::now();
+    const auto* known = std::get_if<known_origin>(&origin);
+    const auto confirmed = follower_.last_confirmed();
+    const auto state = services_.find(service);
     log::log_info(
         "stream_origin",
         {{"resumes", request.value_or("none")},
          {"service", service.value_},
          {"version", known != nullptr ? known->version_.value_ : "unknown"},
          {"source", std::string{source}},
-         {"ms", std::to_string(base::age_ms(now, base::clock::now()))}});
-    co_return origin;
+         {"possible",
+          state == services_.end()
+              ? "none"
+              : text_of(state->second.history_.possible(now, keep_.time()))},
+         {"keepers_asked", std::to_string(replies.asked_)},
+         {"keepers_replied", std::to_string(replies.received_)},
+         {"view_ms",
+          confirmed ? std::to_string(base::age_ms(*confirmed, now)) : "none"},
+         {"ms", std::to_string(base::age_ms(asked_at, now))}});
 }
 
 http::awaitable<std::optional<base::software_version>>
@@ -194,7 +228,7 @@
     co_return follower_.confirmed_since(since) ? only() : std::nullopt;
 }
 
-http::awaitable<stream_origin>
+http::awaitable<origin_exchange::keeper_replies>
 origin_exchange::ask_keepers(base::service_name service, std::uint64_t stream) {
     const base::attempt_id id{peers_.self(), ++last_query_};
     auto pending = std::make_shared<pending_query>(io_);
@@ -209,10 +243,8 @@
         co_await pending->signal_.wait_until(until);
     }
     queries_.erase(id);
-    if (pending->version_) {
-        co_return known_origin{*pending->version_};
-    }
-    co_return unknown_origin{pending->replies_ < keepers.size()};
+    co_return keeper_replies{keepers.size(), pending->replies_,
+                             pending->version_};
 }
 
 void origin_exchange::set_instances(const registry& registry_view,
@@ -266,10 +298,22 @@
                               const origin_query& query) {
     const auto& state = services_[query.service_];
     auto version = state.origins_.find(query.stream_);
+    std::string_view source = version ? "own_table" : "unknown";
     const auto now = base::clock::now();
     if (!version && follower_.confirmed(now)) {
         version = state.history_.only(now, keep_.time());
+        source = version ? "only_version" : source;
     }
+    const auto confirmed = follower_.last_confirmed();
+    log::log_info(
+        "stream_origin_told",
+        {{"to", base::to_hex(from.value_)},
+         {"service", query.service_.value_},
+         {"version", version ? version->value_ : "unknown"},
+         {"source", std::string{source}},
+         {"possible", text_of(state.history_.possible(now, keep_.time()))},
+         {"view_ms",
+          confirmed ? std::to_string(base::age_ms(*confirmed, now)) : "none"}});
     peers_.send(from, origin_reply{query.id_, std::move(version)});
 }
 
@@ -293,6 +337,11 @@
             recorded_versions_ = *record;
             std::ranges::for_each(
                 record->services_, [&](const service_versions& each) {
+                    log::log_info(
+                        "software_versions_recorded",
+                        {{"service", each.service_.value_},
+                         {"versions", text_of(each.versions_)},
+                         {"revision", std::to_string(item.revision_)}});
                     services_[each.service_].history_.load(each.versions_, now);
                 });
             return;
--- a/pimentoferry/gateway/origin_exchange.hpp
+++ b/pimentoferry/gateway/origin_exchange.hpp
@@ -41,6 +41,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -122,6 +123,12 @@
         std::size_t replies_{0};
         std::optional<base::software_version> version_;
     };
+    /// What the keepers replied to one query.
+    struct keeper_replies {
+        std::size_t asked_{0};
+        std::size_t received_{0};
+        std::optional<base::software_version> version_;
+    };
 
     std::vector<base::instance_id>
     keepers_of(const base::service_name& service) const;
@@ -134,8 +141,15 @@
     /// after the caller asked; unset if there are several or none is confirmed.
     http::awaitable<std::optional<base::software_version>>
     only_version(base::service_name service, base::time_point asked_at);
-    http::awaitable<stream_origin> ask_keepers(base::service_name service,
-                                               std::uint64_t stream);
+    http::awaitable<keeper_replies> ask_keepers(base::service_name service,
+                                                std::uint64_t stream);
+    /// What the decision on a stream's version was based on.
+    void log_origin(const base::service_name& service,
+                    const std::optional<std::string>& request,
+                    const stream_origin& origin,
+                    std::string_view source,
+                    const keeper_replies& replies,
+                    base::time_point asked_at) const;
     static std::vector<routing::streams_of_version>
     own_streams(const service_state& state, base::time_point since);
     void tell_keepers(const base::service_name& service,
--- a/pimentoferry/gateway/store_follower.cpp
+++ b/pimentoferry/gateway/store_follower.cpp
@@ -78,6 +78,13 @@
            confirmed_at_ >= since;
 }
 
+std::optional<base::time_point> store_follower::last_confirmed() const {
+    const auto& own_answer = availability_.last_own_answer();
+    const auto last =
+        std::max(own_answer.value_or(base::time_point{}), confirmed_at_);
+    return last > base::time_point{} ? std::optional{last} : std::nullopt;
+}
+
 void store_follower::start(std::function<bool()> should_watch) {
     should_watch_ = std::move(should_watch);
     asio::co_spawn(
--- a/pimentoferry/gateway/store_follower.hpp
+++ b/pimentoferry/gateway/store_follower.hpp
@@ -94,6 +94,9 @@
     /// Whether that was at `since` or later.
     bool confirmed_since(base::time_point since) const;
 
+    /// When that was last; unset if it never was.
+    std::optional<base::time_point> last_confirmed() const;
+
     /// Empty, at revision 0, before the first listing or update.
     const store::mirror& replica() const { return replica_; }
 
