--- a/standins/platform_store.cpp
+++ b/standins/platform_store.cpp
@@ -24,6 +24,7 @@
 
 void platform_store::apply(const json& switches) {
     mode_ = text_or(switches, "mode", mode_);
+    declined_prefix_ = text_or(switches, "declined_prefix", declined_prefix_);
     slow_delay_ =
         milliseconds{number_or(switches, "slow_ms", slow_delay_.count())};
     if (const auto* puts = find_member(switches, "put")) {
@@ -207,8 +208,20 @@
     co_await reply(call, 200, std::move(body));
 }
 
+bool platform_store::declines(const json::array& writes) const {
+    return !declined_prefix_.empty() &&
+           std::ranges::any_of(writes, [this](const json& row) {
+               return text_or(row, "key", "").starts_with(declined_prefix_);
+           });
+}
+
 net::awaitable<void> platform_store::transact(exchange& call) {
     const auto request = call.body_json();
+    if (declines(array_of(request, "writes"))) {
+        auto body = empty_object();
+        co_await reply(call, 503, std::move(body));
+        co_return;
+    }
     const auto conditions = array_of(request, "expected");
     const bool holds = std::ranges::all_of(conditions, [this](const json& row) {
         return static_cast<std::int64_t>(revision_of(
--- a/standins/platform_store.hpp
+++ b/standins/platform_store.hpp
@@ -11,6 +11,8 @@
 ///   `losing` (a transaction takes effect, and its connection is closed).
 /// * `put`: an object of keys and values, written unconditionally.
 /// * `remove`: an array of keys, removed unconditionally.
+/// * `declined_prefix`: transactions that write a key with this prefix are
+/// answered 503 and not executed; empty: none.
 /// * `forget_history`: watches from an earlier revision are answered 410.
 /// * `era`: the text of the header `Store-Era` in all answers; empty: none.
 /// * `checkpoint`: keeps a copy of the data. `restore`: the data is that copy
@@ -42,6 +44,7 @@
     net::awaitable<void> read_range(exchange& call);
     net::awaitable<void> watch(exchange& call);
     net::awaitable<void> transact(exchange& call);
+    bool declines(const json::array& writes) const;
     net::awaitable<void> handle_lease(exchange& call);
     net::awaitable<void> hang(exchange& call);
     void restore();
@@ -60,6 +63,7 @@
     revision compacted_revision_{0}; ///< Changes up to it are unavailable.
     std::set<net::steady_timer*> watches_;
     std::string mode_{"up"};
+    std::string declined_prefix_;
     milliseconds slow_delay_{100};
 };
 
