Conclude the version of a stream only from a record read after the question

Callers that took a stream up at a gateway out of step got a text joined from two software versions. Cause: three forms of one fault. A gateway took the only version that it knew for the only one there was, and took silence for agreement: no peer in sight, a peer's word that it is current (up to 3.8 s old, and any age if it lay in a socket), or a record that is written after the first streams have begun. Change: a version begins no stream before the store's record of the versions has it: engines of an unrecorded version are not chosen, and no decode is sent to them. A gateway that does not know a stream, and a keeper that is asked for one, reads that record after the question came; the version is concluded only if the record and all that the gateway has seen name a single one. One read answers all questions that came before it. confirmed_since and the waits for confirmations are gone.

--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -402,6 +402,8 @@
         if (const auto* written = std::get_if<store::item_written>(&change)) {
             crashes_.receive(written->item_);
             origins_.receive(written->item_);
+        } else {
+            origins_.receive(std::get<store::item_removed>(change));
         }
         const auto affected = shared_.registry_.apply(change, received, now);
         configuration_changed =
--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -1,13 +1,13 @@
 #include "pimentoferry/gateway/origin_exchange.hpp"
 
 #include "pimentoferry/base/hash.hpp"
-#include "pimentoferry/http/error_token.hpp"
 #include "pimentoferry/log/log.hpp"
 #include "pimentoferry/membership/ownership.hpp"
 #include "pimentoferry/wire/codec.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <iterator>
@@ -19,7 +19,6 @@
 
 namespace {
 
-constexpr const char* versions_key = "pimentoferry/software-versions";
 constexpr const char* streams_prefix = "pimentoferry/stream-origins/";
 // The writes are spaced so that the ring reaches back as far as streams are
 // continued.
@@ -33,11 +32,6 @@
 // Tolerates the loss of one keeper together with the gateway of a stream.
 constexpr std::size_t keeper_count = 2;
 constexpr base::milliseconds query_timeout{150};
-// Peers confirm the view of a gateway every 500 ms.
-constexpr base::milliseconds confirmation_wait{700};
-constexpr base::milliseconds confirmation_poll{20};
-// A gateway that was stopped reads messages late that it received before.
-constexpr base::milliseconds late_confirmations{100};
 // If what one keeper has to write is still missing in the store after this
 // time, the next one writes it.
 constexpr base::milliseconds turn{2000};
@@ -65,10 +59,6 @@
     }
 }
 
-const std::string& name_of(const base::software_version& version) {
-    return version.value_;
-}
-
 /// For log lines: the versions, separated by commas.
 std::string text_of(const std::vector<base::software_version>& versions) {
     std::string text;
@@ -88,20 +78,6 @@
     return found == replica.items().end() ? 0 : found->second.revision_;
 }
 
-/// Whether a record of the store has all versions of `known`. Only the first
-/// writer removes versions: two that forget them at different times would undo
-/// each other's writes.
-bool contains(const versions_in_use& recorded, const versions_in_use& known) {
-    return std::ranges::all_of(
-        known.services_, [&recorded](const service_versions& each) {
-            const auto found = std::ranges::find(
-                recorded.services_, each.service_, &service_versions::service_);
-            return found != recorded.services_.end() &&
-                   std::ranges::includes(found->versions_, each.versions_,
-                                         std::ranges::less{}, name_of, name_of);
-        });
-}
-
 /// The slot of the ring that was written first, or not yet.
 std::string oldest_slot(const store::mirror& replica) {
     const auto slots =
@@ -158,8 +134,6 @@
         origin = known_origin{*version};
         source = "own_table";
     } else {
-        // A gateway that was stopped or cut off may not have heard of a version
-        // that came into service meanwhile.
         replies = co_await ask_keepers(service, stream);
         if (replies.version_) {
             origin = known_origin{*replies.version_};
@@ -168,10 +142,12 @@
             origin = unknown_origin{replies.received_ < replies.asked_};
         }
     }
-    if (std::holds_alternative<unknown_origin>(origin)) {
-        const auto only = co_await only_version(service, now);
-        if (only) {
-            origin = known_origin{*only};
+    if (auto* unknown = std::get_if<unknown_origin>(&origin)) {
+        const auto concluded = co_await only_version(service);
+        unknown->may_be_known_later_ =
+            unknown->may_be_known_later_ || concluded.inconclusive_;
+        if (concluded.only_) {
+            origin = known_origin{*concluded.only_};
             source = "only_version";
         }
     }
@@ -207,25 +183,21 @@
          {"ms", std::to_string(base::age_ms(asked_at, now))}});
 }
 
-http::awaitable<std::optional<base::software_version>>
-origin_exchange::only_version(base::service_name service,
-                              base::time_point asked_at) {
-    auto& history = services_[service].history_;
-    const auto only = [&] {
-        return history.only(base::clock::now(), keep_.time());
-    };
-    if (other_keepers_of(service).empty()) {
-        co_return only();
+http::awaitable<origin_exchange::conclusion>
+origin_exchange::only_version(base::service_name service) {
+    const auto& history = services_[service].history_;
+    conclusion concluded;
+    if (history.possible(base::clock::now(), keep_.time()).size() > 1) {
+        co_return concluded;
     }
-    const auto since = asked_at + late_confirmations;
-    const auto until = asked_at + confirmation_wait;
-    while (only() && !follower_.confirmed_since(since) &&
-           base::clock::now() < until) {
-        asio::steady_timer pause{io_, confirmation_poll};
-        boost::system::error_code ignored;
-        co_await pause.async_wait(http::internal::into(ignored));
+    const auto record = co_await record_.read();
+    concluded.inconclusive_ = !record.has_value();
+    if (record) {
+        const auto recorded = record->versions_of(service);
+        concluded.only_ =
+            history.only(recorded, base::clock::now(), keep_.time());
     }
-    co_return follower_.confirmed_since(since) ? only() : std::nullopt;
+    co_return concluded;
 }
 
 http::awaitable<origin_exchange::keeper_replies>
@@ -297,24 +269,41 @@
 void origin_exchange::receive(base::instance_id from,
                               const origin_query& query) {
     const auto& state = services_[query.service_];
-    auto version = state.origins_.find(query.stream_);
-    std::string_view source = version ? "own_table" : "unknown";
-    const auto now = base::clock::now();
-    if (!version && follower_.confirmed(now)) {
-        version = state.history_.only(now, keep_.time());
-        source = version ? "only_version" : source;
+    if (const auto version = state.origins_.find(query.stream_)) {
+        reply(from, query, version, "own_table");
+        return;
     }
+    asio::co_spawn(
+        io_, [this, from, query] { return answer_from_record(from, query); },
+        asio::detached);
+}
+
+http::awaitable<void>
+origin_exchange::answer_from_record(base::instance_id from,
+                                    origin_query query) {
+    const auto concluded = co_await only_version(query.service_);
+    reply(from, query, concluded.only_,
+          concluded.only_ ? "only_version" : "unknown");
+}
+
+void origin_exchange::reply(
+    base::instance_id to,
+    const origin_query& query,
+    const std::optional<base::software_version>& version,
+    std::string_view source) {
+    const auto now = base::clock::now();
     const auto confirmed = follower_.last_confirmed();
+    const auto& history = services_[query.service_].history_;
     log::log_info(
         "stream_origin_told",
-        {{"to", base::to_hex(from.value_)},
+        {{"to", base::to_hex(to.value_)},
          {"service", query.service_.value_},
          {"version", version ? version->value_ : "unknown"},
          {"source", std::string{source}},
-         {"possible", text_of(state.history_.possible(now, keep_.time()))},
+         {"possible", text_of(history.possible(now, keep_.time()))},
          {"view_ms",
           confirmed ? std::to_string(base::age_ms(*confirmed, now)) : "none"}});
-    peers_.send(from, origin_reply{query.id_, std::move(version)});
+    peers_.send(to, origin_reply{query.id_, version});
 }
 
 void origin_exchange::receive(const origin_reply& reply) {
@@ -329,44 +318,36 @@
     found->second->signal_.wake();
 }
 
-void origin_exchange::receive(const store::item& item) {
+void origin_exchange::load(const routing::versions_in_use& record) {
     const auto now = base::clock::now();
-    if (item.key_ == versions_key) {
-        const auto decoded = wire::decode<versions_in_use>(item.value_);
-        if (const auto* record = std::get_if<versions_in_use>(&decoded)) {
-            recorded_versions_ = *record;
-            std::ranges::for_each(
-                record->services_, [&](const service_versions& each) {
-                    log::log_info(
-                        "software_versions_recorded",
-                        {{"service", each.service_.value_},
-                         {"versions", text_of(each.versions_)},
-                         {"revision", std::to_string(item.revision_)}});
-                    services_[each.service_].history_.load(each.versions_, now);
-                });
-            return;
-        }
-    } else if (item.key_.starts_with(streams_prefix)) {
-        const auto decoded = wire::decode<began_streams>(item.value_);
-        if (const auto* message = std::get_if<began_streams>(&decoded)) {
-            // The ring also has streams of versions that left long ago.
-            auto& state = services_[message->service_];
-            add_streams(state, *message, now);
-            auto& origins = state.origins_;
-            for (const auto& group : message->groups_) {
-                std::ranges::for_each(group.streams_,
-                                      [&origins](std::uint64_t stream) {
-                                          origins.set_recorded(stream);
-                                      });
-            }
-            return;
-        }
-    } else {
+    std::ranges::for_each(
+        record.services_, [&](const routing::service_versions& each) {
+            services_[each.service_].history_.load(each.versions_, now);
+        });
+}
+
+void origin_exchange::receive(const store::item& item) {
+    record_.receive(item);
+    if (!item.key_.starts_with(streams_prefix)) {
+        return;
+    }
+    const auto decoded = wire::decode<began_streams>(item.value_);
+    const auto* message = std::get_if<began_streams>(&decoded);
+    if (message == nullptr) {
+        log::log_warn(
+            "stream_origins_unreadable",
+            {{"key", item.key_}, {"revision", std::to_string(item.revision_)}});
         return;
     }
-    log::log_warn(
-        "stream_origins_unreadable",
-        {{"key", item.key_}, {"revision", std::to_string(item.revision_)}});
+    // The ring also has streams of versions that left long ago.
+    auto& state = services_[message->service_];
+    add_streams(state, *message, base::clock::now());
+    auto& origins = state.origins_;
+    for (const auto& group : message->groups_) {
+        std::ranges::for_each(group.streams_, [&origins](std::uint64_t stream) {
+            origins.set_recorded(stream);
+        });
+    }
 }
 
 std::vector<routing::streams_of_version>
@@ -415,6 +396,7 @@
 }
 
 void origin_exchange::forget_records() {
+    record_.store_restored();
     for (auto& [service, state] : services_) {
         state.origins_.clear_recorded();
     }
@@ -423,6 +405,8 @@
 void origin_exchange::tick(const registry& registry_view,
                            const store::mirror& replica,
                            base::time_point now) {
+    record_.update(versions_since(now, keep_.time()), versions_since(now, turn),
+                   now);
     const bool review = now >= next_review_;
     for (auto& [service, state] : services_) {
         if (state.untold_ || (review && !state.own_.empty())) {
@@ -435,7 +419,6 @@
     next_review_ = now + review_interval;
     set_instances(registry_view, now);
     forget_old_streams(now);
-    write_versions(replica, now);
     write_streams(replica, now);
 }
 
@@ -455,9 +438,10 @@
                   });
 }
 
-versions_in_use origin_exchange::versions_since(base::time_point now,
-                                                base::milliseconds time) const {
-    versions_in_use known;
+routing::versions_in_use
+origin_exchange::versions_since(base::time_point now,
+                                base::milliseconds time) const {
+    routing::versions_in_use known;
     for (const auto& [service, state] : services_) {
         auto versions = state.history_.possible(now, time);
         if (!versions.empty()) {
@@ -467,30 +451,6 @@
     return known;
 }
 
-void origin_exchange::write_versions(const store::mirror& replica,
-                                     base::time_point now) {
-    const auto known = versions_since(now, keep_.time());
-    const auto writers = keepers_of(base::service_name{versions_key});
-    const auto rank =
-        std::ranges::find(writers, peers_.self()) - writers.begin();
-    const auto stored = replica.items().find(versions_key);
-    auto value = wire::encode(known);
-    const bool up_to_date =
-        stored != replica.items().end() &&
-        (stored->second.value_ == value ||
-         (rank > 0 && contains(recorded_versions_, versions_since(now, turn))));
-    if (known.services_.empty() || up_to_date) {
-        versions_differ_since_.reset();
-        return;
-    }
-    versions_differ_since_ = versions_differ_since_.value_or(now);
-    if (write_pending_ || rank == static_cast<std::ptrdiff_t>(writers.size()) ||
-        now - *versions_differ_since_ < turn * rank) {
-        return;
-    }
-    write(versions_key, std::move(value), replica);
-}
-
 void origin_exchange::write_streams(const store::mirror& replica,
                                     base::time_point now) {
     for (auto& [service, state] : services_) {
--- a/pimentoferry/gateway/origin_exchange.hpp
+++ b/pimentoferry/gateway/origin_exchange.hpp
@@ -12,8 +12,10 @@
 /// may have begun streams, a keeper writes those that are not written yet, many
 /// to a call, into a ring of keys that every gateway follows. While only one
 /// version is possible, every stream is known to be of it, and nothing is
-/// written but the list of the possible versions. A gateway whose view is not
-/// confirmed does not conclude that by itself, and asks the keepers.
+/// written but the list of the possible versions, see `version_record`. A
+/// gateway or keeper concludes that only from the list as the store has it
+/// after the question: an older view, or a peer that does not contradict,
+/// proves nothing.
 ///
 /// Alternatives considered: the owner of a service's scheduler alone is lost
 /// together with the gateway that owned the stream in one of three kills of a
@@ -29,6 +31,7 @@
 #include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/gateway/registry.hpp"
 #include "pimentoferry/gateway/store_follower.hpp"
+#include "pimentoferry/gateway/version_record.hpp"
 #include "pimentoferry/http/awaitable.hpp"
 #include "pimentoferry/http/mailbox.hpp"
 #include "pimentoferry/routing/stream_origins.hpp"
@@ -56,8 +59,8 @@
 };
 /// It is not known which version began the stream.
 struct unknown_origin {
-    /// A keeper did not reply, so it may be known later.
-    bool keeper_silent_{false};
+    /// A keeper or the store did not reply.
+    bool may_be_known_later_{false};
 };
 using stream_origin = std::variant<known_origin, unknown_origin>;
 
@@ -69,7 +72,20 @@
                     const store_follower& follower,
                     metrics& counters)
         : io_(io), peers_(peer_gateways), store_(store), follower_(follower),
-          counters_(counters) {}
+          counters_(counters),
+          record_(io,
+                  peer_gateways,
+                  store,
+                  follower,
+                  counters,
+                  [this](const auto& record) { load(record); }) {}
+
+    /// Whether instances of the version may begin streams. Until the version is
+    /// recorded, a stream of it that broke off might be continued at another.
+    bool may_begin(const base::service_name& service,
+                   const base::software_version& version) const {
+        return record_.versions().contains(service, version);
+    }
 
     /// The first event of a new stream arrived from an instance of `version`.
     void began(const base::service_name& service,
@@ -89,6 +105,9 @@
     void receive(const origin_reply& reply);
     /// Takes over what the store keeps.
     void receive(const store::item& item);
+    void receive(const store::item_removed& removed) {
+        record_.receive(removed);
+    }
 
     /// The store has come back from an older copy, so what was written since
     /// may be missing.
@@ -137,10 +156,20 @@
     static void add_streams(service_state& state,
                             const began_streams& message,
                             base::time_point now);
-    /// The only version that the stream can have, by a view that was confirmed
-    /// after the caller asked; unset if there are several or none is confirmed.
-    http::awaitable<std::optional<base::software_version>>
-    only_version(base::service_name service, base::time_point asked_at);
+    /// What is concluded from the versions that streams can have.
+    struct conclusion {
+        std::optional<base::software_version> only_;
+        /// The record could not be read.
+        bool inconclusive_{false};
+    };
+    void load(const routing::versions_in_use& record);
+    http::awaitable<conclusion> only_version(base::service_name service);
+    http::awaitable<void> answer_from_record(base::instance_id from,
+                                             origin_query query);
+    void reply(base::instance_id to,
+               const origin_query& query,
+               const std::optional<base::software_version>& version,
+               std::string_view source);
     http::awaitable<keeper_replies> ask_keepers(base::service_name service,
                                                 std::uint64_t stream);
     /// What the decision on a stream's version was based on.
@@ -156,11 +185,10 @@
                       service_state& state,
                       base::time_point now);
     /// The versions of each service that were in use within `time`.
-    versions_in_use versions_since(base::time_point now,
-                                   base::milliseconds time) const;
+    routing::versions_in_use versions_since(base::time_point now,
+                                            base::milliseconds time) const;
     void forget_old_streams(base::time_point now);
     void write_streams(const store::mirror& replica, base::time_point now);
-    void write_versions(const store::mirror& replica, base::time_point now);
     void
     write(std::string key, std::string value, const store::mirror& replica);
 
@@ -176,9 +204,7 @@
     routing::retention keep_;
     base::time_point next_review_;
     bool write_pending_{false};
-    versions_in_use recorded_versions_; ///< In the store.
-    /// Since when the record of the versions differs from what is known here.
-    std::optional<base::time_point> versions_differ_since_;
+    version_record record_;
 };
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -341,25 +341,6 @@
     }
 };
 
-struct service_versions {
-    base::service_name service_;
-    std::vector<base::software_version> versions_;
-    template <class Self>
-    static auto fields(Self& self) {
-        return std::tie(self.service_, self.versions_);
-    }
-};
-
-/// The versions that may have begun streams which still go on. Kept in the
-/// store.
-struct versions_in_use {
-    std::vector<service_versions> services_;
-    template <class Self>
-    static auto fields(Self& self) {
-        return std::tie(self.services_);
-    }
-};
-
 /// New alternatives are added at the end.
 using peer_message = std::variant<membership::message,
                                   replica_position,
--- a/pimentoferry/gateway/store_follower.cpp
+++ b/pimentoferry/gateway/store_follower.cpp
@@ -72,12 +72,6 @@
     return current(now) || now - confirmed_at_ < confirmation_validity;
 }
 
-bool store_follower::confirmed_since(base::time_point since) const {
-    const auto& own_answer = availability_.last_own_answer();
-    return (listed_ && own_answer && *own_answer >= since) ||
-           confirmed_at_ >= since;
-}
-
 std::optional<base::time_point> store_follower::last_confirmed() const {
     const auto& own_answer = availability_.last_own_answer();
     const auto last =
--- a/pimentoferry/gateway/store_follower.hpp
+++ b/pimentoferry/gateway/store_follower.hpp
@@ -91,15 +91,15 @@
     /// the replica recently.
     bool confirmed(base::time_point now) const;
 
-    /// Whether that was at `since` or later.
-    bool confirmed_since(base::time_point since) const;
-
     /// When that was last; unset if it never was.
     std::optional<base::time_point> last_confirmed() const;
 
     /// Empty, at revision 0, before the first listing or update.
     const store::mirror& replica() const { return replica_; }
 
+    /// The latest era of the store that this gateway has heard of; 0: none.
+    store::era era() const { return era_; }
+
     /// When the store last came back, after an outage or from an older copy;
     /// unset if it is not known to have been away.
     std::optional<base::time_point> store_returned_at() const;
--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -122,6 +122,12 @@
     return shared_.pauses_.paused(engine, base::clock::now());
 }
 
+bool stream_call::awaits_record(const routing::instance& engine) const {
+    return !resumed() && engine.stage_ != routing::engine_stage::prefill &&
+           !shared_.origins_->may_begin(call_.service_,
+                                        engine.software_version_);
+}
+
 http::awaitable<std::variant<prefill_result, stream_outcome>>
 stream_call::prefill(const routing::instance& engine) {
     const auto began = base::clock::now();
@@ -388,6 +394,10 @@
         if (paused) {
             outcome = stream_not_run{"the decode engine has asked for a pause",
                                      placement::decode_rejection::excluded};
+        } else if (engine && awaits_record(*engine)) {
+            outcome = stream_not_run{
+                "the version of the decode engine is not recorded yet",
+                placement::decode_rejection::excluded};
         } else if (engine && resumed() &&
                    engine->software_version_ != origin_) {
             outcome =
--- a/pimentoferry/gateway/stream_call.hpp
+++ b/pimentoferry/gateway/stream_call.hpp
@@ -116,6 +116,9 @@
     find_engine(const base::upstream_name& engine) const;
     /// Whether the engine has asked this gateway for a pause that lasts.
     bool is_paused(const routing::instance& engine) const;
+    /// Whether the engine may not begin streams until its version is recorded.
+    bool awaits_record(const routing::instance& engine) const;
+    bool any_engine_awaits_record() const;
     bool caller_disconnected() const;
     /// The sends that the next placement repeats: its prefill, and its decode
     /// if one has been sent before.
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -21,6 +21,8 @@
 constexpr base::milliseconds no_engine_retry_after{1500};
 // By then the loss of a gateway is known, and others keep what it kept.
 constexpr base::milliseconds unknown_origin_retry_after{1000};
+// The version of an instance is recorded soon after its registration.
+constexpr base::milliseconds unrecorded_retry_after{500};
 // Callers of engines that have paused do not return together.
 constexpr base::milliseconds paused_retry_spread{300};
 // Allows for the delivery to the caller and for the error of the prefill
@@ -70,7 +72,7 @@
     request.software_version_ = origin_;
     for (const auto* each :
          shared_.registry_.instances().usable(call_.service_, now)) {
-        if (shared_.pauses_.paused(*each, now)) {
+        if (shared_.pauses_.paused(*each, now) || awaits_record(*each)) {
             request.excluded_.push_back(each->id_);
         }
     }
@@ -163,7 +165,7 @@
         const auto origin = co_await shared_.origins_->resolve(
             call_.service_, call_.request_.resumes_);
         if (const auto* unknown = std::get_if<unknown_origin>(&origin)) {
-            co_await refuse_unknown_origin(unknown->keeper_silent_);
+            co_await refuse_unknown_origin(unknown->may_be_known_later_);
             co_return;
         }
         origin_ = std::get<known_origin>(origin).version_;
@@ -241,6 +243,13 @@
                                });
 }
 
+bool stream_call::any_engine_awaits_record() const {
+    return std::ranges::any_of(
+        shared_.registry_.instances().usable(call_.service_,
+                                             base::clock::now()),
+        [this](const routing::instance* each) { return awaits_record(*each); });
+}
+
 base::milliseconds stream_call::wait_for_pauses() const {
     const auto now = base::clock::now();
     const auto engines =
@@ -282,6 +291,11 @@
     } else if (refused.reason_ == reason::excluded) {
         refusal.retry_after_ = wait_for_pauses();
         refusal.detail_ = "the engines have asked for a pause";
+        if (any_engine_awaits_record()) {
+            refusal.retry_after_ =
+                std::max(*refusal.retry_after_, unrecorded_retry_after);
+            refusal.detail_ = "the version of the engines is not recorded yet";
+        }
     } else if (refused.reason_ == reason::too_large) {
         refusal.retry_after_ = std::nullopt;
         refusal.detail_ = "the request exceeds the memory of every engine";
--- /dev/null
+++ b/pimentoferry/gateway/version_record.cpp
@@ -0,0 +1,218 @@
+#include "pimentoferry/gateway/version_record.hpp"
+
+#include "pimentoferry/base/hash.hpp"
+#include "pimentoferry/http/error_token.hpp"
+#include "pimentoferry/log/log.hpp"
+#include "pimentoferry/membership/ownership.hpp"
+#include "pimentoferry/wire/codec.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace pimentoferry::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr const char* record_key = "pimentoferry/software-versions";
+// Callers of `read` are callers of the gateway that wait.
+constexpr base::milliseconds read_timeout{500};
+// A read whose answer may be lost does not hold up the next one for longer.
+constexpr base::milliseconds read_interval{100};
+// Another gateway has written the record by then, and this one knows it.
+constexpr base::milliseconds turn{250};
+constexpr base::milliseconds retry_interval{200};
+// By then versions that a restored store has lost are recorded again.
+constexpr base::milliseconds rewrite_time{2000};
+
+std::string text_of(const std::vector<base::software_version>& versions) {
+    std::string text;
+    std::ranges::for_each(versions, [&text](const auto& version) {
+        text += (text.empty() ? "" : ",") + version.value_;
+    });
+    return text;
+}
+
+std::optional<routing::versions_in_use> decode(const std::string& value,
+                                               store::revision revision) {
+    auto decoded = wire::decode<routing::versions_in_use>(value);
+    if (auto* record = std::get_if<routing::versions_in_use>(&decoded)) {
+        return std::move(*record);
+    }
+    log::log_warn(
+        "stream_origins_unreadable",
+        {{"key", record_key}, {"revision", std::to_string(revision)}});
+    return std::nullopt;
+}
+
+} // namespace
+
+std::shared_ptr<version_record::shared_read> version_record::next_read() {
+    const auto now = base::clock::now();
+    if (!next_read_) {
+        next_read_ = std::make_shared<shared_read>(io_, now + read_timeout);
+    }
+    auto read = next_read_;
+    start_next_read(now);
+    return read;
+}
+
+http::awaitable<std::optional<routing::recorded_versions>>
+version_record::read() {
+    const auto read = next_read();
+    while (!read->finished_ && base::clock::now() < read->until_) {
+        boost::system::error_code ignored;
+        co_await read->finished_signal_.async_wait(
+            http::internal::into(ignored));
+    }
+    co_return read->record_;
+}
+
+void version_record::start_next_read(base::time_point now) {
+    const bool wait =
+        reads_in_progress_ > 0 && now - last_read_ < read_interval;
+    if (!next_read_ || wait) {
+        return;
+    }
+    auto read = std::exchange(next_read_, nullptr);
+    ++reads_in_progress_;
+    last_read_ = now;
+    store_.submit({store::token{1}, store::get{record_key}},
+                  [this, read](const store::result& result) {
+                      --reads_in_progress_;
+                      finish(*read, result);
+                      start_next_read(base::clock::now());
+                  });
+}
+
+void version_record::finish(shared_read& read, const store::result& result) {
+    const auto now = base::clock::now();
+    const auto* found = std::get_if<store::found>(&result.outcome_);
+    const bool conclusive = is_conclusive(result, now);
+    counters_.count_store_call("software_versions",
+                               conclusive ? "ok" : "unavailable");
+    if (found != nullptr && conclusive) {
+        if (const auto record = decode(found->value_, found->revision_)) {
+            const auto replica = follower_.replica().at();
+            take(*record, found->revision_, "read");
+            if (replica >= found->revision_) {
+                read.record_.emplace().take(*record, found->revision_);
+            }
+        }
+    }
+    read.finished_ = true;
+    read.finished_signal_.cancel();
+}
+
+// An answer of another era is that of a store that has come back from an older
+// copy, of which this gateway has not heard.
+bool version_record::is_conclusive(const store::result& result,
+                                   base::time_point now) const {
+    const bool same_era = !result.era_ || *result.era_ == follower_.era();
+    const bool rewritten = !restored_at_ || now - *restored_at_ >= rewrite_time;
+    return same_era && rewritten;
+}
+
+void version_record::receive(const store::item& item) {
+    if (item.key_ != record_key) {
+        return;
+    }
+    if (const auto record = decode(item.value_, item.revision_)) {
+        take(*record, item.revision_, "replica");
+    }
+}
+
+void version_record::receive(const store::item_removed& removed) {
+    if (removed.key_ == record_key) {
+        recorded_.clear();
+    }
+}
+
+void version_record::store_restored() {
+    restored_at_ = base::clock::now();
+    recorded_.forget_revision();
+}
+
+void version_record::take(const routing::versions_in_use& record,
+                          store::revision revision,
+                          std::string_view received_by) {
+    const bool is_new = revision > recorded_.revision();
+    if (!recorded_.take(record, revision) || !is_new) {
+        return;
+    }
+    std::ranges::for_each(
+        record.services_, [&](const routing::service_versions& each) {
+            log::log_info("software_versions_recorded",
+                          {{"service", each.service_.value_},
+                           {"versions", text_of(each.versions_)},
+                           {"received_by", std::string{received_by}},
+                           {"revision", std::to_string(revision)}});
+        });
+    on_record_(record);
+}
+
+std::size_t version_record::rank() const {
+    const auto watchers = peers_.watchers();
+    const auto watcher = std::ranges::find(watchers, peers_.self());
+    if (watcher != watchers.end()) {
+        return static_cast<std::size_t>(watcher - watchers.begin());
+    }
+    const auto others = membership::shard_candidates(
+        static_cast<std::uint32_t>(base::hash_bytes(record_key)),
+        peers_.live());
+    return watchers.size() +
+           static_cast<std::size_t>(std::ranges::find(others, peers_.self()) -
+                                    others.begin());
+}
+
+void version_record::update(const routing::versions_in_use& known,
+                            const routing::versions_in_use& in_use,
+                            base::time_point now) {
+    start_next_read(now);
+    // Only a gateway that the store itself has confirmed removes versions.
+    const bool may_remove = follower_.current(now) && rank() == 0;
+    auto wanted = recorded_.update_for(known, in_use, may_remove);
+    if (!wanted) {
+        differs_since_.reset();
+        return;
+    }
+    differs_since_ = differs_since_.value_or(now);
+    const bool due = now - *differs_since_ >= turn * static_cast<int>(rank()) &&
+                     now >= next_write_;
+    if (due && !write_in_progress_) {
+        next_write_ = now + retry_interval;
+        write(std::move(*wanted));
+    }
+}
+
+void version_record::write(routing::versions_in_use record) {
+    write_in_progress_ = true;
+    auto value = wire::encode(record);
+    store_.submit(
+        {store::token{1}, store::put{record_key, std::move(value),
+                                     recorded_.revision(), store::lease_id{}}},
+        [this, record = std::move(record)](const store::result& result) {
+            write_in_progress_ = false;
+            finish_write(record, result);
+        });
+}
+
+void version_record::finish_write(const routing::versions_in_use& record,
+                                  const store::result& result) {
+    const auto* written = std::get_if<store::written>(&result.outcome_);
+    const bool same_era = !result.era_ || *result.era_ == follower_.era();
+    counters_.count_store_call("software_versions_write",
+                               written != nullptr ? "ok" : "unavailable");
+    if (written != nullptr && same_era) {
+        take(record, written->revision_, "write");
+    } else if (std::holds_alternative<store::conflict>(result.outcome_)) {
+        // Another gateway has written, and the replica does not have it yet.
+        next_read();
+    }
+}
+
+} // namespace pimentoferry::gateway
--- a/pimentoferry/routing/stream_origins.cpp
+++ b/pimentoferry/routing/stream_origins.cpp
@@ -98,7 +98,6 @@
 
 void version_history::seen(const base::software_version& version,
                            base::time_point now) {
-    watched_since_ = watched_since_.value_or(now);
     last_seen_.insert_or_assign(version, now);
 }
 
@@ -108,7 +107,6 @@
     std::ranges::for_each(versions, [&](const auto& version) {
         last_seen_.try_emplace(version, now);
     });
-    loaded_ = true;
 }
 
 std::vector<base::software_version>
@@ -123,13 +121,17 @@
 }
 
 std::optional<base::software_version>
-version_history::only(base::time_point now, base::milliseconds keep) const {
-    const bool complete =
-        loaded_ || (watched_since_ && *watched_since_ + keep <= now);
+version_history::only(const std::vector<base::software_version>& recorded,
+                      base::time_point now,
+                      base::milliseconds keep) const {
     auto versions = possible(now, keep);
-    return complete && versions.size() == 1
-               ? std::optional{std::move(versions.front())}
-               : std::nullopt;
+    versions.insert(versions.end(), recorded.begin(), recorded.end());
+    const bool single =
+        !recorded.empty() &&
+        std::ranges::all_of(versions, [&versions](const auto& version) {
+            return version == versions.front();
+        });
+    return single ? std::optional{std::move(versions.front())} : std::nullopt;
 }
 
 } // namespace pimentoferry::routing
--- a/pimentoferry/routing/stream_origins.hpp
+++ b/pimentoferry/routing/stream_origins.hpp
@@ -8,7 +8,8 @@
 ///     origins.find(stream);            // unset: not known
 ///
 ///     history.seen(version, now);      // while an instance of it is usable
-///     history.only(now, keep);         // a single possible version, or unset
+///     history.only(recorded, now, keep); // a single possible version, or
+///     unset
 ///
 /// `keep` is the longest time in which a caller continues a stream, see
 /// `retention`; the caller of `origin_table::expire` applies it to the table.
@@ -100,24 +101,26 @@
     /// An instance of the version may get new streams.
     void seen(const base::software_version& version, base::time_point now);
 
-    /// Versions of a lasting record, which other processes keep. Complete: the
-    /// record has all that were in use before this process began.
+    /// Versions of the lasting record, see `recorded_versions`.
     void load(const std::vector<base::software_version>& versions,
               base::time_point now);
 
-    /// Versions that may have begun a stream which still goes on.
+    /// Versions that, as far as this process knows, may have begun a stream
+    /// which still goes on.
     std::vector<base::software_version> possible(base::time_point now,
                                                  base::milliseconds keep) const;
 
-    /// The only possible version; unset if there are several, or if versions
-    /// of before the start of this process may be missing.
-    std::optional<base::software_version> only(base::time_point now,
-                                               base::milliseconds keep) const;
+    /// The only possible version; unset if there are several. `recorded`: the
+    /// versions of the lasting record, read after the question came. What this
+    /// process knows by itself is never enough: it may have been stopped or cut
+    /// off while a version came into service.
+    std::optional<base::software_version>
+    only(const std::vector<base::software_version>& recorded,
+         base::time_point now,
+         base::milliseconds keep) const;
 
 private:
     std::map<base::software_version, base::time_point> last_seen_;
-    std::optional<base::time_point> watched_since_;
-    bool loaded_{false};
 };
 
 } // namespace pimentoferry::routing
--- a/pimentoferry/routing/stream_origins_test.cpp
+++ b/pimentoferry/routing/stream_origins_test.cpp
@@ -17,7 +17,7 @@
     CPPUNIT_TEST(streams_are_forgotten_in_the_order_of_their_start);
     CPPUNIT_TEST(streams_are_recorded_once);
     CPPUNIT_TEST(a_version_that_left_may_have_open_streams);
-    CPPUNIT_TEST(a_process_that_has_just_started_knows_no_only_version);
+    CPPUNIT_TEST(what_a_process_has_seen_is_not_enough);
     CPPUNIT_TEST(a_recorded_version_is_possible_after_a_restart);
     CPPUNIT_TEST(what_is_kept_outlasts_a_shorter_limit);
     CPPUNIT_TEST_SUITE_END();
@@ -71,23 +71,25 @@
     // Guards against a stream of a version whose last instance has just left
     // that goes on at the other version.
     void a_version_that_left_may_have_open_streams() {
-        history_.load({}, now_);
         history_.seen(old_, now_);
-        CPPUNIT_ASSERT(history_.only(now_, keep) == old_);
+        CPPUNIT_ASSERT(history_.only({old_}, now_, keep) == old_);
         history_.seen(new_, now_ + milliseconds{10});
-        CPPUNIT_ASSERT(!history_.only(now_ + milliseconds{10}, keep));
+        CPPUNIT_ASSERT(!history_.only({old_}, now_ + milliseconds{10}, keep));
+        CPPUNIT_ASSERT(!history_.only({new_}, now_ + milliseconds{10}, keep));
         const auto last = now_ + keep;
         history_.seen(new_, last);
-        CPPUNIT_ASSERT(history_.only(last, keep) == new_);
+        CPPUNIT_ASSERT(history_.only({new_}, last, keep) == new_);
     }
 
-    // Guards against a gateway that takes the version it sees after its start
-    // for the only one there was.
-    void a_process_that_has_just_started_knows_no_only_version() {
+    // Guards against a gateway that takes the versions it has seen for all
+    // there are, however long it has run.
+    void what_a_process_has_seen_is_not_enough() {
         history_.seen(new_, now_);
-        CPPUNIT_ASSERT(!history_.only(now_, keep));
+        CPPUNIT_ASSERT(!history_.only({}, now_, keep));
         history_.seen(new_, now_ + keep);
-        CPPUNIT_ASSERT(history_.only(now_ + keep, keep) == new_);
+        CPPUNIT_ASSERT(!history_.only({}, now_ + keep, keep));
+        CPPUNIT_ASSERT(!history_.only({old_}, now_ + keep, keep));
+        CPPUNIT_ASSERT(!history_.only({old_, new_}, now_ + keep, keep));
     }
 
     // Guards against streams of the version before a release that go on at the
@@ -95,10 +97,10 @@
     void a_recorded_version_is_possible_after_a_restart() {
         history_.load({old_, new_}, now_);
         history_.seen(new_, now_);
-        CPPUNIT_ASSERT(!history_.only(now_, keep));
+        CPPUNIT_ASSERT(!history_.only({new_}, now_, keep));
         history_.load({old_, new_}, now_ + keep);
         history_.seen(new_, now_ + keep);
-        CPPUNIT_ASSERT(history_.only(now_ + keep, keep) == new_);
+        CPPUNIT_ASSERT(history_.only({new_}, now_ + keep, keep) == new_);
     }
 
     // Guards against streams that are forgotten, and versions that are no
