Let the soak leave a gateway behind while a version comes into service

Cause: the soak had no fault in which one gateway misses a version and everybody else who knows it ends.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <csignal>
 #include <iostream>
+#include <numeric>
 #include <thread>
 
 namespace pimentoferry::soak {
@@ -101,7 +102,7 @@
     if (terminating_.contains(number) || paused_[number]) {
         return;
     }
-    switch (random_below(6)) {
+    switch (random_below(7)) {
     case 0:
         log_fault(name + " gets SIGTERM");
         fleet_.gateway(number).signal(SIGTERM);
@@ -130,6 +131,9 @@
     case 4:
         isolate_gateway(number);
         break;
+    case 5:
+        leave_behind(number);
+        break;
     default:
         log_fault(name + " reads its settings again");
         fleet_.gateway(number).signal(SIGHUP);
@@ -161,13 +165,40 @@
     });
 }
 
+// A replica of another version serves while the gateway stands still without
+// its store link. All that knew of it end.
+void fault_injector::leave_behind(std::size_t number) {
+    log_fault("gateway " + std::to_string(number) + " is left behind");
+    paused_[number] = true;
+    store_links_[number]->set(link_fault::silent);
+    fleet_.gateway(number).signal(SIGSTOP);
+    replace_replica(random_below(fleet_.replicas().size()));
+    schedule(random_duration(200, 2000), [this, number] {
+        kill_gateways([number](std::size_t each) { return each != number; });
+        fleet_.gateway(number).signal(SIGCONT);
+        paused_[number] = false;
+        note_disturbed(number);
+        schedule(random_duration(200, 5000), [this, number] {
+            store_links_[number]->set(link_fault::none);
+        });
+    });
+}
+
 // Gateways that are paused or drain are killed, too.
 void fault_injector::kill_all_gateways() {
-    log_fault("all gateways are killed");
-    for (std::size_t i = 0; i < fleet_.gateway_count(); ++i) {
+    kill_gateways([](std::size_t) { return true; });
+}
+
+void fault_injector::kill_gateways(
+    const std::function<bool(std::size_t gateway)>& chosen) {
+    std::vector<std::size_t> numbers(fleet_.gateway_count());
+    std::iota(numbers.begin(), numbers.end(), std::size_t{0});
+    std::erase_if(numbers, [&](std::size_t each) { return !chosen(each); });
+    log_fault(std::to_string(numbers.size()) + " gateways are killed");
+    for (const auto i : numbers) {
         fleet_.gateway(i).signal(SIGKILL);
     }
-    for (std::size_t i = 0; i < fleet_.gateway_count(); ++i) {
+    for (const auto i : numbers) {
         fleet_.gateway(i).wait(drain_limit);
         fleet_.restart_gateway(i);
         terminating_.erase(i);
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -54,7 +54,9 @@
 
     void inject();
     void inject_gateway_fault();
+    void leave_behind(std::size_t number);
     void kill_all_gateways();
+    void kill_gateways(const std::function<bool(std::size_t gateway)>& chosen);
     void isolate_gateway(std::size_t number);
     void inject_store_fault();
     void inject_link_fault();
