Forget prefills whose end the scheduler has missed

Cause: the end of a prefill is reported to the owner of the moment. When the ownership returns to a gateway within seconds, prefills that ended meanwhile stay outstanding there for 60 s. The engine never counts as idle, so idle time is learned as prefill time, which lets fewer prompts in and makes it longer. Change: the scheduler forgets a prefill 0.5 s after its gateway has given it up. The limit of the gateway is named in placement/stream_messages. Result: the new test of stream_scheduler_test failed before.

--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -27,10 +27,6 @@
 // As for plain calls, an engine that does not accept a connection within this
 // time is considered down.
 constexpr base::milliseconds connect_timeout{250};
-// A prefill takes about 100 ms and waits for those queued before it. An engine
-// that does not respond within this time is considered down, and the prompt is
-// prefilled at another one.
-constexpr base::milliseconds prefill_timeout{1000};
 constexpr base::milliseconds release_timeout{500};
 // Decode engines tried with one prefill result, which expires in about 500 ms.
 constexpr std::uint32_t max_decode_sends = 3;
@@ -133,7 +129,7 @@
     const auto began = base::clock::now();
     auto request = shared_.protocol_.prefill_call_(
         call_.exchange_.call(), send_options_for(engine.id_));
-    auto options = options_until(began + prefill_timeout);
+    auto options = options_until(began + placement::prefill_time_limit);
     options.body_limit_bytes_ = control_body_limit_bytes;
     const bool fresh = call_.needs_fresh_connection(engine.address_);
     options.fresh_connection_ = fresh;
--- a/pimentoferry/placement/prefill_load.cpp
+++ b/pimentoferry/placement/prefill_load.cpp
@@ -63,6 +63,13 @@
     }
 }
 
+void prefill_load::forget(std::uint32_t tokens, base::time_point now) {
+    remove(tokens, now);
+    sample_start_ = now;
+    sample_prompts_ = 0;
+    sample_tokens_ = 0;
+}
+
 void prefill_load::remove(std::uint32_t tokens, base::time_point now) {
     prompts_ -= prompts_ > 0 ? 1 : 0;
     tokens_ =
--- a/pimentoferry/placement/prefill_load.hpp
+++ b/pimentoferry/placement/prefill_load.hpp
@@ -43,6 +43,10 @@
                  const prefill_cost& cost,
                  base::time_point now);
 
+    /// Records that the end of a prefill was missed. It says nothing about the
+    /// speed of the engine.
+    void forget(std::uint32_t tokens, base::time_point now);
+
     /// Expected time until the engine starts the prefill of a prompt sent at
     /// `now`.
     base::milliseconds wait(const prefill_cost& cost,
--- a/pimentoferry/placement/stream_messages.hpp
+++ b/pimentoferry/placement/stream_messages.hpp
@@ -18,6 +18,11 @@
 
 namespace pimentoferry::placement {
 
+/// A prefill engine that takes longer for a prompt, with its wait for others,
+/// is considered down, and the prompt is prefilled at another one. A prefill
+/// takes about 100 ms.
+inline constexpr base::milliseconds prefill_time_limit{1000};
+
 /// Requests a prefill engine and decode memory for a stream.
 struct stream_request {
     base::attempt_id attempt_;
--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -26,6 +26,11 @@
 // of its gateway may have been lost.
 constexpr base::milliseconds max_stream_duration{60'000};
 
+// A gateway that has not reported the end of a prefill by then has reported it
+// to another owner, or its message was lost.
+constexpr base::milliseconds max_prefill_duration =
+    prefill_time_limit + base::milliseconds{500};
+
 // A refused caller returns in the last part of the time for which it may be
 // told to wait, from this share of it on. It has missed the deadline of its
 // first event in any case and mostly asks only once more; a later return meets
@@ -560,7 +565,25 @@
     }
 }
 
+// While a prefill counts as outstanding, the engine never counts as idle, and
+// the time between two prompts is taken for that of a prefill.
+void stream_scheduler::forget_overdue_prefills(base::time_point now) {
+    for (auto& [attempt, stream] : streams_) {
+        const bool overdue = stream.prefilling_ &&
+                             !stream.prefill_.value_.empty() &&
+                             stream.granted_ + max_prefill_duration < now;
+        if (!overdue) {
+            continue;
+        }
+        stream.prefilling_ = false;
+        if (auto* prefilling = prefilling_engine(stream)) {
+            prefilling->prefill_.forget(stream.prompt_tokens_, now);
+        }
+    }
+}
+
 stream_scheduler::decisions stream_scheduler::tick(base::time_point now) {
+    forget_overdue_prefills(now);
     std::vector<base::attempt_id> overdue;
     for (const auto& [attempt, stream] : streams_) {
         if (stream.granted_ + max_stream_duration < now) {
--- a/pimentoferry/placement/stream_scheduler.hpp
+++ b/pimentoferry/placement/stream_scheduler.hpp
@@ -155,8 +155,8 @@
     /// requests are removed.
     decisions gateway_lost(base::instance_id gateway, base::time_point now);
 
-    /// Decides on queued requests, and removes streams whose end was never
-    /// reported.
+    /// Decides on queued requests, and removes streams and prefills whose end
+    /// was never reported.
     decisions tick(base::time_point now);
 
     stream_usage usage(base::time_point now) const;
@@ -300,6 +300,7 @@
     void add_stream(base::attempt_id attempt,
                     placed_stream stream,
                     base::time_point now);
+    void forget_overdue_prefills(base::time_point now);
     void remove_stream(base::attempt_id attempt, base::time_point now);
     void measure_prefill_speeds(stream_demand& demand,
                                 base::time_point now) const;
--- a/pimentoferry/placement/stream_scheduler_test.cpp
+++ b/pimentoferry/placement/stream_scheduler_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(an_engine_that_is_fuller_than_believed_gets_fewer_streams);
     CPPUNIT_TEST(a_slow_prefill_engine_gets_few_prompts);
     CPPUNIT_TEST(an_unresponsive_prefill_engine_gets_no_more_prompts);
+    CPPUNIT_TEST(a_prefill_whose_end_was_missed_does_not_slow_its_engine);
     CPPUNIT_TEST(slow_prefill_engines_raise_the_prefill_shortfall);
     CPPUNIT_TEST(a_wrong_measurement_does_not_make_all_engines_slow);
     CPPUNIT_TEST(a_decode_engine_prefills_one_prompt_at_a_time);
@@ -470,6 +471,29 @@
         CPPUNIT_ASSERT(after.prefill_shortfall_ < 1);
     }
 
+    // Guards against prompts that are refused although the prefill engine is
+    // idle, after another owner was told that one of its prefills had ended.
+    void a_prefill_whose_end_was_missed_does_not_slow_its_engine() {
+        use_two_engines();
+        stream_announcement missed;
+        missed.attempt_ = {base::instance_id{2}, 1};
+        missed.prefill_ = base::upstream_name{"p"};
+        missed.decode_ = base::upstream_name{"d"};
+        missed.prompt_tokens_ = 5000;
+        scheduler_.stream_announced(missed, now_);
+        for (int i = 0; i < 20; ++i) {
+            now_ += milliseconds{900};
+            scheduler_.tick(now_);
+            const auto grant = granted(make_request(5000));
+            CPPUNIT_ASSERT(grant);
+            now_ += milliseconds{100};
+            scheduler_.prefill_finished(grant->attempt_, now_);
+            scheduler_.ended(grant->attempt_, 60, now_);
+        }
+        const auto prefill_time = scheduler_.demand(now_).prefill_time_;
+        CPPUNIT_ASSERT(prefill_time < milliseconds{200});
+    }
+
     // Guards against a plan that takes most engines for slow because one prompt
     // was reported as finished right after its grant: in a simulated day of
     // load 40 of 49 engines were taken for slow and none were changed.
