--- a/tests/soak/stale_gateway_test.cpp
+++ b/tests/soak/stale_gateway_test.cpp
@@ -118,7 +118,7 @@
     std::string begin_stream(std::size_t gateway, int tries) {
         // The owner of the streams may not have heard of the successor yet.
         for (int i = 0; i < tries; ++i) {
-            const auto id = "began-" + std::to_string(i);
+            std::string id = "began-" + std::to_string(i);
             auto stream = open(gateway, id, "");
             if (stream.next_event()) {
                 open_streams_.push_back(std::move(stream));
