Let tests run stream placement without a peer channel

Cause: stream_placement took gateway::peers, whose membership view and messages need open sockets, so no test could change the owner of a service. Change: it takes stream_fleet, the three functions that it uses; the test of a single gateway uses it too. Behaviour is unchanged.

--- a/pimentoferry/gateway/stream_placement.cpp
+++ b/pimentoferry/gateway/stream_placement.cpp
@@ -32,8 +32,19 @@
 
 } // namespace
 
+stream_fleet fleet_of(peers& peer_gateways, std::string region) {
+    return {peer_gateways.self(),
+            [&peer_gateways](base::instance_id to, peer_message message) {
+                peer_gateways.send(to, std::move(message));
+            },
+            [&peer_gateways,
+             region = std::move(region)](const base::service_name& service) {
+                return peer_gateways.owner_of(service, region);
+            }};
+}
+
 base::attempt_id stream_placement::next_attempt() {
-    return {peers_.self(), ++last_sequence_};
+    return {fleet_.self_, ++last_sequence_};
 }
 
 placement::stream_scheduler*
@@ -44,19 +55,19 @@
 
 bool stream_placement::owns(const base::service_name& service) const {
     const auto found = services_.find(service);
-    return found != services_.end() && found->second.owner_ == peers_.self();
+    return found != services_.end() && found->second.owner_ == fleet_.self_;
 }
 
 bool stream_placement::decides_locally(const service_state& state,
                                        base::time_point now) const {
-    return state.owner_ == peers_.self() ||
+    return state.owner_ == fleet_.self_ ||
            state.owner_ == base::instance_id{} ||
            now < state.bypass_owner_until_;
 }
 
 void stream_placement::update_owner(const base::service_name& service,
                                     service_state& state) {
-    const auto owner = peers_.owner_of(service, region_);
+    const auto owner = fleet_.owner_of_(service);
     if (owner == state.owner_) {
         return;
     }
@@ -64,10 +75,10 @@
                   {{"service", service.value_},
                    {"owner", base::to_hex(owner.value_)},
                    {"before", base::to_hex(state.owner_.value_)},
-                   {"self", owner == peers_.self() ? "yes" : "no"}});
+                   {"self", owner == fleet_.self_ ? "yes" : "no"}});
     state.owner_ = owner;
     state.bypass_owner_until_ = {};
-    if (owner == peers_.self()) {
+    if (owner == fleet_.self_) {
         return;
     }
     const auto now = base::clock::now();
@@ -79,7 +90,7 @@
                     std::chrono::duration_cast<base::milliseconds>(
                         now - *stream.started_);
             }
-            peers_.send(owner, service_stream_message{service, announcement});
+            fleet_.send_(owner, service_stream_message{service, announcement});
         }
     }
 }
@@ -87,9 +98,9 @@
 void stream_placement::send_to_owner(const base::service_name& service,
                                      placement::stream_message message) {
     const auto found = services_.find(service);
-    if (found != services_.end() && found->second.owner_ != peers_.self()) {
-        peers_.send(found->second.owner_,
-                    service_stream_message{service, std::move(message)});
+    if (found != services_.end() && found->second.owner_ != fleet_.self_) {
+        fleet_.send_(found->second.owner_,
+                     service_stream_message{service, std::move(message)});
     }
 }
 
@@ -101,13 +112,13 @@
 
 void stream_placement::deliver(const placement::stream_decision& decision) {
     const auto attempt = attempt_of(decision);
-    if (attempt.instance_ != peers_.self()) {
-        peers_.send(attempt.instance_,
-                    std::visit(
-                        [](const auto& d) {
-                            return peer_message{placement::stream_reply{d}};
-                        },
-                        decision));
+    if (attempt.instance_ != fleet_.self_) {
+        fleet_.send_(attempt.instance_,
+                     std::visit(
+                         [](const auto& d) {
+                             return peer_message{placement::stream_reply{d}};
+                         },
+                         decision));
         return;
     }
     const auto found = pending_decisions_.find(attempt);
@@ -381,9 +392,9 @@
             [&](const placement::stream_request& m) {
                 const auto decisions = scheduler.request(m, now);
                 if (decisions.empty()) {
-                    peers_.send(from,
-                                placement::stream_reply{
-                                    placement::stream_queued{m.attempt_}});
+                    fleet_.send_(from,
+                                 placement::stream_reply{
+                                     placement::stream_queued{m.attempt_}});
                 }
                 deliver(decisions);
             },
--- a/pimentoferry/gateway/stream_placement.hpp
+++ b/pimentoferry/gateway/stream_placement.hpp
@@ -27,6 +27,7 @@
 #include "pimentoferry/placement/stream_scheduler.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -38,15 +39,26 @@
 
 namespace pimentoferry::gateway {
 
+/// The other gateways, as far as the placement of streams uses them.
+struct stream_fleet {
+    base::instance_id self_;
+    /// Sends with best effort.
+    std::function<void(base::instance_id to, peer_message message)> send_;
+    /// The owner of a service in this gateway's view of the members.
+    std::function<base::instance_id(const base::service_name&)> owner_of_;
+};
+
+/// `peer_gateways` must outlive the result.
+stream_fleet fleet_of(peers& peer_gateways, std::string region);
+
 class stream_placement {
 public:
     stream_placement(boost::asio::io_context& io,
-                     peers& peer_gateways,
+                     stream_fleet fleet,
                      metrics& counters,
-                     requests::allowance_table& allowances,
-                     std::string region)
-        : io_(io), peers_(peer_gateways), counters_(counters),
-          allowances_(allowances), region_(std::move(region)) {}
+                     requests::allowance_table& allowances)
+        : io_(io), fleet_(std::move(fleet)), counters_(counters),
+          allowances_(allowances) {}
 
     /// A new id for an attempt of this gateway.
     base::attempt_id next_attempt();
@@ -141,10 +153,9 @@
                 base::time_point deadline);
 
     boost::asio::io_context& io_;
-    peers& peers_;
+    stream_fleet fleet_;
     metrics& counters_;
     requests::allowance_table& allowances_;
-    std::string region_;
     std::uint64_t last_sequence_{0};
     std::map<base::service_name, service_state> services_;
     std::map<base::attempt_id, local_stream> streams_;
--- a/pimentoferry/gateway/stream_placement_test.cpp
+++ b/pimentoferry/gateway/stream_placement_test.cpp
@@ -16,10 +16,10 @@
 using base::milliseconds;
 using placement::engine_role;
 
-peer_handlers no_handlers() {
-    peer_handlers handlers;
-    handlers.on_member_ = [](const membership::member&) {};
-    return handlers;
+/// The only gateway of its fleet.
+stream_fleet no_others() {
+    return {base::instance_id{1}, [](base::instance_id, const peer_message&) {},
+            [](const base::service_name&) { return base::instance_id{1}; }};
 }
 
 /// A gateway without peers, which schedules all streams itself. Each decode
@@ -34,11 +34,9 @@
     static constexpr std::uint32_t prompt_tokens = 5'000;
 
     asio::io_context io_{1};
-    config::gateway_settings settings_;
     metrics metrics_;
-    peers peers_{io_, settings_, base::instance_id{1}, no_handlers()};
     requests::allowance_table allowances_;
-    stream_placement placement_{io_, peers_, metrics_, allowances_, "region"};
+    stream_placement placement_{io_, no_others(), metrics_, allowances_};
     const base::service_name service_{"model"};
     const base::upstream_name left_{"left"};
     const base::upstream_name right_{"right"};
