Report the end of a stream to its former owners too

Cause: gateways reported the progress and the end of a stream to the owner of that moment only. When the ownership went to another gateway and back, the first owner kept the streams that had ended meanwhile: it counted their decode memory until the forecast of their length decayed, their prefills for 1.5 s and their slots for up to 60 s. It also went on to grant memory to queued requests whose callers had given up. Change: a gateway remembers which gateways it asked for a stream or told of it, until the stream ends, and sends them its prefill, start and end. These are at most three more messages per stream and former owner; their form is unchanged.

--- a/pimentoferry/gateway/stream_placement.cpp
+++ b/pimentoferry/gateway/stream_placement.cpp
@@ -90,7 +90,7 @@
                     std::chrono::duration_cast<base::milliseconds>(
                         now - *stream.started_);
             }
-            fleet_.send_(owner, service_stream_message{service, announcement});
+            inform_owner(service, attempt, announcement);
         }
     }
 }
@@ -104,6 +104,38 @@
     }
 }
 
+void stream_placement::inform_owner(const base::service_name& service,
+                                    base::attempt_id attempt,
+                                    placement::stream_message message) {
+    const auto found = services_.find(service);
+    if (found != services_.end() && found->second.owner_ != fleet_.self_) {
+        informed_[attempt].insert(found->second.owner_);
+        send_to_owner(service, std::move(message));
+    }
+}
+
+// A former owner that misses the end of a stream counts its memory for as long
+// as the forecast of its length lasts, and refuses requests beside idle engines
+// when it becomes the owner again. Streams that it is not told to forget must
+// stay counted: gateways whose view of the owner did not change do not announce
+// theirs again.
+void stream_placement::send_to_informed(
+    const base::service_name& service,
+    base::attempt_id attempt,
+    const placement::stream_message& message) {
+    send_to_owner(service, message);
+    const auto found = informed_.find(attempt);
+    if (found == informed_.end()) {
+        return;
+    }
+    const auto owner = services_[service].owner_;
+    for (const auto gateway : found->second) {
+        if (gateway != owner) {
+            fleet_.send_(gateway, service_stream_message{service, message});
+        }
+    }
+}
+
 void stream_placement::deliver(
     const placement::stream_scheduler::decisions& decisions) {
     std::ranges::for_each(decisions,
@@ -156,7 +188,7 @@
                                          base::attempt_id attempt) {
     const auto found = streams_.find(attempt);
     if (found != streams_.end()) {
-        send_to_owner(service, found->second.announcement_);
+        inform_owner(service, attempt, found->second.announcement_);
     }
 }
 
@@ -238,7 +270,7 @@
             placement::stream_refusal{request.attempt_});
         pending_decisions_.erase(request.attempt_);
     } else {
-        send_to_owner(service, request);
+        inform_owner(service, request.attempt_, request);
         placement::stream_message message = request;
         decision = co_await await_owner(service, pending, std::move(message),
                                         request.attempt_, deadline);
@@ -257,7 +289,9 @@
         // The request may still be queued, here or at the owner.
         deliver(
             state.scheduler_.ended(request.attempt_, 0, base::clock::now()));
-        send_to_owner(service, placement::stream_ended{request.attempt_, 0});
+        send_to_informed(service, request.attempt_,
+                         placement::stream_ended{request.attempt_, 0});
+        informed_.erase(request.attempt_);
     }
     co_return decision;
 }
@@ -303,8 +337,8 @@
         found->second.announcement_.prefilled_ = true;
         services_[found->second.service_].scheduler_.prefill_finished(
             attempt, base::clock::now());
-        send_to_owner(found->second.service_,
-                      placement::stream_prefilled{attempt});
+        send_to_informed(found->second.service_, attempt,
+                         placement::stream_prefilled{attempt});
     }
 }
 
@@ -316,8 +350,8 @@
         found->second.started_ = now;
         services_[found->second.service_].scheduler_.decode_started(attempt,
                                                                     now);
-        send_to_owner(found->second.service_,
-                      placement::stream_started{attempt});
+        send_to_informed(found->second.service_, attempt,
+                         placement::stream_started{attempt});
     }
 }
 
@@ -330,7 +364,9 @@
     streams_.erase(found);
     deliver(services_[service].scheduler_.ended(attempt, events,
                                                 base::clock::now()));
-    send_to_owner(service, placement::stream_ended{attempt, events});
+    send_to_informed(service, attempt,
+                     placement::stream_ended{attempt, events});
+    informed_.erase(attempt);
 }
 
 void stream_placement::engine_failed(const base::service_name& service,
--- a/pimentoferry/gateway/stream_placement.hpp
+++ b/pimentoferry/gateway/stream_placement.hpp
@@ -8,6 +8,10 @@
 /// schedulers place streams at the same time, the engines' own rejections
 /// limit the overcommitment.
 ///
+/// A former owner keeps the streams that it knows, because it may become the
+/// owner again within seconds. Their gateways therefore report the progress and
+/// the end of a stream to each gateway that was its owner meanwhile.
+///
 ///     auto outcome = co_await placement.place(service, request);
 ///     ...
 ///     placement.prefill_finished(attempt);
@@ -31,6 +35,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace boost::asio {
@@ -138,6 +143,16 @@
                          base::time_point now) const;
     void send_to_owner(const base::service_name& service,
                        placement::stream_message message);
+    /// Requests or announces a stream of this gateway at the owner, which
+    /// receives the later reports on the stream also as a former owner.
+    void inform_owner(const base::service_name& service,
+                      base::attempt_id attempt,
+                      placement::stream_message message);
+    /// Sends a report on a stream of this gateway to the owner and to all
+    /// former owners that know the stream.
+    void send_to_informed(const base::service_name& service,
+                          base::attempt_id attempt,
+                          const placement::stream_message& message);
     void deliver(const placement::stream_scheduler::decisions& decisions);
     void deliver(const placement::stream_decision& decision);
     void announce_to_owner(const base::service_name& service,
@@ -159,6 +174,8 @@
     std::uint64_t last_sequence_{0};
     std::map<base::service_name, service_state> services_;
     std::map<base::attempt_id, local_stream> streams_;
+    /// The gateways that were asked for a stream or told of it, until it ends.
+    std::map<base::attempt_id, std::set<base::instance_id>> informed_;
     std::map<base::attempt_id, std::shared_ptr<pending_decision>>
         pending_decisions_;
     base::time_point next_tick_;
