Announce the late decisions of a former owner to the owner

Cause: a gateway announced a grant or a replaced decode engine to the owner only if no owner had made the decision. When the ownership changed between the request and the decision, for example while the request was queued, the former owner decided and the new one never heard of it: it granted the same memory again, or counted the stream at the engine that had rejected it. Change: the decision is also announced if the owner is not the one that was asked. Result: two tests of stream_ownership_test, of a late grant and of a late replacement, failed before and pass.

--- a/pimentoferry/gateway/stream_ownership_test.cpp
+++ b/pimentoferry/gateway/stream_ownership_test.cpp
@@ -46,6 +46,11 @@
             return decision_->has_value() &&
                    std::holds_alternative<placement::stream_grant>(**decision_);
         }
+
+        base::upstream_name decode_engine() const {
+            return std::get<placement::stream_grant>(decision_->value())
+                .decode_;
+        }
     };
 
     void add(base::instance_id self, base::instance_id owner) {
@@ -98,6 +103,20 @@
         return made;
     }
 
+    /// Requests another decode engine for a stream. The message to the owner is
+    /// sent but not delivered.
+    void begin_replacement(base::instance_id from, base::attempt_id attempt) {
+        asio::co_spawn(
+            io_,
+            [&placement = at(from), attempt]() -> http::awaitable<void> {
+                co_await placement.replace_decode(
+                    attempt, placement::decode_rejection::full);
+            },
+            asio::detached);
+        io_.restart();
+        io_.poll();
+    }
+
     /// Runs until no message is on its way.
     void run() {
         do {
@@ -143,6 +162,8 @@
     CPPUNIT_TEST(an_owner_that_others_left_for_a_while_knows_who_ended);
     CPPUNIT_TEST(a_former_owner_does_not_keep_an_abandoned_request);
     CPPUNIT_TEST(an_owner_that_regains_the_service_knows_which_prefills_ended);
+    CPPUNIT_TEST(an_owner_knows_the_late_grants_of_the_former_one);
+    CPPUNIT_TEST(an_owner_knows_the_late_replacements_of_the_former_one);
     CPPUNIT_TEST(a_stream_of_another_gateway_outlasts_a_change_of_view);
     CPPUNIT_TEST_SUITE_END();
 
@@ -164,15 +185,17 @@
     }
 
 private:
-    void set_decode_memory(std::uint64_t tokens) {
+    void set_engines(const std::vector<placement::stream_engine>& engines) {
         for (const auto each : gateways) {
-            fleet_.scheduler(each).set_engines(
-                {{{"prefill"}, engine_role::prefill, {}, 64, tokens},
-                 {{"decode"}, engine_role::decode, {}, 64, tokens}},
-                base::clock::now());
+            fleet_.scheduler(each).set_engines(engines, base::clock::now());
         }
     }
 
+    void set_decode_memory(std::uint64_t tokens) {
+        set_engines({{{"prefill"}, engine_role::prefill, {}, 64, tokens},
+                     {{"decode"}, engine_role::decode, {}, 64, tokens}});
+    }
+
     static placement::stream_request make_request() {
         placement::stream_request made;
         made.prompt_tokens_ = prompt_tokens;
@@ -257,6 +280,33 @@
         CPPUNIT_ASSERT(place().granted());
     }
 
+    // Guards against an owner that grants memory which the former one granted
+    // to a queued request after the ownership changed.
+    void an_owner_knows_the_late_grants_of_the_former_one() {
+        const auto stream = place();
+        const auto queued = place();
+        CPPUNIT_ASSERT(!queued.decision_->has_value());
+        fleet_.set_owner(sender, second_owner);
+        end(stream.attempt_);
+        CPPUNIT_ASSERT(queued.granted());
+        CPPUNIT_ASSERT(!place().granted());
+    }
+
+    // Guards against an owner that counts a stream at the decode engine that
+    // rejected it, because the former owner chose its next one.
+    void an_owner_knows_the_late_replacements_of_the_former_one() {
+        set_engines({{{"prefill"}, engine_role::prefill, {}, 64, engine_tokens},
+                     {{"left"}, engine_role::decode, {}, 64, engine_tokens},
+                     {{"right"}, engine_role::decode, {}, 64, engine_tokens}});
+        const auto stream = place();
+        CPPUNIT_ASSERT(stream.granted());
+        fleet_.begin_replacement(sender, stream.attempt_);
+        fleet_.set_owner(sender, second_owner);
+        const auto next = place();
+        CPPUNIT_ASSERT(next.granted());
+        CPPUNIT_ASSERT(next.decode_engine() == stream.decode_engine());
+    }
+
     // Guards against an owner that forgets the streams of a gateway that does
     // not announce them again, because its view of the owner did not change,
     // and grants their memory twice.
--- a/pimentoferry/gateway/stream_placement.cpp
+++ b/pimentoferry/gateway/stream_placement.cpp
@@ -181,8 +181,9 @@
         grant->attempt_, local_stream{service, announcement, std::nullopt});
 }
 
-// Tells the owner about a stream that it did not place, or placed elsewhere in
-// a decision that came too late. Without that it would grant the same engine
+// Tells the owner about a stream that it did not place, because it was bypassed
+// or a former owner made the decision, or that it placed elsewhere in a
+// decision that came too late. Without that it would grant the same engine
 // capacity again.
 void stream_placement::announce_to_owner(const base::service_name& service,
                                          base::attempt_id attempt) {
@@ -251,6 +252,7 @@
                         std::shared_ptr<http::cancellation> cancel) {
     const auto began = base::clock::now();
     auto& state = services_[service];
+    const auto asked = state.owner_;
     auto pending = std::make_shared<pending_decision>(io_);
     const http::subscription cancelled{
         std::move(cancel), [pending, attempt = request.attempt_] {
@@ -276,7 +278,7 @@
                                         request.attempt_, deadline);
     }
     record_grant(decision, service, request);
-    if (!pending->decided_by_owner_) {
+    if (!pending->decided_by_owner_ || state.owner_ != asked) {
         announce_to_owner(service, request.attempt_);
     }
     const bool granted =
@@ -305,6 +307,7 @@
     }
     const auto service = found->second.service_;
     auto& state = services_[service];
+    const auto asked = state.owner_;
     const auto now = base::clock::now();
     placement::stream_decision decision;
     auto pending = std::make_shared<pending_decision>(io_);
@@ -324,7 +327,7 @@
         grant != nullptr && stream != streams_.end()) {
         stream->second.announcement_.decode_ = grant->decode_;
         state.scheduler_.stream_announced(stream->second.announcement_, now);
-        if (!pending->decided_by_owner_) {
+        if (!pending->decided_by_owner_ || state.owner_ != asked) {
             announce_to_owner(service, attempt);
         }
     }
