--- a/pimentoferry/gateway/stream_placement.cpp
+++ b/pimentoferry/gateway/stream_placement.cpp
@@ -32,8 +32,19 @@
 
 } // namespace
 
+stream_fleet fleet_of(peers& peer_gateways, std::string region) {
+    return {peer_gateways.self(),
+            [&peer_gateways](base::instance_id to, peer_message message) {
+                peer_gateways.send(to, std::move(message));
+            },
+            [&peer_gateways,
+             region = std::move(region)](const base::service_name& service) {
+                return peer_gateways.owner_of(service, region);
+            }};
+}
+
 base::attempt_id stream_placement::next_attempt() {
-    return {peers_.self(), ++last_sequence_};
+    return {fleet_.self_, ++last_sequence_};
 }
 
 placement::stream_scheduler*
@@ -44,19 +55,19 @@
 
 bool stream_placement::owns(const base::service_name& service) const {
     const auto found = services_.find(service);
-    return found != services_.end() && found->second.owner_ == peers_.self();
+    return found != services_.end() && found->second.owner_ == fleet_.self_;
 }
 
 bool stream_placement::decides_locally(const service_state& state,
                                        base::time_point now) const {
-    return state.owner_ == peers_.self() ||
+    return state.owner_ == fleet_.self_ ||
            state.owner_ == base::instance_id{} ||
            now < state.bypass_owner_until_;
 }
 
 void stream_placement::update_owner(const base::service_name& service,
                                     service_state& state) {
-    const auto owner = peers_.owner_of(service, region_);
+    const auto owner = fleet_.owner_of_(service);
     if (owner == state.owner_) {
         return;
     }
@@ -64,10 +75,10 @@
                   {{"service", service.value_},
                    {"owner", base::to_hex(owner.value_)},
                    {"before", base::to_hex(state.owner_.value_)},
-                   {"self", owner == peers_.self() ? "yes" : "no"}});
+                   {"self", owner == fleet_.self_ ? "yes" : "no"}});
     state.owner_ = owner;
     state.bypass_owner_until_ = {};
-    if (owner == peers_.self()) {
+    if (owner == fleet_.self_) {
         return;
     }
     const auto now = base::clock::now();
@@ -79,7 +90,7 @@
                     std::chrono::duration_cast<base::milliseconds>(
                         now - *stream.started_);
             }
-            peers_.send(owner, service_stream_message{service, announcement});
+            inform_owner(service, attempt, announcement);
         }
     }
 }
@@ -87,9 +98,41 @@
 void stream_placement::send_to_owner(const base::service_name& service,
                                      placement::stream_message message) {
     const auto found = services_.find(service);
-    if (found != services_.end() && found->second.owner_ != peers_.self()) {
-        peers_.send(found->second.owner_,
-                    service_stream_message{service, std::move(message)});
+    if (found != services_.end() && found->second.owner_ != fleet_.self_) {
+        fleet_.send_(found->second.owner_,
+                     service_stream_message{service, std::move(message)});
+    }
+}
+
+void stream_placement::inform_owner(const base::service_name& service,
+                                    base::attempt_id attempt,
+                                    placement::stream_message message) {
+    const auto found = services_.find(service);
+    if (found != services_.end() && found->second.owner_ != fleet_.self_) {
+        informed_[attempt].insert(found->second.owner_);
+        send_to_owner(service, std::move(message));
+    }
+}
+
+// A former owner that misses the end of a stream counts its memory for as long
+// as the forecast of its length lasts, and refuses requests beside idle engines
+// when it becomes the owner again. Streams that it is not told to forget must
+// stay counted: gateways whose view of the owner did not change do not announce
+// theirs again.
+void stream_placement::send_to_informed(
+    const base::service_name& service,
+    base::attempt_id attempt,
+    const placement::stream_message& message) {
+    send_to_owner(service, message);
+    const auto found = informed_.find(attempt);
+    if (found == informed_.end()) {
+        return;
+    }
+    const auto owner = services_[service].owner_;
+    for (const auto gateway : found->second) {
+        if (gateway != owner) {
+            fleet_.send_(gateway, service_stream_message{service, message});
+        }
     }
 }
 
@@ -101,13 +144,13 @@
 
 void stream_placement::deliver(const placement::stream_decision& decision) {
     const auto attempt = attempt_of(decision);
-    if (attempt.instance_ != peers_.self()) {
-        peers_.send(attempt.instance_,
-                    std::visit(
-                        [](const auto& d) {
-                            return peer_message{placement::stream_reply{d}};
-                        },
-                        decision));
+    if (attempt.instance_ != fleet_.self_) {
+        fleet_.send_(attempt.instance_,
+                     std::visit(
+                         [](const auto& d) {
+                             return peer_message{placement::stream_reply{d}};
+                         },
+                         decision));
         return;
     }
     const auto found = pending_decisions_.find(attempt);
@@ -138,14 +181,15 @@
         grant->attempt_, local_stream{service, announcement, std::nullopt});
 }
 
-// Tells the owner about a stream that it did not place, or placed elsewhere in
-// a decision that came too late. Without that it would grant the same engine
+// Tells the owner about a stream that it did not place, because it was bypassed
+// or a former owner made the decision, or that it placed elsewhere in a
+// decision that came too late. Without that it would grant the same engine
 // capacity again.
 void stream_placement::announce_to_owner(const base::service_name& service,
                                          base::attempt_id attempt) {
     const auto found = streams_.find(attempt);
     if (found != streams_.end()) {
-        send_to_owner(service, found->second.announcement_);
+        inform_owner(service, attempt, found->second.announcement_);
     }
 }
 
@@ -208,6 +252,7 @@
                         std::shared_ptr<http::cancellation> cancel) {
     const auto began = base::clock::now();
     auto& state = services_[service];
+    const auto asked = state.owner_;
     auto pending = std::make_shared<pending_decision>(io_);
     const http::subscription cancelled{
         std::move(cancel), [pending, attempt = request.attempt_] {
@@ -227,13 +272,13 @@
             placement::stream_refusal{request.attempt_});
         pending_decisions_.erase(request.attempt_);
     } else {
-        send_to_owner(service, request);
+        inform_owner(service, request.attempt_, request);
         placement::stream_message message = request;
         decision = co_await await_owner(service, pending, std::move(message),
                                         request.attempt_, deadline);
     }
     record_grant(decision, service, request);
-    if (!pending->decided_by_owner_) {
+    if (!pending->decided_by_owner_ || state.owner_ != asked) {
         announce_to_owner(service, request.attempt_);
     }
     const bool granted =
@@ -246,7 +291,9 @@
         // The request may still be queued, here or at the owner.
         deliver(
             state.scheduler_.ended(request.attempt_, 0, base::clock::now()));
-        send_to_owner(service, placement::stream_ended{request.attempt_, 0});
+        send_to_informed(service, request.attempt_,
+                         placement::stream_ended{request.attempt_, 0});
+        informed_.erase(request.attempt_);
     }
     co_return decision;
 }
@@ -260,6 +307,7 @@
     }
     const auto service = found->second.service_;
     auto& state = services_[service];
+    const auto asked = state.owner_;
     const auto now = base::clock::now();
     placement::stream_decision decision;
     auto pending = std::make_shared<pending_decision>(io_);
@@ -279,7 +327,7 @@
         grant != nullptr && stream != streams_.end()) {
         stream->second.announcement_.decode_ = grant->decode_;
         state.scheduler_.stream_announced(stream->second.announcement_, now);
-        if (!pending->decided_by_owner_) {
+        if (!pending->decided_by_owner_ || state.owner_ != asked) {
             announce_to_owner(service, attempt);
         }
     }
@@ -292,8 +340,8 @@
         found->second.announcement_.prefilled_ = true;
         services_[found->second.service_].scheduler_.prefill_finished(
             attempt, base::clock::now());
-        send_to_owner(found->second.service_,
-                      placement::stream_prefilled{attempt});
+        send_to_informed(found->second.service_, attempt,
+                         placement::stream_prefilled{attempt});
     }
 }
 
@@ -305,8 +353,8 @@
         found->second.started_ = now;
         services_[found->second.service_].scheduler_.decode_started(attempt,
                                                                     now);
-        send_to_owner(found->second.service_,
-                      placement::stream_started{attempt});
+        send_to_informed(found->second.service_, attempt,
+                         placement::stream_started{attempt});
     }
 }
 
@@ -319,7 +367,9 @@
     streams_.erase(found);
     deliver(services_[service].scheduler_.ended(attempt, events,
                                                 base::clock::now()));
-    send_to_owner(service, placement::stream_ended{attempt, events});
+    send_to_informed(service, attempt,
+                     placement::stream_ended{attempt, events});
+    informed_.erase(attempt);
 }
 
 void stream_placement::engine_failed(const base::service_name& service,
@@ -381,9 +431,9 @@
             [&](const placement::stream_request& m) {
                 const auto decisions = scheduler.request(m, now);
                 if (decisions.empty()) {
-                    peers_.send(from,
-                                placement::stream_reply{
-                                    placement::stream_queued{m.attempt_}});
+                    fleet_.send_(from,
+                                 placement::stream_reply{
+                                     placement::stream_queued{m.attempt_}});
                 }
                 deliver(decisions);
             },
--- a/pimentoferry/gateway/stream_placement.hpp
+++ b/pimentoferry/gateway/stream_placement.hpp
@@ -8,6 +8,10 @@
 /// schedulers place streams at the same time, the engines' own rejections
 /// limit the overcommitment.
 ///
+/// A former owner keeps the streams that it knows, because it may become the
+/// owner again within seconds. Their gateways therefore report the progress and
+/// the end of a stream to each gateway that was its owner meanwhile.
+///
 ///     auto outcome = co_await placement.place(service, request);
 ///     ...
 ///     placement.prefill_finished(attempt);
@@ -27,9 +31,11 @@
 #include "pimentoferry/placement/stream_scheduler.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace boost::asio {
@@ -38,15 +44,26 @@
 
 namespace pimentoferry::gateway {
 
+/// The other gateways, as far as the placement of streams uses them.
+struct stream_fleet {
+    base::instance_id self_;
+    /// Sends with best effort.
+    std::function<void(base::instance_id to, peer_message message)> send_;
+    /// The owner of a service in this gateway's view of the members.
+    std::function<base::instance_id(const base::service_name&)> owner_of_;
+};
+
+/// `peer_gateways` must outlive the result.
+stream_fleet fleet_of(peers& peer_gateways, std::string region);
+
 class stream_placement {
 public:
     stream_placement(boost::asio::io_context& io,
-                     peers& peer_gateways,
+                     stream_fleet fleet,
                      metrics& counters,
-                     requests::allowance_table& allowances,
-                     std::string region)
-        : io_(io), peers_(peer_gateways), counters_(counters),
-          allowances_(allowances), region_(std::move(region)) {}
+                     requests::allowance_table& allowances)
+        : io_(io), fleet_(std::move(fleet)), counters_(counters),
+          allowances_(allowances) {}
 
     /// A new id for an attempt of this gateway.
     base::attempt_id next_attempt();
@@ -126,6 +143,16 @@
                          base::time_point now) const;
     void send_to_owner(const base::service_name& service,
                        placement::stream_message message);
+    /// Requests or announces a stream of this gateway at the owner, which
+    /// receives the later reports on the stream also as a former owner.
+    void inform_owner(const base::service_name& service,
+                      base::attempt_id attempt,
+                      placement::stream_message message);
+    /// Sends a report on a stream of this gateway to the owner and to all
+    /// former owners that know the stream.
+    void send_to_informed(const base::service_name& service,
+                          base::attempt_id attempt,
+                          const placement::stream_message& message);
     void deliver(const placement::stream_scheduler::decisions& decisions);
     void deliver(const placement::stream_decision& decision);
     void announce_to_owner(const base::service_name& service,
@@ -141,13 +168,14 @@
                 base::time_point deadline);
 
     boost::asio::io_context& io_;
-    peers& peers_;
+    stream_fleet fleet_;
     metrics& counters_;
     requests::allowance_table& allowances_;
-    std::string region_;
     std::uint64_t last_sequence_{0};
     std::map<base::service_name, service_state> services_;
     std::map<base::attempt_id, local_stream> streams_;
+    /// The gateways that were asked for a stream or told of it, until it ends.
+    std::map<base::attempt_id, std::set<base::instance_id>> informed_;
     std::map<base::attempt_id, std::shared_ptr<pending_decision>>
         pending_decisions_;
     base::time_point next_tick_;
