Do not measure a prefill whose beginning is not known

Requests were let in for prefill engines that could not serve them in time. Cause: forgetting a missed prefill restarted the clock of the engine while another prompt was being read, so that one was measured from the moment of forgetting, and the speed of the engine was overestimated. Change: after a missed end the next prompt is not measured, and the sample of the speed starts with its end.

--- a/pimentoferry/placement/prefill_load.cpp
+++ b/pimentoferry/placement/prefill_load.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/placement/prefill_load.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pimentoferry::placement {
 
@@ -30,15 +31,18 @@
 void prefill_load::begin(std::uint32_t tokens, base::time_point now) {
     if (prompts_ == 0) {
         prefilling_since_ = now;
-        sample_start_ = now;
-        sample_prompts_ = 0;
-        sample_tokens_ = 0;
+        end_missed_ = false;
+        restart_sample(now);
     }
     ++prompts_;
     tokens_ += tokens;
 }
 
-fractional_ms prefill_load::in_progress(base::time_point now) const {
+std::optional<fractional_ms>
+prefill_load::in_progress(base::time_point now) const {
+    if (end_missed_) {
+        return std::nullopt;
+    }
     return prompts_ > 0 ? fractional_ms{now - prefilling_since_}
                         : fractional_ms{0};
 }
@@ -49,7 +53,11 @@
     ++sample_prompts_;
     sample_tokens_ += tokens;
     remove(tokens, now);
-    update_speed(cost, now);
+    if (std::exchange(end_missed_, false)) {
+        restart_sample(now);
+    } else {
+        update_speed(cost, now);
+    }
 }
 
 void prefill_load::abandon(std::uint32_t tokens,
@@ -58,16 +66,15 @@
     remove(tokens, now);
     // A shorter sample says nothing about the engine: the caller may have
     // disconnected.
-    if (now - sample_start_ >= min_sample_time) {
+    if (!end_missed_ && now - sample_start_ >= min_sample_time) {
         update_speed(cost, now);
     }
 }
 
 void prefill_load::forget(std::uint32_t tokens, base::time_point now) {
     remove(tokens, now);
-    sample_start_ = now;
-    sample_prompts_ = 0;
-    sample_tokens_ = 0;
+    // The engine may have begun with the next prompt at any time since then.
+    end_missed_ = true;
 }
 
 void prefill_load::remove(std::uint32_t tokens, base::time_point now) {
@@ -92,6 +99,10 @@
     speed_ = speed(now);
     speed_ = std::max(min_speed, speed_ + newest_weight * (sample - speed_));
     speed_measured_at_ = now;
+    restart_sample(now);
+}
+
+void prefill_load::restart_sample(base::time_point now) {
     sample_start_ = now;
     sample_prompts_ = 0;
     sample_tokens_ = 0;
@@ -111,7 +122,8 @@
     // The first prompt may take longer than expected, but the engine has not
     // started those behind it.
     const auto queued = total * (prompts_ - 1) / prompts_;
-    return whole_ms(std::max(queued, total - in_progress(now)));
+    return whole_ms(
+        std::max(queued, total - in_progress(now).value_or(fractional_ms{0})));
 }
 
 base::milliseconds prefill_load::prefill_time(std::uint32_t tokens,
--- a/pimentoferry/placement/prefill_load.hpp
+++ b/pimentoferry/placement/prefill_load.hpp
@@ -21,6 +21,7 @@
 #include "pimentoferry/placement/prefill_cost.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace pimentoferry::placement {
 
@@ -30,8 +31,8 @@
     void begin(std::uint32_t tokens, base::time_point now);
 
     /// Time since the engine began with the prompt that it processes now, if it
-    /// processes one after the other.
-    fractional_ms in_progress(base::time_point now) const;
+    /// processes one after the other; unset if that is not known.
+    std::optional<fractional_ms> in_progress(base::time_point now) const;
 
     /// Records that the engine finished the prefill of a prompt.
     void finish(std::uint32_t tokens,
@@ -66,12 +67,15 @@
 
 private:
     void remove(std::uint32_t tokens, base::time_point now);
+    void restart_sample(base::time_point now);
     void update_speed(const prefill_cost& cost, base::time_point now);
 
     std::uint32_t prompts_{0};
     std::uint64_t tokens_{0}; ///< Total length of these prompts.
     /// Start of the prefill that the engine runs now.
     base::time_point prefilling_since_;
+    /// Whether that start, and the one of the sample, are not known.
+    bool end_missed_{false};
     /// Prompts finished since `sample_start_`, and their total length.
     std::uint32_t sample_prompts_{0};
     std::uint64_t sample_tokens_{0};
--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -338,9 +338,9 @@
     if (auto* prefilling = prefilling_engine(stream)) {
         prefilling->failures_ = 0;
         // A decode engine prefills more slowly than a prefill engine.
-        if (!stream.prefill_.value_.empty()) {
-            model_.observe_prefill(stream.prompt_tokens_,
-                                   prefilling->prefill_.in_progress(now));
+        const auto time = prefilling->prefill_.in_progress(now);
+        if (time && !stream.prefill_.value_.empty()) {
+            model_.observe_prefill(stream.prompt_tokens_, *time);
         }
         prefilling->prefill_.finish(stream.prompt_tokens_, model_.cost(), now);
     }
--- a/pimentoferry/placement/stream_scheduler_test.cpp
+++ b/pimentoferry/placement/stream_scheduler_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(a_slow_prefill_engine_gets_few_prompts);
     CPPUNIT_TEST(an_unresponsive_prefill_engine_gets_no_more_prompts);
     CPPUNIT_TEST(a_prefill_whose_end_was_missed_does_not_slow_its_engine);
+    CPPUNIT_TEST(a_missed_prefill_does_not_shorten_the_one_in_progress);
     CPPUNIT_TEST(slow_prefill_engines_raise_the_prefill_shortfall);
     CPPUNIT_TEST(a_wrong_measurement_does_not_make_all_engines_slow);
     CPPUNIT_TEST(a_decode_engine_prefills_one_prompt_at_a_time);
@@ -494,6 +495,33 @@
         CPPUNIT_ASSERT(prefill_time < milliseconds{200});
     }
 
+    // Guards against a cost of prefills that is learned from the time since a
+    // missed one was forgotten, instead of the time that the prompt took.
+    void a_missed_prefill_does_not_shorten_the_one_in_progress() {
+        use_two_engines();
+        for (int i = 0; i < 20; ++i) {
+            stream_announcement missed;
+            missed.attempt_ = {base::instance_id{2},
+                               static_cast<std::uint64_t>(i + 1)};
+            missed.prefill_ = base::upstream_name{"p"};
+            missed.decode_ = base::upstream_name{"d"};
+            missed.prompt_tokens_ = 5000;
+            scheduler_.stream_announced(missed, now_);
+            now_ += milliseconds{1411};
+            const auto grant = granted(make_request(5000));
+            CPPUNIT_ASSERT(grant);
+            now_ += milliseconds{90};
+            scheduler_.tick(now_);
+            now_ += milliseconds{10};
+            scheduler_.prefill_finished(grant->attempt_, now_);
+            scheduler_.ended(grant->attempt_, 60, now_);
+            scheduler_.ended(missed.attempt_, 60, now_);
+        }
+        const auto prefill_time = scheduler_.demand(now_).prefill_time_;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(prefill_time.count()),
+                               prefill_time > milliseconds{80});
+    }
+
     // Guards against a plan that takes most engines for slow because one prompt
     // was reported as finished right after its grant: in a simulated day of
     // load 40 of 49 engines were taken for slow and none were changed.
