Keep a version in the record that has just come back

Callers got a text joined from two versions at a gateway that had stood still while a version came back into service, served and left. Cause: the first watcher of the store removed versions by the time at which it had last seen an instance, also when the record had been given the version again by another gateway since, and also with a replica that did not reach as far as the record. After standing still it could write a list from before it had looked at its instances. Change: a version that appears in the record counts as seen at that time. A version is removed only by a gateway whose replica reaches the record, and after the instances have been looked at.

--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -405,9 +405,14 @@
 void origin_exchange::tick(const registry& registry_view,
                            const store::mirror& replica,
                            base::time_point now) {
+    const bool review = now >= next_review_;
+    if (review) {
+        // After this process stood still, versions in service appear to have
+        // left long ago.
+        set_instances(registry_view, now);
+    }
     record_.update(versions_since(now, keep_.time()), versions_since(now, turn),
                    now);
-    const bool review = now >= next_review_;
     for (auto& [service, state] : services_) {
         if (state.untold_ || (review && !state.own_.empty())) {
             tell_keepers(service, state, now);
@@ -417,7 +422,6 @@
         return;
     }
     next_review_ = now + review_interval;
-    set_instances(registry_view, now);
     forget_old_streams(now);
     write_streams(replica, now);
 }
--- a/pimentoferry/gateway/version_record.cpp
+++ b/pimentoferry/gateway/version_record.cpp
@@ -97,9 +97,8 @@
                                conclusive ? "ok" : "unavailable");
     if (found != nullptr && conclusive) {
         if (const auto record = decode(found->value_, found->revision_)) {
-            const auto replica = follower_.replica().at();
             take(*record, found->revision_, "read");
-            if (replica >= found->revision_) {
+            if (reaches_record()) {
                 read.record_.emplace().take(*record, found->revision_);
             }
         }
@@ -117,6 +116,10 @@
     return same_era && rewritten;
 }
 
+bool version_record::reaches_record() const {
+    return follower_.replica().at() >= recorded_.revision();
+}
+
 void version_record::receive(const store::item& item) {
     if (item.key_ != record_key) {
         return;
@@ -173,8 +176,10 @@
                             const routing::versions_in_use& in_use,
                             base::time_point now) {
     start_next_read(now);
-    // Only a gateway that the store itself has confirmed removes versions.
-    const bool may_remove = follower_.current(now) && rank() == 0;
+    // Only a gateway removes versions that the store itself has confirmed and
+    // whose replica has all instances of before the record.
+    const bool may_remove =
+        follower_.current(now) && reaches_record() && rank() == 0;
     auto wanted = recorded_.update_for(known, in_use, may_remove);
     if (!wanted) {
         differs_since_.reset();
--- a/pimentoferry/gateway/version_record.hpp
+++ b/pimentoferry/gateway/version_record.hpp
@@ -87,6 +87,9 @@
     void start_next_read(base::time_point now);
     void finish(shared_read& read, const store::result& result);
     bool is_conclusive(const store::result& result, base::time_point now) const;
+    /// Whether the replica has what was in the store before the record was
+    /// written.
+    bool reaches_record() const;
     /// The number of gateways that write before this one.
     std::size_t rank() const;
     void take(const routing::versions_in_use& record,
--- a/pimentoferry/routing/recorded_versions_test.cpp
+++ b/pimentoferry/routing/recorded_versions_test.cpp
@@ -1,5 +1,7 @@
 #include "pimentoferry/routing/recorded_versions.hpp"
 
+#include "pimentoferry/routing/stream_origins.hpp"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
@@ -14,6 +16,7 @@
     CPPUNIT_TEST(a_new_version_is_written_beside_those_of_other_writers);
     CPPUNIT_TEST(only_the_first_writer_removes_versions);
     CPPUNIT_TEST(a_record_that_is_gone_is_written_again);
+    CPPUNIT_TEST(a_version_that_was_just_recorded_is_not_removed);
     CPPUNIT_TEST_SUITE_END();
 
     const base::service_name chat_{"chat"};
@@ -47,6 +50,24 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, recorded_.revision());
     }
 
+    // Guards against a first writer that reads the record before its replica
+    // has the instance, and removes the version at once.
+    void a_version_that_was_just_recorded_is_not_removed() {
+        const base::milliseconds keep{30'000};
+        base::time_point now{std::chrono::hours{1}};
+        version_history history;
+        history.seen(v1_, now);
+        now += keep + base::milliseconds{5000};
+        history.seen(v2_, now);
+        recorded_.take(of_chat({v2_}), 1);
+        // Another gateway adds the version that is back; this one reads that.
+        recorded_.take(of_chat({v1_, v2_}), 2);
+        history.load({v1_, v2_}, now);
+        const auto update = recorded_.update_for(
+            of_chat(history.possible(now, keep)), of_chat({v2_}), true);
+        CPPUNIT_ASSERT(!update);
+    }
+
     // Guards against a writer that removes a version of which it has not heard.
     void a_new_version_is_written_beside_those_of_other_writers() {
         recorded_.take(of_chat({v1_}), 1);
--- a/pimentoferry/routing/stream_origins.cpp
+++ b/pimentoferry/routing/stream_origins.cpp
@@ -103,10 +103,13 @@
 
 void version_history::load(const std::vector<base::software_version>& versions,
                            base::time_point now) {
-    // A version that this process knows has a more exact time already.
     std::ranges::for_each(versions, [&](const auto& version) {
-        last_seen_.try_emplace(version, now);
+        // The time of a version that stays in the record is known better here.
+        if (!loaded_.contains(version)) {
+            last_seen_.insert_or_assign(version, now);
+        }
     });
+    loaded_ = {versions.begin(), versions.end()};
 }
 
 std::vector<base::software_version>
--- a/pimentoferry/routing/stream_origins.hpp
+++ b/pimentoferry/routing/stream_origins.hpp
@@ -7,9 +7,8 @@
 ///     origins.add(stream, version, now);
 ///     origins.find(stream);            // unset: not known
 ///
-///     history.seen(version, now);      // while an instance of it is usable
-///     history.only(recorded, now, keep); // a single possible version, or
-///     unset
+///     history.seen(version, now);        // while an instance of it is usable
+///     history.only(recorded, now, keep); // unset: several are possible
 ///
 /// `keep` is the longest time in which a caller continues a stream, see
 /// `retention`; the caller of `origin_table::expire` applies it to the table.
@@ -25,6 +24,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
@@ -101,7 +101,8 @@
     /// An instance of the version may get new streams.
     void seen(const base::software_version& version, base::time_point now);
 
-    /// Versions of the lasting record, see `recorded_versions`.
+    /// The versions of the lasting record, see `recorded_versions`. A version
+    /// that the record did not have before may have begun streams just now.
     void load(const std::vector<base::software_version>& versions,
               base::time_point now);
 
@@ -121,6 +122,8 @@
 
 private:
     std::map<base::software_version, base::time_point> last_seen_;
+    /// Versions of the record that was loaded last.
+    std::set<base::software_version> loaded_;
 };
 
 } // namespace pimentoferry::routing
--- a/pimentoferry/routing/stream_origins_test.cpp
+++ b/pimentoferry/routing/stream_origins_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(what_a_process_has_seen_is_not_enough);
     CPPUNIT_TEST(a_recorded_version_is_possible_after_a_restart);
     CPPUNIT_TEST(what_is_kept_outlasts_a_shorter_limit);
+    CPPUNIT_TEST(a_version_that_is_recorded_again_is_possible_again);
     CPPUNIT_TEST_SUITE_END();
 
     const software_version old_{"v1"};
@@ -37,6 +38,17 @@
         CPPUNIT_ASSERT(!origins_.find(8));
     }
 
+    // Guards against a first writer that removes a version which another
+    // gateway has just recorded, because it remembers when that one last left.
+    void a_version_that_is_recorded_again_is_possible_again() {
+        history_.seen(old_, now_);
+        const auto returned = now_ + keep + milliseconds{5000};
+        history_.seen(new_, returned);
+        history_.load({old_, new_}, returned);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             history_.possible(returned, keep).size());
+    }
+
     // Guards against memory that grows with the streams ever served.
     void streams_are_forgotten_in_the_order_of_their_start() {
         origins_.add(1, old_, now_);
--- a/tests/soak/stale_gateway_test.cpp
+++ b/tests/soak/stale_gateway_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(a_gateway_without_peers_does_not_assume_the_version);
     CPPUNIT_TEST(gateways_without_the_store_do_not_confirm_the_version);
     CPPUNIT_TEST(a_version_begins_no_stream_before_it_is_recorded);
+    CPPUNIT_TEST(a_version_that_came_back_is_not_removed_from_the_record);
     CPPUNIT_TEST_SUITE_END();
 
     // Optional because CppUnit constructs all fixtures before the first test.
@@ -95,6 +96,23 @@
         system_->register_replica(successor);
     }
 
+    /// Lets the engine that is registered as `before` serve under another id
+    /// and version.
+    void register_as(const platform_replica_process& engine,
+                     const std::string& before,
+                     const std::string& id,
+                     const std::string& version) {
+        system_->withdraw_replica(before);
+        CPPUNIT_ASSERT(
+            gateway_fleet::control(engine.port_, R"({"id":")" + id + "\"}"));
+        platform_replica_process successor;
+        successor.id_ = id;
+        successor.stage_ = engine.stage_;
+        successor.software_version_ = version;
+        successor.registered_port_ = engine.port_;
+        system_->register_replica(successor);
+    }
+
     void set_slots_of_remaining_engine(int slots) {
         CPPUNIT_ASSERT(gateway_fleet::control(remaining_engine().port_,
                                               R"({"slots":)" +
@@ -260,6 +278,40 @@
                                               R"({"declined_prefix":""})"));
         CPPUNIT_ASSERT(!begin_stream(0, 40).empty());
     }
+
+    // Guards against a stream that goes on at another version, because the only
+    // gateway that is left removes a version from the record which came back
+    // and left again while it stood still.
+    void a_version_that_came_back_is_not_removed_from_the_record() {
+        start(3);
+        auto& engines = system_->replicas();
+        for (std::size_t i = 2; i < engines.size(); ++i) {
+            register_as(engines.at(i), engines.at(i).id_,
+                        "second-" + std::to_string(i), "v2");
+        }
+        // Until no gateway takes v1 for possible any more.
+        std::this_thread::sleep_for(34s);
+        const auto stale = find_gateway(false);
+        const auto sound = (stale + 1) % system_->gateway_count();
+        store_links_.at(stale)->set(link_fault::silent);
+        system_->gateway(stale).signal(SIGSTOP);
+        set_slots_of_remaining_engine(0);
+        register_as(engines.at(4), "second-4", "returned", "v1");
+        const auto began = begin_stream(sound, 60);
+        CPPUNIT_ASSERT(!began.empty());
+        system_->withdraw_replica("returned");
+        signal_all_but(stale, SIGKILL);
+        set_slots_of_remaining_engine(64);
+        store_links_.at(stale)->set(link_fault::none);
+        system_->gateway(stale).signal(SIGCONT);
+        for (int i = 0; i < 20; ++i) {
+            const auto id = "taken-up-" + std::to_string(i);
+            auto taken_up = open(stale, id, began);
+            (void)taken_up.next_event();
+            CPPUNIT_ASSERT(!ran_at_remaining_engine(id));
+            std::this_thread::sleep_for(500ms);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(stale_gateway_test);
