Do not conclude a version from a record that the store may have lost a part of

Callers got a text joined from two versions at gateways that had started after the store's return from an older copy. Cause: only a gateway that had seen the store before knew of its return. A new process took the copy's record for complete. A copy of the record was ordered by revision alone, which starts anew in a later era, and a gateway's replica was compared with it in the same way. Change: for 2 s after its start a process does not conclude the only version. Copies of the record have a position of era and revision. What is taken no longer depends on that time, so the record is written at once after a restore. A record that cannot be read is replaced, a record without the service says nothing, reads are at least 20 ms apart, and watchers are not counted twice in the order of the writers.

--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -191,12 +191,12 @@
         co_return concluded;
     }
     const auto record = co_await record_.read();
-    concluded.inconclusive_ = !record.has_value();
+    std::vector<base::software_version> recorded;
     if (record) {
-        const auto recorded = record->versions_of(service);
-        concluded.only_ =
-            history.only(recorded, base::clock::now(), keep_.time());
+        recorded = record->versions_of(service);
     }
+    concluded.inconclusive_ = recorded.empty();
+    concluded.only_ = history.only(recorded, base::clock::now(), keep_.time());
     co_return concluded;
 }
 
--- a/pimentoferry/gateway/version_record.cpp
+++ b/pimentoferry/gateway/version_record.cpp
@@ -21,10 +21,12 @@
 constexpr const char* record_key = "pimentoferry/software-versions";
 // Callers of `read` are callers of the gateway that wait.
 constexpr base::milliseconds read_timeout{500};
+// Bounds the reads in a burst of questions.
+constexpr base::milliseconds read_spacing{20};
 // A read whose answer may be lost does not hold up the next one for longer.
-constexpr base::milliseconds read_interval{100};
+constexpr base::milliseconds longest_read{100};
 // Another gateway has written the record by then, and this one knows it.
-constexpr base::milliseconds turn{250};
+constexpr base::milliseconds writer_delay{250};
 constexpr base::milliseconds retry_interval{200};
 // By then versions that a restored store has lost are recorded again.
 constexpr base::milliseconds rewrite_time{2000};
@@ -37,18 +39,6 @@
     return text;
 }
 
-std::optional<routing::versions_in_use> decode(const std::string& value,
-                                               store::revision revision) {
-    auto decoded = wire::decode<routing::versions_in_use>(value);
-    if (auto* record = std::get_if<routing::versions_in_use>(&decoded)) {
-        return std::move(*record);
-    }
-    log::log_warn(
-        "stream_origins_unreadable",
-        {{"key", record_key}, {"revision", std::to_string(revision)}});
-    return std::nullopt;
-}
-
 } // namespace
 
 std::shared_ptr<version_record::shared_read> version_record::next_read() {
@@ -73,9 +63,8 @@
 }
 
 void version_record::start_next_read(base::time_point now) {
-    const bool wait =
-        reads_in_progress_ > 0 && now - last_read_ < read_interval;
-    if (!next_read_ || wait) {
+    const auto spacing = reads_in_progress_ > 0 ? longest_read : read_spacing;
+    if (!next_read_ || now - last_read_ < spacing) {
         return;
     }
     auto read = std::exchange(next_read_, nullptr);
@@ -92,15 +81,14 @@
 void version_record::finish(shared_read& read, const store::result& result) {
     const auto now = base::clock::now();
     const auto* found = std::get_if<store::found>(&result.outcome_);
-    const bool conclusive = is_conclusive(result, now);
+    const bool answered = found != nullptr && is_of_this_era(result);
     counters_.count_store_call("software_versions",
-                               conclusive ? "ok" : "unavailable");
-    if (found != nullptr && conclusive) {
-        if (const auto record = decode(found->value_, found->revision_)) {
-            take(*record, found->revision_, "read");
-            if (reaches_record()) {
-                read.record_.emplace().take(*record, found->revision_);
-            }
+                               answered ? "ok" : "unavailable");
+    if (answered) {
+        take_value(found->value_, {follower_.era(), found->revision_}, "read");
+        const bool rewritten = now - restored_at_ >= rewrite_time;
+        if (rewritten && reaches_record()) {
+            read.record_ = recorded_;
         }
     }
     read.finished_ = true;
@@ -109,42 +97,49 @@
 
 // An answer of another era is that of a store that has come back from an older
 // copy, of which this gateway has not heard.
-bool version_record::is_conclusive(const store::result& result,
-                                   base::time_point now) const {
-    const bool same_era = !result.era_ || *result.era_ == follower_.era();
-    const bool rewritten = !restored_at_ || now - *restored_at_ >= rewrite_time;
-    return same_era && rewritten;
+bool version_record::is_of_this_era(const store::result& result) const {
+    return !result.era_ || *result.era_ == follower_.era();
 }
 
 bool version_record::reaches_record() const {
-    return follower_.replica().at() >= recorded_.revision();
+    const auto replica = follower_.replica().current();
+    return routing::record_position{replica.era_, replica.at_} >=
+           recorded_.position();
 }
 
 void version_record::receive(const store::item& item) {
-    if (item.key_ != record_key) {
-        return;
-    }
-    if (const auto record = decode(item.value_, item.revision_)) {
-        take(*record, item.revision_, "replica");
+    if (item.key_ == record_key) {
+        const auto era = follower_.replica().current().era_;
+        take_value(item.value_, {era, item.revision_}, "replica");
     }
 }
 
 void version_record::receive(const store::item_removed& removed) {
     if (removed.key_ == record_key) {
-        recorded_.clear();
+        recorded_.clear(follower_.replica().current().era_);
     }
 }
 
-void version_record::store_restored() {
-    restored_at_ = base::clock::now();
-    recorded_.forget_revision();
+// A record that cannot be read is replaced by what this gateway knows.
+void version_record::take_value(const std::string& value,
+                                routing::record_position position,
+                                std::string_view received_by) {
+    const auto decoded = wire::decode<routing::versions_in_use>(value);
+    const auto* record = std::get_if<routing::versions_in_use>(&decoded);
+    if (record == nullptr) {
+        log::log_warn("stream_origins_unreadable",
+                      {{"key", record_key},
+                       {"revision", std::to_string(position.revision_)}});
+    }
+    take(record != nullptr ? *record : routing::versions_in_use{}, position,
+         received_by);
 }
 
 void version_record::take(const routing::versions_in_use& record,
-                          store::revision revision,
+                          routing::record_position position,
                           std::string_view received_by) {
-    const bool is_new = revision > recorded_.revision();
-    if (!recorded_.take(record, revision) || !is_new) {
+    const bool is_new = position > recorded_.position();
+    if (!recorded_.take(record, position) || !is_new) {
         return;
     }
     std::ranges::for_each(
@@ -153,7 +148,8 @@
                           {{"service", each.service_.value_},
                            {"versions", text_of(each.versions_)},
                            {"received_by", std::string{received_by}},
-                           {"revision", std::to_string(revision)}});
+                           {"era", std::to_string(position.era_)},
+                           {"revision", std::to_string(position.revision_)}});
         });
     on_record_(record);
 }
@@ -164,9 +160,12 @@
     if (watcher != watchers.end()) {
         return static_cast<std::size_t>(watcher - watchers.begin());
     }
-    const auto others = membership::shard_candidates(
+    auto others = membership::shard_candidates(
         static_cast<std::uint32_t>(base::hash_bytes(record_key)),
         peers_.live());
+    std::erase_if(others, [&watchers](base::instance_id each) {
+        return std::ranges::count(watchers, each) > 0;
+    });
     return watchers.size() +
            static_cast<std::size_t>(std::ranges::find(others, peers_.self()) -
                                     others.begin());
@@ -186,8 +185,9 @@
         return;
     }
     differs_since_ = differs_since_.value_or(now);
-    const bool due = now - *differs_since_ >= turn * static_cast<int>(rank()) &&
-                     now >= next_write_;
+    const bool due =
+        now - *differs_since_ >= writer_delay * static_cast<int>(rank()) &&
+        now >= next_write_;
     if (due && !write_in_progress_) {
         next_write_ = now + retry_interval;
         write(std::move(*wanted));
@@ -198,8 +198,9 @@
     write_in_progress_ = true;
     auto value = wire::encode(record);
     store_.submit(
-        {store::token{1}, store::put{record_key, std::move(value),
-                                     recorded_.revision(), store::lease_id{}}},
+        {store::token{1},
+         store::put{record_key, std::move(value),
+                    recorded_.position().revision_, store::lease_id{}}},
         [this, record = std::move(record)](const store::result& result) {
             write_in_progress_ = false;
             finish_write(record, result);
@@ -209,11 +210,10 @@
 void version_record::finish_write(const routing::versions_in_use& record,
                                   const store::result& result) {
     const auto* written = std::get_if<store::written>(&result.outcome_);
-    const bool same_era = !result.era_ || *result.era_ == follower_.era();
     counters_.count_store_call("software_versions_write",
                                written != nullptr ? "ok" : "unavailable");
-    if (written != nullptr && same_era) {
-        take(record, written->revision_, "write");
+    if (written != nullptr && is_of_this_era(result)) {
+        take(record, {follower_.era(), written->revision_}, "write");
     } else if (std::holds_alternative<store::conflict>(result.outcome_)) {
         // Another gateway has written, and the replica does not have it yet.
         next_read();
--- a/pimentoferry/gateway/version_record.hpp
+++ b/pimentoferry/gateway/version_record.hpp
@@ -27,6 +27,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace boost::asio {
@@ -55,7 +56,9 @@
 
     /// Reads the record from the store, at a time after this call. Unset if the
     /// store does not answer in time, if it may have lost a part of the record,
-    /// or if this gateway's replica does not reach as far as the record.
+    /// or if this gateway's replica does not reach as far as the record. A
+    /// process that has just started does not know whether the store has come
+    /// back from an older copy.
     http::awaitable<std::optional<routing::recorded_versions>> read();
 
     /// Takes over a change of the replica.
@@ -63,7 +66,7 @@
     void receive(const store::item_removed& removed);
 
     /// The store has come back from an older copy.
-    void store_restored();
+    void store_restored() { restored_at_ = base::clock::now(); }
 
     /// Writes what the record lacks, see `recorded_versions::update_for`.
     void update(const routing::versions_in_use& known,
@@ -86,14 +89,18 @@
     std::shared_ptr<shared_read> next_read();
     void start_next_read(base::time_point now);
     void finish(shared_read& read, const store::result& result);
-    bool is_conclusive(const store::result& result, base::time_point now) const;
+    /// Whether the answer is one of the known era of the store.
+    bool is_of_this_era(const store::result& result) const;
+    void take_value(const std::string& value,
+                    routing::record_position position,
+                    std::string_view received_by);
     /// Whether the replica has what was in the store before the record was
     /// written.
     bool reaches_record() const;
     /// The number of gateways that write before this one.
     std::size_t rank() const;
     void take(const routing::versions_in_use& record,
-              store::revision revision,
+              routing::record_position position,
               std::string_view received_by);
     void write(routing::versions_in_use record);
     void finish_write(const routing::versions_in_use& record,
@@ -106,7 +113,8 @@
     metrics& counters_;
     record_handler on_record_;
     routing::recorded_versions recorded_;
-    std::optional<base::time_point> restored_at_;
+    /// When the store came back from an older copy, or the process started.
+    base::time_point restored_at_{base::clock::now()};
     /// Not sent yet.
     std::shared_ptr<shared_read> next_read_;
     std::size_t reads_in_progress_{0};
--- a/pimentoferry/routing/recorded_versions.cpp
+++ b/pimentoferry/routing/recorded_versions.cpp
@@ -27,18 +27,18 @@
 }
 
 bool recorded_versions::take(const versions_in_use& record,
-                             std::uint64_t revision) {
-    if (revision < revision_) {
+                             record_position position) {
+    if (position < position_) {
         return false;
     }
     recorded_ = sets_of(record);
-    revision_ = revision;
+    position_ = position;
     return true;
 }
 
-void recorded_versions::clear() {
+void recorded_versions::clear(std::uint64_t era) {
     recorded_.clear();
-    revision_ = 0;
+    position_ = {era, 0};
 }
 
 bool recorded_versions::contains(const base::service_name& service,
--- a/pimentoferry/routing/recorded_versions.hpp
+++ b/pimentoferry/routing/recorded_versions.hpp
@@ -4,9 +4,10 @@
 /// No caller gets an event of a version before the record has that version. A
 /// copy of the record that was read after a caller's request came therefore has
 /// the version of every stream which that caller can continue, whatever the
-/// reader has missed.
+/// reader has missed. That does not hold for a store that has come back from an
+/// older copy, until the versions are written again.
 ///
-///     recorded.take(record, revision);                 // received or written
+///     recorded.take(record, {era, revision});          // received or written
 ///     recorded.contains(service, version);             // may begin streams
 ///     recorded.update_for(known, in_use, may_remove);  // what to write next
 ///
@@ -17,6 +18,7 @@
 #include "pimentoferry/base/ids.hpp"
 #include "pimentoferry/base/software_version.hpp"
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -35,6 +37,15 @@
     }
 };
 
+/// Where in the history of the store a copy of the record belongs. Revisions of
+/// a later era of the store are later.
+struct record_position {
+    std::uint64_t era_{0};
+    std::uint64_t revision_{0};
+    friend auto operator<=>(const record_position&,
+                            const record_position&) = default;
+};
+
 struct versions_in_use {
     std::vector<service_versions> services_;
     template <class Self>
@@ -45,18 +56,15 @@
 
 class recorded_versions {
 public:
-    /// Takes a copy of the record. Returns false if a later one, by its
-    /// revision in the store, is known already.
-    bool take(const versions_in_use& record, std::uint64_t revision);
+    /// Takes a copy of the record. Returns false if a later one is known
+    /// already.
+    bool take(const versions_in_use& record, record_position position);
 
-    /// The record does not exist.
-    void clear();
+    /// The record does not exist in this era of the store.
+    void clear(std::uint64_t era);
 
-    /// The store has come back from an older copy: revisions start anew.
-    void forget_revision() { revision_ = 0; }
-
-    /// The revision of the copy; 0 if none is known.
-    std::uint64_t revision() const { return revision_; }
+    /// The position of the copy; revision 0 if none is known.
+    const record_position& position() const { return position_; }
 
     bool contains(const base::service_name& service,
                   const base::software_version& version) const;
@@ -80,7 +88,7 @@
     static versions_in_use list_of(const version_sets& sets);
 
     version_sets recorded_;
-    std::uint64_t revision_{0};
+    record_position position_;
 };
 
 } // namespace pimentoferry::routing
--- a/pimentoferry/routing/recorded_versions_test.cpp
+++ b/pimentoferry/routing/recorded_versions_test.cpp
@@ -40,14 +40,16 @@
     // Guards against a version that is taken for recorded, or for unrecorded,
     // by a message that was overtaken.
     void an_older_copy_does_not_replace_a_later_one() {
-        CPPUNIT_ASSERT(recorded_.take(of_chat({v1_, v2_}), 7));
-        CPPUNIT_ASSERT(!recorded_.take(of_chat({v1_}), 6));
+        CPPUNIT_ASSERT(recorded_.take(of_chat({v1_, v2_}), {1, 7}));
+        CPPUNIT_ASSERT(!recorded_.take(of_chat({v1_}), {1, 6}));
         CPPUNIT_ASSERT(recorded_.contains(chat_, v2_));
         CPPUNIT_ASSERT(!recorded_.contains(base::service_name{"desk"}, v2_));
-        recorded_.forget_revision();
-        CPPUNIT_ASSERT(recorded_.take(of_chat({v1_}), 3));
+        // The store has come back from an older copy.
+        CPPUNIT_ASSERT(recorded_.take(of_chat({v1_}), {2, 3}));
         CPPUNIT_ASSERT(!recorded_.contains(chat_, v2_));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, recorded_.revision());
+        CPPUNIT_ASSERT(!recorded_.take(of_chat({v1_, v2_}), {1, 9}));
+        CPPUNIT_ASSERT(!recorded_.contains(chat_, v2_));
+        CPPUNIT_ASSERT(recorded_.position() == (record_position{2, 3}));
     }
 
     // Guards against a first writer that reads the record before its replica
@@ -59,9 +61,9 @@
         history.seen(v1_, now);
         now += keep + base::milliseconds{5000};
         history.seen(v2_, now);
-        recorded_.take(of_chat({v2_}), 1);
+        recorded_.take(of_chat({v2_}), {1, 1});
         // Another gateway adds the version that is back; this one reads that.
-        recorded_.take(of_chat({v1_, v2_}), 2);
+        recorded_.take(of_chat({v1_, v2_}), {1, 2});
         history.load({v1_, v2_}, now);
         const auto update = recorded_.update_for(
             of_chat(history.possible(now, keep)), of_chat({v2_}), true);
@@ -70,11 +72,11 @@
 
     // Guards against a writer that removes a version of which it has not heard.
     void a_new_version_is_written_beside_those_of_other_writers() {
-        recorded_.take(of_chat({v1_}), 1);
+        recorded_.take(of_chat({v1_}), {1, 1});
         const auto update =
             recorded_.update_for(of_chat({v2_}), of_chat({v2_}), false);
         CPPUNIT_ASSERT(has(update, v1_) && has(update, v2_));
-        recorded_.take(*update, 2);
+        recorded_.take(*update, {1, 2});
         CPPUNIT_ASSERT(
             !recorded_.update_for(of_chat({v2_}), of_chat({v2_}), false));
     }
@@ -82,7 +84,7 @@
     // Guards against versions that stay possible for ever, so that continued
     // streams are refused, and against writers that undo each other's writes.
     void only_the_first_writer_removes_versions() {
-        recorded_.take(of_chat({v1_, v2_}), 1);
+        recorded_.take(of_chat({v1_, v2_}), {1, 1});
         CPPUNIT_ASSERT(
             !recorded_.update_for(of_chat({v2_}), of_chat({v2_}), false));
         const auto update =
@@ -94,10 +96,10 @@
     // Guards against a version without a record after the store has come back
     // from a copy that has none.
     void a_record_that_is_gone_is_written_again() {
-        recorded_.take(of_chat({v1_}), 5);
-        recorded_.clear();
+        recorded_.take(of_chat({v1_}), {1, 5});
+        recorded_.clear(2);
         CPPUNIT_ASSERT(!recorded_.contains(chat_, v1_));
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, recorded_.revision());
+        CPPUNIT_ASSERT(recorded_.position() == (record_position{2, 0}));
         CPPUNIT_ASSERT(has(
             recorded_.update_for(of_chat({v1_}), of_chat({v1_}), false), v1_));
     }
--- a/tests/soak/stale_gateway_test.cpp
+++ b/tests/soak/stale_gateway_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(a_gateway_without_peers_does_not_assume_the_version);
     CPPUNIT_TEST(gateways_without_the_store_do_not_confirm_the_version);
     CPPUNIT_TEST(a_version_begins_no_stream_before_it_is_recorded);
+    CPPUNIT_TEST(a_new_gateway_does_not_trust_the_record_of_a_restored_store);
     CPPUNIT_TEST(a_version_that_came_back_is_not_removed_from_the_record);
     CPPUNIT_TEST_SUITE_END();
 
@@ -279,6 +280,36 @@
         CPPUNIT_ASSERT(!begin_stream(0, 40).empty());
     }
 
+    // Guards against a stream that goes on at another version, because a
+    // gateway that starts after the store's return from an older copy takes the
+    // copy's record for complete.
+    void a_new_gateway_does_not_trust_the_record_of_a_restored_store() {
+        start(3);
+        std::this_thread::sleep_for(3000ms);
+        CPPUNIT_ASSERT(gateway_fleet::control(
+            system_->store_port(), R"({"era":"1","checkpoint":true})"));
+        std::this_thread::sleep_for(2000ms);
+        replace_by_other_version();
+        const auto began = begin_stream(0, 40);
+        CPPUNIT_ASSERT(!began.empty());
+        // What the replicas wrote is written again within two seconds.
+        CPPUNIT_ASSERT(gateway_fleet::control(system_->store_port(),
+                                              R"({"restore":true})"));
+        set_slots_of_remaining_engine(64);
+        signal_all_but(system_->gateway_count(), SIGKILL);
+        for (std::size_t g = 0; g < system_->gateway_count(); ++g) {
+            system_->gateway(g).wait(2000ms);
+            system_->restart_gateway(g);
+        }
+        for (int i = 0; i < 15; ++i) {
+            std::this_thread::sleep_for(100ms);
+            const auto id = "taken-up-" + std::to_string(i);
+            auto taken_up = open(0, id, began);
+            (void)taken_up.next_event();
+            CPPUNIT_ASSERT(!ran_at_remaining_engine(id));
+        }
+    }
+
     // Guards against a stream that goes on at another version, because the only
     // gateway that is left removes a version from the record which came back
     // and left again while it stood still.
