Let the rate of arrivals decay while no new request arrives

Late requests were refused for lack of room beside idle engines. Cause: the moving averages of the arrivals decay with the next arrival only, and a request that is late is not counted as one. When all requests are late, the rate of the last burst stays, and the room for 3 s of it is kept free. Change: the averages decay to the time at which they are read. Result: the new test failed before.

--- a/pimentoferry/placement/stream_model.cpp
+++ b/pimentoferry/placement/stream_model.cpp
@@ -141,14 +141,18 @@
     mean_ += (sample - mean_) / weight_;
 }
 
+double stream_model::arrival_decay(base::time_point now) const {
+    return std::exp(-milliseconds_between(last_arrival_, now) /
+                    arrival_window_ms);
+}
+
 void stream_model::observe_arrival(const stream_request& request,
                                    base::time_point now) {
     prompt_tokens_.observe(request.prompt_tokens_, now);
     if (request.expected_output_tokens_ > 0) {
         hinted_events_.observe(make_stream(request, now).expected_events_, now);
     }
-    const double decay =
-        std::exp(-milliseconds_between(last_arrival_, now) / arrival_window_ms);
+    const double decay = arrival_decay(now);
     arriving_tokens_per_ms_ = arriving_tokens_per_ms_ * decay +
                               request.prompt_tokens_ / arrival_window_ms;
     arriving_prompts_per_ms_ =
@@ -187,9 +191,11 @@
            now - *first_arrival_ >= mean_answer_time(now);
 }
 
-fractional_ms stream_model::arriving_work(fractional_ms period) const {
-    return prefill_cost_.time_of(arriving_prompts_per_ms_ * period.count(),
-                                 arriving_tokens_per_ms_ * period.count());
+fractional_ms stream_model::arriving_work(fractional_ms period,
+                                          base::time_point now) const {
+    return prefill_cost_.time_of(arriving_prompts_per_ms_ * arrival_decay(now) *
+                                     period.count(),
+                                 arrival_rate(now) * period.count());
 }
 
 // Short answers complete first, so the first complete answers understate the
--- a/pimentoferry/placement/stream_model.hpp
+++ b/pimentoferry/placement/stream_model.hpp
@@ -96,9 +96,12 @@
     const prefill_cost& cost() const { return prefill_cost_; }
     /// Prefill work that arrives in `period`, in time of an engine of usual
     /// speed.
-    fractional_ms arriving_work(fractional_ms period) const;
+    fractional_ms arriving_work(fractional_ms period,
+                                base::time_point now) const;
     /// Prompt tokens that arrive per ms.
-    double arrival_rate() const { return arriving_tokens_per_ms_; }
+    double arrival_rate(base::time_point now) const {
+        return arriving_tokens_per_ms_ * arrival_decay(now);
+    }
     /// Mean duration of an answer.
     fractional_ms mean_answer_time(base::time_point now) const;
     /// Memory of a mean stream over its duration, in tokens times ms.
@@ -116,6 +119,8 @@
     };
 
     double events_at(const placed_stream& stream, base::time_point at) const;
+    /// What the time since the last arrival leaves of the moving averages.
+    double arrival_decay(base::time_point now) const;
 
     // The initial values are guesses for the time before the first samples.
     // They bound no decision that is hard to revert; see `learned()`.
@@ -132,7 +137,7 @@
     /// Time from the end of a prefill to the first event, in ms.
     running_mean first_event_ms_{80};
     prefill_cost prefill_cost_;
-    // Moving averages.
+    // Moving averages at the time of the last arrival.
     double arriving_tokens_per_ms_{0};
     double arriving_prompts_per_ms_{0};
     std::optional<base::time_point> first_arrival_;
--- a/pimentoferry/placement/stream_scheduler.cpp
+++ b/pimentoferry/placement/stream_scheduler.cpp
@@ -114,9 +114,9 @@
     const auto prompts = static_cast<double>(
         queue_.size() + late_queue_.size() + resumed_queue_.size() + 1);
     return make_room_report(queued.request_, queued.gives_up_at_,
-                            tokens + model_.arrival_rate() * time.count(),
+                            tokens + model_.arrival_rate(now) * time.count(),
                             model_.cost().time_of(prompts, tokens) +
-                                model_.arriving_work(time),
+                                model_.arriving_work(time, now),
                             now);
 }
 
--- a/pimentoferry/placement/stream_scheduler_test.cpp
+++ b/pimentoferry/placement/stream_scheduler_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(a_request_waits_for_memory_that_comes_free);
     CPPUNIT_TEST(a_request_that_cannot_be_served_in_time_is_refused_at_once);
     CPPUNIT_TEST(a_retry_after_a_refusal_waits_behind_new_requests);
+    CPPUNIT_TEST(arrivals_that_have_stopped_do_not_refuse_late_requests);
     CPPUNIT_TEST(prompts_do_not_queue_up_at_a_prefill_engine);
     CPPUNIT_TEST(a_prefill_engine_in_backoff_is_not_replaced_by_decode);
     CPPUNIT_TEST(decode_engines_prefill_when_there_is_no_prefill_engine);
@@ -325,6 +326,20 @@
         CPPUNIT_ASSERT(granted_at_once <= 3);
     }
 
+    // Guards against requests that are refused in favour of new ones, although
+    // none arrive any more.
+    void arrivals_that_have_stopped_do_not_refuse_late_requests() {
+        use_two_engines();
+        for (const auto attempt : fill()) {
+            scheduler_.ended(attempt, 60, now_);
+        }
+        now_ += milliseconds{10'000};
+        scheduler_.engine_failed(base::upstream_name{"d"}, now_);
+        auto late = make_request(5000);
+        late.budget_ = milliseconds{0};
+        CPPUNIT_ASSERT(scheduler_.request(late, now_).empty());
+    }
+
     // Guards against prefills at a decode engine while its prefill engine is
     // only in backoff: each pauses every stream of the decode engine.
     void a_prefill_engine_in_backoff_is_not_replaced_by_decode() {
