Log every reason for which a call to an engine failed

Cause: engine_call_failed was logged only when a call could not be opened. A call that was answered with an error status, was not sent because the engine was unknown or its crash not handled yet, or whose answer was malformed or ended early left no line. Several of these end an attempt without the wait for a crash report, so the log of a request that lost three attempts within 1 ms does not say why. Change: one line for each failure, with what the request table is told and the position of the stream.

--- a/pimentoferry/entry/model_relay.cpp
+++ b/pimentoferry/entry/model_relay.cpp
@@ -143,12 +143,39 @@
 
 engine_failure model_relay::log_failure(const base::upstream_name& engine,
                                         const http::call_failure& failure) {
+    const auto outcome = failure_of(failure);
+    log_failure(engine, outcome, std::string{to_string(failure.kind_)},
+                failure.sent_);
+    return outcome;
+}
+
+engine_failure model_relay::log_failure(const base::upstream_name& engine,
+                                        engine_failure outcome,
+                                        std::string failure,
+                                        bool sent) {
     log_info("engine_call_failed",
              {{"request", log_id(request_.arrival_.request_)},
               {"engine", engine.value_},
-              {"failure", std::string{to_string(failure.kind_)}},
-              {"sent", failure.sent_ ? "yes" : "no"}});
-    return failure_of(failure);
+              {"failure", std::move(failure)},
+              {"sent", sent ? "yes" : "no"},
+              {"outcome", std::string{to_string(outcome)}},
+              {"position", std::to_string(position_)}});
+    return outcome;
+}
+
+engine_failure model_relay::log_unavailable(const base::upstream_name& engine) {
+    const bool blocked = traffic_.engines_.blocked(engine);
+    return log_failure(engine, engine_failure::not_sent,
+                       blocked ? "crash_not_handled" : "unknown_engine", false);
+}
+
+std::optional<engine_failure>
+model_relay::log_status(const base::upstream_name& engine, int status) {
+    const auto failure = failure_of_status(status);
+    if (failure) {
+        log_failure(engine, *failure, "status_" + std::to_string(status), true);
+    }
+    return failure;
 }
 
 http::awaitable<std::variant<http::response, engine_failure>>
@@ -157,7 +184,7 @@
                          http::call_options options) {
     const auto address = address_of(engine);
     if (!address) {
-        co_return engine_failure::not_sent;
+        co_return log_unavailable(engine);
     }
     auto result = co_await traffic_.client_.call(*address, std::move(call),
                                                  std::move(options));
@@ -168,7 +195,7 @@
     }
     traffic_.engines_.call_answered(engine);
     auto& answer = std::get<http::response>(result);
-    if (const auto failure = failure_of_status(answer.status_)) {
+    if (const auto failure = log_status(engine, answer.status_)) {
         co_return *failure;
     }
     co_return std::move(answer);
@@ -187,6 +214,8 @@
     const auto answer =
         parse_prefill_answer(std::get<http::response>(result).body_);
     if (!answer) {
+        log_failure(action.engine_, engine_failure::error, "malformed_prefill",
+                    true);
         traffic_.report_(requests::event{
             requests::prefill_failed{action.attempt_, engine_failure::error}});
         co_return;
@@ -212,6 +241,8 @@
             co_return;
         }
         failure = *failed;
+    } else {
+        log_unavailable(action.prefill_);
     }
     traffic_.report_(requests::event{
         requests::import_failed{action.attempt_, failure, action.decode_}});
@@ -236,7 +267,7 @@
                           http::call_options options) {
     const auto address = address_of(action.engine_);
     if (!address) {
-        co_return engine_failure::not_sent;
+        co_return log_unavailable(action.engine_);
     }
     // The body is relayed event by event, so its total size is not bounded.
     options.body_limit_bytes_ = std::numeric_limits<std::size_t>::max();
@@ -250,10 +281,11 @@
     }
     traffic_.engines_.call_answered(action.engine_);
     auto& answer = std::get<http::open_answer>(opened);
-    if (const auto failure = failure_of_status(answer.head().status_)) {
+    if (const auto failure =
+            log_status(action.engine_, answer.head().status_)) {
         co_return *failure;
     }
-    const auto failure = co_await relay_events(answer, action.attempt_);
+    const auto failure = co_await relay_events(answer, action);
     if (failure == engine_failure::broken) {
         traffic_.engines_.call_failed(action.engine_, *address,
                                       {http::failure_kind::broken, true});
@@ -262,16 +294,19 @@
 }
 
 http::awaitable<std::optional<engine_failure>>
-model_relay::relay_events(http::open_answer& answer, base::attempt_id attempt) {
+model_relay::relay_events(http::open_answer& answer,
+                          const requests::start_decode& action) {
+    const auto& engine = action.engine_;
     http::event_reader reader{answer};
     bool first = true;
     while (true) {
         const auto next = co_await reader.next();
         if (const auto* failure = std::get_if<http::call_failure>(&next)) {
-            co_return failure_of(*failure);
+            co_return log_failure(engine, *failure);
         }
         if (std::holds_alternative<http::body_end>(next)) {
-            co_return engine_failure::broken;
+            co_return log_failure(engine, engine_failure::broken, "ended_early",
+                                  true);
         }
         const auto& data = std::get<http::sse_event>(next).data_;
         if (data == stream_end_data) {
@@ -281,14 +316,18 @@
         // Skipping a position would give the caller an answer that differs from
         // the engine's.
         if (!token || token->position_ > position_) {
-            co_return engine_failure::error;
+            co_return log_failure(engine, engine_failure::error,
+                                  token ? "token_missing" : "malformed_token",
+                                  true);
         }
         if (first) {
             first = false;
-            traffic_.report_(requests::event{requests::first_token{attempt}});
+            traffic_.report_(
+                requests::event{requests::first_token{action.attempt_}});
         }
         if (token->position_ == position_ && !co_await relay_token(*token)) {
-            co_return engine_failure::broken;
+            co_return log_failure(engine, engine_failure::broken,
+                                  "caller_write_failed", true);
         }
     }
 }
--- a/pimentoferry/entry/model_relay.hpp
+++ b/pimentoferry/entry/model_relay.hpp
@@ -64,7 +64,8 @@
     http::awaitable<std::optional<requests::engine_failure>>
     relay_stream(requests::start_decode action, http::call_options options);
     http::awaitable<std::optional<requests::engine_failure>>
-    relay_events(http::open_answer& answer, base::attempt_id attempt);
+    relay_events(http::open_answer& answer,
+                 const requests::start_decode& action);
     http::awaitable<bool> relay_token(token_event token);
 
     /// Address of the engine; nothing while it is unknown or blocked after a
@@ -75,8 +76,19 @@
     call_engine(base::upstream_name engine,
                 http::request call,
                 http::call_options options);
+    // The functions below log why a call to an engine failed, and return the
+    // failure that the request table is told.
     requests::engine_failure log_failure(const base::upstream_name& engine,
                                          const http::call_failure& failure);
+    requests::engine_failure log_failure(const base::upstream_name& engine,
+                                         requests::engine_failure outcome,
+                                         std::string failure,
+                                         bool sent);
+    /// For an engine without a usable address.
+    requests::engine_failure log_unavailable(const base::upstream_name& engine);
+    /// Nothing for a status of success.
+    std::optional<requests::engine_failure>
+    log_status(const base::upstream_name& engine, int status);
 
     http::awaitable<void> cancel_open_calls();
     http::awaitable<void> send_refusal(base::refusal refusal);
