Wait for the record of the versions before the first stream of a service

Callers of a fleet that has just started, or whose engines all have a new version, got 503 for streams. Cause: engines of an unrecorded version get no streams, and the version is recorded 50 to 250 ms after its first registration. The request was refused at once. Change: a new stream waits for up to 500 ms if no engine has a recorded version.

--- a/pimentoferry/gateway/stream_call.hpp
+++ b/pimentoferry/gateway/stream_call.hpp
@@ -118,7 +118,10 @@
     bool is_paused(const routing::instance& engine) const;
     /// Whether the engine may not begin streams until its version is recorded.
     bool awaits_record(const routing::instance& engine) const;
-    bool any_engine_awaits_record() const;
+    /// Whether that holds for every engine that could decode.
+    bool all_engines_await_record() const;
+    /// Waits for the record of a version, if no other is in service.
+    http::awaitable<void> await_record();
     bool caller_disconnected() const;
     /// The sends that the next placement repeats: its prefill, and its decode
     /// if one has been sent before.
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -5,9 +5,13 @@
 #include "pimentoferry/gateway/origin_exchange.hpp"
 #include "pimentoferry/gateway/peer_relay.hpp"
 #include "pimentoferry/gateway/stream_call.hpp"
+#include "pimentoferry/http/error_token.hpp"
 #include "pimentoferry/http/proxy.hpp"
 #include "pimentoferry/log/log.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include <algorithm>
 #include <variant>
 
@@ -22,6 +26,8 @@
 // By then the loss of a gateway is known, and others keep what it kept.
 constexpr base::milliseconds unknown_origin_retry_after{1000};
 // The version of an instance is recorded soon after its registration.
+constexpr base::milliseconds longest_record_wait{500};
+constexpr base::milliseconds record_poll_interval{10};
 constexpr base::milliseconds unrecorded_retry_after{500};
 // Callers of engines that have paused do not return together.
 constexpr base::milliseconds paused_retry_spread{300};
@@ -169,6 +175,8 @@
             co_return;
         }
         origin_ = std::get<known_origin>(origin).version_;
+    } else {
+        co_await await_record();
     }
     stream_outcome outcome = stream_not_run{"no place"};
     for (std::uint32_t i = 0; i < max_placements; ++i) {
@@ -243,11 +251,27 @@
                                });
 }
 
-bool stream_call::any_engine_awaits_record() const {
-    return std::ranges::any_of(
-        shared_.registry_.instances().usable(call_.service_,
-                                             base::clock::now()),
-        [this](const routing::instance* each) { return awaits_record(*each); });
+bool stream_call::all_engines_await_record() const {
+    auto engines = shared_.registry_.instances().usable(call_.service_,
+                                                        base::clock::now());
+    std::erase_if(engines, [](const routing::instance* each) {
+        return each->stage_ == routing::engine_stage::prefill;
+    });
+    return !engines.empty() &&
+           std::ranges::all_of(engines, [this](const routing::instance* each) {
+               return awaits_record(*each);
+           });
+}
+
+http::awaitable<void> stream_call::await_record() {
+    const auto until =
+        std::min(call_.arrived_ + longest_record_wait, call_.deadline_);
+    while (all_engines_await_record() && !caller_disconnected() &&
+           base::clock::now() < until) {
+        boost::asio::steady_timer pause{shared_.io_, record_poll_interval};
+        boost::system::error_code ignored;
+        co_await pause.async_wait(http::internal::into(ignored));
+    }
 }
 
 base::milliseconds stream_call::wait_for_pauses() const {
@@ -291,7 +315,7 @@
     } else if (refused.reason_ == reason::excluded) {
         refusal.retry_after_ = wait_for_pauses();
         refusal.detail_ = "the engines have asked for a pause";
-        if (any_engine_awaits_record()) {
+        if (all_engines_await_record()) {
             refusal.retry_after_ =
                 std::max(*refusal.retry_after_, unrecorded_retry_after);
             refusal.detail_ = "the version of the engines is not recorded yet";
