--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -59,15 +59,6 @@
     }
 }
 
-/// For log lines: the versions, separated by commas.
-std::string text_of(const std::vector<base::software_version>& versions) {
-    std::string text;
-    std::ranges::for_each(versions, [&text](const auto& version) {
-        text += (text.empty() ? "" : ",") + version.value_;
-    });
-    return text.empty() ? "none" : text;
-}
-
 std::string slot_key(std::size_t slot) {
     return streams_prefix + std::to_string(slot);
 }
--- a/pimentoferry/gateway/version_record.cpp
+++ b/pimentoferry/gateway/version_record.cpp
@@ -19,28 +19,29 @@
 namespace {
 
 constexpr const char* record_key = "pimentoferry/software-versions";
-// Callers of `read` are callers of the gateway that wait.
+// The callers of the gateway wait meanwhile.
 constexpr base::milliseconds read_timeout{500};
 // Bounds the reads in a burst of questions.
 constexpr base::milliseconds read_spacing{20};
 // A read whose answer may be lost does not hold up the next one for longer.
 constexpr base::milliseconds longest_read{100};
-// Another gateway has written the record by then, and this one knows it.
+// Between two writers. The first one has written the record by then, and the
+// next one has received it.
 constexpr base::milliseconds writer_delay{250};
 constexpr base::milliseconds retry_interval{200};
 // By then versions that a restored store has lost are recorded again.
 constexpr base::milliseconds rewrite_time{2000};
 
+} // namespace
+
 std::string text_of(const std::vector<base::software_version>& versions) {
     std::string text;
     std::ranges::for_each(versions, [&text](const auto& version) {
         text += (text.empty() ? "" : ",") + version.value_;
     });
-    return text;
+    return text.empty() ? "none" : text;
 }
 
-} // namespace
-
 std::shared_ptr<version_record::shared_read> version_record::next_read() {
     const auto now = base::clock::now();
     if (!next_read_) {
@@ -175,8 +176,9 @@
                             const routing::versions_in_use& in_use,
                             base::time_point now) {
     start_next_read(now);
-    // Only a gateway removes versions that the store itself has confirmed and
-    // whose replica has all instances of before the record.
+    // Versions are removed only by a gateway that the store itself has
+    // confirmed and whose replica has the instances that were registered before
+    // the record was written.
     const bool may_remove =
         follower_.current(now) && reaches_record() && rank() == 0;
     auto wanted = recorded_.update_for(known, in_use, may_remove);
--- a/pimentoferry/gateway/version_record.hpp
+++ b/pimentoferry/gateway/version_record.hpp
@@ -12,6 +12,7 @@
 #ifndef PIMENTOFERRY_GATEWAY_VERSION_RECORD_HPP
 #define PIMENTOFERRY_GATEWAY_VERSION_RECORD_HPP
 
+#include "pimentoferry/base/software_version.hpp"
 #include "pimentoferry/base/time.hpp"
 #include "pimentoferry/gateway/metrics.hpp"
 #include "pimentoferry/gateway/peers.hpp"
@@ -29,6 +30,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace boost::asio {
 class io_context;
@@ -36,6 +38,9 @@
 
 namespace pimentoferry::gateway {
 
+/// For log lines: the versions, separated by commas; "none" without any.
+std::string text_of(const std::vector<base::software_version>& versions);
+
 class version_record {
 public:
     /// `on_record` is called with each copy of the record that is taken.
@@ -74,7 +79,8 @@
                 base::time_point now);
 
 private:
-    /// One read of the store, for all callers of `read` that came before it.
+    /// One read of the store, for all callers of `read` that came before it was
+    /// sent.
     struct shared_read {
         explicit shared_read(boost::asio::io_context& io,
                              base::time_point until)
--- a/tests/soak/stale_gateway_test.cpp
+++ b/tests/soak/stale_gateway_test.cpp
@@ -133,6 +133,14 @@
         }
     }
 
+    void kill_and_restart_all_gateways() {
+        signal_all_but(system_->gateway_count(), SIGKILL);
+        for (std::size_t g = 0; g < system_->gateway_count(); ++g) {
+            system_->gateway(g).wait(2000ms);
+            system_->restart_gateway(g);
+        }
+    }
+
     /// The id of a stream that began at the gateway; empty if none did.
     std::string begin_stream(std::size_t gateway, int tries) {
         // The owner of the streams may not have heard of the successor yet.
@@ -264,11 +272,7 @@
         if (!began.empty()) {
             system_->withdraw_replica("successor");
             set_slots_of_remaining_engine(64);
-            signal_all_but(system_->gateway_count(), SIGKILL);
-            for (std::size_t g = 0; g < system_->gateway_count(); ++g) {
-                system_->gateway(g).wait(2000ms);
-                system_->restart_gateway(g);
-            }
+            kill_and_restart_all_gateways();
             std::this_thread::sleep_for(2000ms);
             auto taken_up = open(0, "taken-up", began);
             (void)taken_up.next_event();
@@ -296,11 +300,7 @@
         CPPUNIT_ASSERT(gateway_fleet::control(system_->store_port(),
                                               R"({"restore":true})"));
         set_slots_of_remaining_engine(64);
-        signal_all_but(system_->gateway_count(), SIGKILL);
-        for (std::size_t g = 0; g < system_->gateway_count(); ++g) {
-            system_->gateway(g).wait(2000ms);
-            system_->restart_gateway(g);
-        }
+        kill_and_restart_all_gateways();
         for (int i = 0; i < 15; ++i) {
             std::this_thread::sleep_for(100ms);
             const auto id = "taken-up-" + std::to_string(i);
