Record the era of the store in which the versions are complete

Callers whose streams had broken off were refused for 2 s after all gateways had started again. Cause: a process that has just started did not know whether the store had come back from an older copy, so it concluded nothing for 2 s. Change: once the gateways had 2 s to record their versions in an era of the store, the first writer records that era under a key of its own. A process trusts the record if the key has the present era, and at once with a store without eras.

--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -387,7 +387,6 @@
 }
 
 void origin_exchange::forget_records() {
-    record_.store_restored();
     for (auto& [service, state] : services_) {
         state.origins_.clear_recorded();
     }
--- a/pimentoferry/gateway/version_record.cpp
+++ b/pimentoferry/gateway/version_record.cpp
@@ -4,6 +4,7 @@
 #include "pimentoferry/http/error_token.hpp"
 #include "pimentoferry/log/log.hpp"
 #include "pimentoferry/membership/ownership.hpp"
+#include "pimentoferry/store/http_codec.hpp"
 #include "pimentoferry/wire/codec.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -19,6 +20,7 @@
 namespace {
 
 constexpr const char* record_key = "pimentoferry/software-versions";
+constexpr const char* era_key = "pimentoferry/software-versions-era";
 // The callers of the gateway wait meanwhile.
 constexpr base::milliseconds read_timeout{500};
 // Bounds the reads in a burst of questions.
@@ -80,15 +82,13 @@
 }
 
 void version_record::finish(shared_read& read, const store::result& result) {
-    const auto now = base::clock::now();
     const auto* found = std::get_if<store::found>(&result.outcome_);
     const bool answered = found != nullptr && is_of_this_era(result);
     counters_.count_store_call("software_versions",
                                answered ? "ok" : "unavailable");
     if (answered) {
         take_value(found->value_, {follower_.era(), found->revision_}, "read");
-        const bool rewritten = now - restored_at_ >= rewrite_time;
-        if (rewritten && reaches_record()) {
+        if (is_complete() && reaches_record()) {
             read.record_ = recorded_;
         }
     }
@@ -108,7 +108,15 @@
            recorded_.position();
 }
 
+// A store without eras never loses what it has acknowledged.
+bool version_record::is_complete() const {
+    return follower_.era() == complete_in_;
+}
+
 void version_record::receive(const store::item& item) {
+    if (item.key_ == era_key) {
+        complete_in_ = store::internal::parse_era(item.value_).value_or(0);
+    }
     if (item.key_ == record_key) {
         const auto era = follower_.replica().current().era_;
         take_value(item.value_, {era, item.revision_}, "replica");
@@ -118,6 +126,8 @@
 void version_record::receive(const store::item_removed& removed) {
     if (removed.key_ == record_key) {
         recorded_.clear(follower_.replica().current().era_);
+    } else if (removed.key_ == era_key) {
+        complete_in_ = 0;
     }
 }
 
@@ -176,6 +186,10 @@
                             const routing::versions_in_use& in_use,
                             base::time_point now) {
     start_next_read(now);
+    if (known_era_ != follower_.era()) {
+        known_era_ = follower_.era();
+        known_era_since_ = now;
+    }
     // Versions are removed only by a gateway that the store itself has
     // confirmed and whose replica has the instances that were registered before
     // the record was written.
@@ -184,6 +198,7 @@
     auto wanted = recorded_.update_for(known, in_use, may_remove);
     if (!wanted) {
         differs_since_.reset();
+        record_era(now);
         return;
     }
     differs_since_ = differs_since_.value_or(now);
@@ -196,6 +211,31 @@
     }
 }
 
+void version_record::record_era(base::time_point now) {
+    const auto delay = rewrite_time + writer_delay * static_cast<int>(rank());
+    const bool due = follower_.current(now) && reaches_record() &&
+                     now - known_era_since_ >= delay && now >= next_write_;
+    if (is_complete() || !due || write_in_progress_) {
+        return;
+    }
+    const auto& items = follower_.replica().items();
+    const auto stored = items.find(era_key);
+    write_in_progress_ = true;
+    next_write_ = now + retry_interval;
+    store_.submit(
+        {store::token{1},
+         store::put{era_key, std::to_string(known_era_),
+                    stored != items.end() ? stored->second.revision_ : 0,
+                    store::lease_id{}}},
+        [this](const store::result& result) {
+            write_in_progress_ = false;
+            const bool done =
+                std::holds_alternative<store::written>(result.outcome_);
+            counters_.count_store_call("software_versions_era",
+                                       done ? "ok" : "unavailable");
+        });
+}
+
 void version_record::write(routing::versions_in_use record) {
     write_in_progress_ = true;
     auto value = wire::encode(record);
--- a/pimentoferry/gateway/version_record.hpp
+++ b/pimentoferry/gateway/version_record.hpp
@@ -4,6 +4,11 @@
 /// the watchers of the store in turn, then the others. The first watcher also
 /// removes versions that can have no open streams.
 ///
+/// A store that has come back from an older copy may have lost versions. The
+/// record is complete again once the gateways had time to add theirs, and the
+/// first writer then records the era for which that holds under a key of its
+/// own. A process that starts later trusts the record by that key.
+///
 ///     record.update(known, in_use, now);            // about every 50 ms
 ///     record.versions().contains(service, version); // it may begin streams
 ///     auto read = co_await record.read();           // newer than this call
@@ -61,18 +66,13 @@
 
     /// Reads the record from the store, at a time after this call. Unset if the
     /// store does not answer in time, if it may have lost a part of the record,
-    /// or if this gateway's replica does not reach as far as the record. A
-    /// process that has just started does not know whether the store has come
-    /// back from an older copy.
+    /// or if this gateway's replica does not reach as far as the record.
     http::awaitable<std::optional<routing::recorded_versions>> read();
 
     /// Takes over a change of the replica.
     void receive(const store::item& item);
     void receive(const store::item_removed& removed);
 
-    /// The store has come back from an older copy.
-    void store_restored() { restored_at_ = base::clock::now(); }
-
     /// Writes what the record lacks, see `recorded_versions::update_for`.
     void update(const routing::versions_in_use& known,
                 const routing::versions_in_use& in_use,
@@ -109,6 +109,9 @@
               routing::record_position position,
               std::string_view received_by);
     void write(routing::versions_in_use record);
+    /// Whether the record has all versions that may have begun streams.
+    bool is_complete() const;
+    void record_era(base::time_point now);
     void finish_write(const routing::versions_in_use& record,
                       const store::result& result);
 
@@ -119,8 +122,11 @@
     metrics& counters_;
     record_handler on_record_;
     routing::recorded_versions recorded_;
-    /// When the store came back from an older copy, or the process started.
-    base::time_point restored_at_{base::clock::now()};
+    /// The era of the store in which the record is complete; 0: none.
+    store::era complete_in_{0};
+    /// The latest era, and since when this process knows it.
+    store::era known_era_{0};
+    base::time_point known_era_since_;
     /// Not sent yet.
     std::shared_ptr<shared_read> next_read_;
     std::size_t reads_in_progress_{0};
