Let streams of the leaving engines' test overlap

Cause: the test asks six streams, one after the other, to reach both prefill engines. An idle engine that was measured slightly faster gets them all: in a traced failure the first prefill took 7 ms (a new connection), the others 5 ms at the same engine. No promise says that an idle engine gets prompts. Change: the streams overlap, so that both engines are needed. All checks stay.

--- a/tests/process/leaving_replica_test.cpp
+++ b/tests/process/leaving_replica_test.cpp
@@ -6,9 +6,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <future>
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace pimentoferry::process_tests {
 
@@ -85,7 +87,10 @@
     }
 
     http_stream open_stream(std::size_t gateway) {
-        const auto id = next_id();
+        return open_stream(gateway, next_id());
+    }
+
+    http_stream open_stream(std::size_t gateway, const std::string& id) {
         return {system_->ports(gateway).traffic_, "/chat/1", "",
                 caller_fields("/chat/1", id, 8000ms)};
     }
@@ -145,13 +150,17 @@
         stop_store();
         set(prefill, R"({"leaving":"1"})");
         set(decode, R"({"leaving":"1"})");
-        // Two streams at once use both decode engines.
-        std::vector<http_stream> streams;
+        // Streams at once use both engines of a stage; one after the other, an
+        // engine that was slightly faster gets them all.
+        std::vector<std::future<http_stream>> streams;
         for (int i = 0; i < 6; ++i) {
-            streams.push_back(open_stream(0));
-            std::this_thread::sleep_for(30ms);
+            streams.push_back(
+                std::async(std::launch::async, [this, id = next_id()] {
+                    return open_stream(0, id);
+                }));
         }
-        for (auto& stream : streams) {
+        for (auto& opened : streams) {
+            auto stream = opened.get();
             CPPUNIT_ASSERT_EQUAL(events, read_events(stream));
         }
         CPPUNIT_ASSERT(arrivals(prefill) > 0);
