--- a/tests/process/leaving_replica_test.cpp
+++ b/tests/process/leaving_replica_test.cpp
@@ -152,8 +152,10 @@
         set(decode, R"({"leaving":"1"})");
         // Streams at once use both engines of a stage; one after the other, an
         // engine that was slightly faster gets them all.
+        constexpr std::size_t opened_at_once = 6;
         std::vector<std::future<http_stream>> streams;
-        for (int i = 0; i < 6; ++i) {
+        streams.reserve(opened_at_once);
+        while (streams.size() < opened_at_once) {
             streams.push_back(
                 std::async(std::launch::async, [this, id = next_id()] {
                     return open_stream(0, id);
