--- a/review/lib-2/world.hh
+++ b/review/lib-2/world.hh
@@ -257,11 +257,15 @@
         std::function<void(int fd)> ended_;
     };
 
-    std::uint16_t start(handler handle, gate links = {}) {
+    /// Port 0: a free one. Returns 0 if it cannot listen.
+    std::uint16_t start(handler handle, gate links = {},
+                        std::uint16_t port = 0) {
         handle_ = std::move(handle);
         gate_ = std::move(links);
-        std::uint16_t port = 0;
         listener_ = listen_on(port);
+        if (listener_ < 0) {
+            return 0;
+        }
         std::thread{[this] { accept_all(); }}.detach();
         return port;
     }
