--- a/review/lib-3/harness.hh
+++ b/review/lib-3/harness.hh
@@ -785,7 +785,11 @@
     std::size_t size() const { return gateways_.size(); }
     const std::string& directory() const { return directory_; }
 
-    void write_settings(std::size_t i, int store_port, double grace_s = 8) {
+    /// `extra`: further fields of the settings.
+    void write_settings(std::size_t i,
+                        int store_port,
+                        double grace_s = 8,
+                        const Json::Value& extra = Json::Value{Json::objectValue}) {
         const auto& own = *gateways_.at(i);
         Json::Value made;
         made["name"] = own.name_;
@@ -812,6 +816,9 @@
         made["retries"]["ratio"] = 0.2;
         made["retries"]["constant"] = 56;
         made["retries"]["window_s"] = 10;
+        for (const auto& name : extra.getMemberNames()) {
+            made[name] = extra[name];
+        }
         std::ofstream{own.settings_path_} << to_json(made);
     }
     bool wait_ready(int limit_s = 20) {
--- a/review/lib-3/replicas.hh
+++ b/review/lib-3/replicas.hh
@@ -46,7 +46,8 @@
     int event_ms_{10};       ///< Between two events.
     int event_bytes_{300};   ///< Of the data of an event.
     int plain_bytes_{800};
-    int receive_buffer_{0};
+    /// Called when a request begins to run.
+    std::function<void(const std::string& replica, const message&)> on_run_;
 };
 
 class replica {
@@ -151,6 +152,9 @@
         ++running_;
         const auto number =
             runs_.began(id, options_.entry_.id_, options_.entry_.version_);
+        if (options_.on_run_) {
+            options_.on_run_(options_.entry_.id_, call);
+        }
         const auto signature =
             "X-Server-Signature: sig-" + options_.entry_.id_ + "\r\n";
         bool sent = false;
