--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # See claim.txt. TROUBLE=0 runs the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-program=review/lib-3/bin/slow_reader
+program=review/lib-3/bin/no_tenants
 [ -x "$program" ] && [ -x target/pimentoferry/cli/pimentoferry ] || exit 2
 timeout 110 "$program" review/11/record.txt
 code=$?
--- a/review/lib-3/no_tenants.cc
+++ b/review/lib-3/no_tenants.cc
@@ -1,4 +1,4 @@
-// Case 12: the operator takes all keys away by a version without tenants.
+// Case 11: the operator takes all keys away by a version without tenants.
 //
 // Two gateways before three replicas of a plain service. The configuration has
 // two tenants. Clients with a key that no configuration ever held ask all the
