--- a/review/lib-3/split_route.cc
+++ b/review/lib-3/split_route.cc
@@ -83,7 +83,8 @@
     const std::string record_path = arguments[1];
     const char* chosen = std::getenv("TROUBLE");
     const bool trouble = chosen == nullptr || std::string{chosen} != "0";
-    // SPLIT=0 in the environment: the same kill, with one service, to see what
+    // SPLIT=0 in the environment: the same kill, with one service that has all
+    // engines, to see what
     // the split does.
     const char* split = std::getenv("SPLIT");
     const bool is_split = split == nullptr || std::string{split} != "0";
@@ -95,7 +96,7 @@
         for (int i = 0; i < 6; ++i) {
             replica_options engine;
             engine.entry_.id_ = "i-" + service.substr(9) + std::to_string(i);
-            engine.entry_.service_ = service;
+            engine.entry_.service_ = is_split ? service : services[0];
             engine.entry_.stage_ = i < 2 ? "prefill" : "decode";
             engine.entry_.version_ = i % 2 == 0 ? "v1" : "v2";
             engine.work_ms_ = i < 2 ? 40 : 0;
