--- a/review/lib-3/replicas.hh
+++ b/review/lib-3/replicas.hh
@@ -44,10 +44,6 @@
     int work_ms_{15};        ///< Of a plain call, or of a prefill.
     int events_{70};         ///< Of a stream.
     int event_ms_{10};       ///< Between two events.
-    /// If set, a stream has as many events as `X-Token-Counts` allows.
-    int tokens_per_event_{0};
-    /// From an order until the engine is back in its new stage.
-    int stage_switch_ms_{0};
     int event_bytes_{300};   ///< Of the data of an event.
     int plain_bytes_{800};
     /// Called when a request begins to run.
@@ -72,7 +68,6 @@
         listener_.stop();
     }
     bool crashed() const { return crashed_; }
-    int prefills() const { return prefills_; }
     std::string state_{"ready"};
     /// What every answer says besides.
     std::string extra_fields_;
@@ -106,7 +101,7 @@
         if (path == "/api/report") {
             Json::Value body;
             body["stage"] = options_.entry_.stage_;
-            body["busy"] = unix_ms() < switching_until_;
+            body["busy"] = false;
             body["sequence"] = sequence_.load();
             body["born"] = static_cast<Json::Int64>(options_.entry_.born_);
             return peer.send(response(
@@ -116,9 +111,6 @@
             return order(peer, call);
         }
         const bool prefills = call.field("X-Serving-Stage") == "prefill";
-        if (unix_ms() < switching_until_) {
-            return peer.send(response(503, named + "X-Not-Executed: 1\r\n", ""));
-        }
         if (!options_.entry_.stage_.empty() &&
             prefills != (options_.entry_.stage_ == "prefill")) {
             return peer.send(response(421, named + "X-Not-Executed: 1\r\n", ""));
@@ -136,18 +128,15 @@
         note("order at " + options_.entry_.id_ + " from " +
              asked["holder"].asString() + " token " +
              asked["fencing_token"].asString());
-        if (asked["expected"].asInt() != sequence_ ||
-            unix_ms() < switching_until_) {
+        if (asked["expected"].asInt() != sequence_) {
             return peer.send(response(409, "", "{}"));
         }
         ++sequence_;
         options_.entry_.stage_ = asked["stage"].asString();
-        switching_until_ = unix_ms() + options_.stage_switch_ms_;
         return peer.send(response(202, "", "{}"));
     }
     bool prefill(conn& peer, const std::string& named) {
         sleep_ms(options_.work_ms_);
-        ++prefills_;
         Json::Value body;
         body["kv_handle"] = options_.entry_.id_.substr(2) + "h" +
                             std::to_string(++handles_);
@@ -188,15 +177,9 @@
                               "Content-Type: text/event-stream\r\n"
                               "X-Weight-Versions: 1\r\n"
                               "Transfer-Encoding: chunked\r\n\r\n");
-        const auto counts = call.field("X-Token-Counts");
-        const int events =
-            options_.tokens_per_event_ > 0
-                ? std::atoi(counts.c_str() + counts.find(',') + 1) /
-                      options_.tokens_per_event_
-                : options_.events_;
         const auto last = call.field("Last-Event-Id");
         int event = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
-        for (; sent && event <= events; ++event) {
+        for (; sent && event <= options_.events_; ++event) {
             const auto text =
                 "id: " + std::to_string(event) + "\ndata: " +
                 options_.entry_.version_ + " " +
@@ -219,8 +202,6 @@
     std::atomic<int> running_{0};
     std::atomic<int> sequence_{0};
     std::atomic<int> handles_{0};
-    std::atomic<int> prefills_{0};
-    std::atomic<std::int64_t> switching_until_{0};
     std::atomic<int> beats_{0};
     listener listener_;
 };
@@ -304,12 +285,11 @@
 /// The head of a stream request with a deadline of 14 s.
 inline std::string stream_request(const std::string& path,
                                   const std::string& id,
-                                  const std::string& extra = "",
-                                  int tokens_out = 5040) {
+                                  const std::string& extra = "") {
     const std::string body(5000, 'q');
     return "POST " + path + " HTTP/1.1\r\nHost: ficu95.example\r\n" +
            "X-Request-Id: " + id + "\r\nX-Model: m\r\n" +
-           "X-Token-Counts: 5200," + std::to_string(tokens_out) + "\r\n" +
+           "X-Token-Counts: 5200,5040\r\n" +
            "X-Prompt-Prefix: 5c1e07a2:200," + id.substr(0, 8) + ":5000\r\n" +
            "X-Deadline-Ms: 14000\r\n" + extra +
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
