--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -283,8 +283,13 @@
 
 void gateway_fleet::put_registration(const std::string& id,
                                      const std::string& bytes) const {
+    put_in_store("servers/" + id, bytes);
+}
+
+void gateway_fleet::put_in_store(const std::string& key,
+                                 const std::string& value) const {
     Json::Value body;
-    body["put"]["servers/" + id] = base64(bytes);
+    body["put"][key] = base64(value);
     control(store_port_, http::write_json(body));
 }
 
@@ -294,7 +299,7 @@
     control(store_port_, http::write_json(body));
 }
 
-void gateway_fleet::put_configuration() {
+std::string gateway_fleet::next_configuration() {
     auto configuration =
         make_configuration(++version_, options_.route_timeout_);
     for (std::size_t i = 0; i < options_.unused_routes_; ++i) {
@@ -305,9 +310,21 @@
     for (const auto& account : options_.accounts_) {
         configuration["tenants"].append(make_account(account));
     }
-    Json::Value body;
-    body["put"]["op/config"] = base64(http::write_json(configuration));
-    control(store_port_, http::write_json(body));
+    return http::write_json(configuration);
+}
+
+void gateway_fleet::put_configuration() {
+    put_in_store("op/config", next_configuration());
+}
+
+void gateway_fleet::put_configuration_with(
+    const std::map<std::string, std::string>& members) {
+    auto configuration = *http::parse_object(next_configuration());
+    for (const auto& [name, value] : members) {
+        configuration[name] =
+            (*http::parse_object(R"({"value":)" + value + "}"))["value"];
+    }
+    put_in_store("op/config", http::write_json(configuration));
 }
 
 void gateway_fleet::write_settings(std::size_t gateway) const {
--- a/tests/process/gateway_fleet.hpp
+++ b/tests/process/gateway_fleet.hpp
@@ -127,6 +127,11 @@
     /// Writes the next version of the configuration to the store.
     void put_configuration();
 
+    /// Writes the next version with other members: their values by name, as
+    /// JSON.
+    void
+    put_configuration_with(const std::map<std::string, std::string>& members);
+
     /// Writes the next version with other accounts.
     void put_accounts(std::vector<fleet_account> accounts) {
         options_.accounts_ = std::move(accounts);
@@ -164,6 +169,9 @@
 
 private:
     std::string path(const std::string& name) const;
+    /// The next version, as JSON.
+    std::string next_configuration();
+    void put_in_store(const std::string& key, const std::string& value) const;
     /// Calls `use` with the id of each replica and the words of each line that
     /// begins with `first_word`.
     void for_each_replica_line(
