One account that cannot be read no longer stops a version

What callers saw: a version that added a tenant named "Club Quetzal" and dropped a key never took effect. Operators saw a log line and nothing else.

Cause: names were held to visible ASCII without a space, which no page asks for, and one invalid account made the whole version unreadable.

Change: an account is read by itself. A name may be whatever a header field carries unchanged (http::is_field_value). An account whose name or quota cannot be read is closed: its requests get 503 configuration_unreadable, not run, and the other accounts and all removals take effect. A key that cannot be read identifies nobody. A list of accounts that cannot be read leaves no valid key. A quota of another type, negative or in an unknown unit was read as "no limit" and closes the account now. Unread parts are logged, counted in gauges, listed at /configuration beside the metrics, and named by check-configuration; readiness says what a starting gateway waits for.

Stand-ins write the account's name quoted.

--- a/pimentoferry/accounts/key_table.cpp
+++ b/pimentoferry/accounts/key_table.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 void add_key(key_table& table, std::string_view key, std::size_t holder) {
-    if (key.empty() || key.size() > max_key_bytes) {
+    if (!is_usable_key(key)) {
         return;
     }
     const auto [found, added] =
@@ -28,6 +28,11 @@
 
 } // namespace
 
+bool is_usable_key(std::string_view key) {
+    return !key.empty() && key.size() <= max_key_bytes &&
+           std::ranges::all_of(key, [](char c) { return c > ' ' && c <= '~'; });
+}
+
 hash_secret make_secret() {
     hash_secret secret{};
     randombytes_buf(secret.data(), secret.size());
@@ -51,11 +56,11 @@
 key_table make_key_table(const std::vector<routing::client_account>& accounts,
                          const hash_secret& secret) {
     key_table table{secret, {}, {}, {}};
-    std::ranges::transform(
-        accounts, std::back_inserter(table.accounts_),
-        [](const routing::client_account& each) {
-            return account{each.name_, each.priority_, each.quota_};
-        });
+    std::ranges::transform(accounts, std::back_inserter(table.accounts_),
+                           [](const routing::client_account& each) {
+                               return account{each.name_, each.priority_,
+                                              each.quota_, each.closed_};
+                           });
     for (std::size_t holder = 0; holder < accounts.size(); ++holder) {
         std::ranges::for_each(
             accounts[holder].keys_,
--- a/pimentoferry/accounts/key_table.hpp
+++ b/pimentoferry/accounts/key_table.hpp
@@ -30,6 +30,9 @@
 using hash_secret = std::array<unsigned char, 32>;
 using key_digest = std::array<unsigned char, digest_bytes>;
 
+/// Whether a request can name the key: visible ASCII of limited length.
+bool is_usable_key(std::string_view key);
+
 /// Returns a secret from the system's cryptographic random source.
 hash_secret make_secret();
 
@@ -39,6 +42,7 @@
     /// Takes precedence over the priority of a route; 0 is the most urgent.
     std::optional<std::uint32_t> priority_;
     std::optional<routing::account_quota> quota_; ///< Unset: no limit.
+    bool closed_{false}; ///< See `routing::client_account`.
 };
 
 /// A key that two accounts hold. It identifies neither of them.
@@ -61,7 +65,7 @@
     const account* find(const key_digest& digest) const;
 };
 
-/// Empty keys and keys over `max_key_bytes` identify nobody and are left out.
+/// Keys that no request can name are left out.
 key_table make_key_table(const std::vector<routing::client_account>& accounts,
                          const hash_secret& secret);
 
--- a/pimentoferry/base/refusal.cpp
+++ b/pimentoferry/base/refusal.cpp
@@ -42,6 +42,7 @@
     {refusal_code::not_owner, "not_owner", 503},
     {refusal_code::internal_error, "internal_error", 500},
     {refusal_code::quota_unknown, "quota_unknown", 503},
+    {refusal_code::configuration_unreadable, "configuration_unreadable", 503},
 }};
 
 const code_entry& entry_of(refusal_code code) {
--- a/pimentoferry/base/refusal.hpp
+++ b/pimentoferry/base/refusal.hpp
@@ -47,10 +47,11 @@
     not_owner,
     internal_error,
     quota_unknown,
+    configuration_unreadable,
 };
 
 /// Number of refusal codes; the codes are 0 to this minus one.
-inline constexpr std::size_t refusal_code_count = 27;
+inline constexpr std::size_t refusal_code_count = 28;
 
 /// Whether the refused request was executed.
 enum class ran_state : std::uint8_t {
--- a/pimentoferry/gateway/caller_service.cpp
+++ b/pimentoferry/gateway/caller_service.cpp
@@ -117,6 +117,14 @@
             co_await refuse_unrouted(exchange, request.id_, std::move(refusal));
             co_return;
         }
+        if (std::holds_alternative<closed_account>(identified)) {
+            base::refusal refusal{
+                base::refusal_code::configuration_unreadable,
+                base::ran_state::not_run, std::nullopt,
+                "the client account cannot be read from the configuration"};
+            co_await refuse_unrouted(exchange, request.id_, std::move(refusal));
+            co_return;
+        }
         account = std::get<request_account>(std::move(identified));
     }
     const auto& name =
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "pimentoferry/gateway/call_permits.hpp"
 #include "pimentoferry/gateway/call_placement.hpp"
 #include "pimentoferry/gateway/caller_service.hpp"
+#include "pimentoferry/gateway/configuration_report.hpp"
 #include "pimentoferry/gateway/crash_guard.hpp"
 #include "pimentoferry/gateway/directory.hpp"
 #include "pimentoferry/gateway/limit_guard.hpp"
@@ -452,9 +453,6 @@
     applied.receive_timeout_ = body_timeout;
     applied.idle_timeout_ = limits.idle_timeout_;
     callers_->set_limits(applied);
-    shared_.metrics_.set_gauge(
-        "configuration_version",
-        static_cast<double>(shared_.registry_.routes()->version()));
 }
 
 http::awaitable<void>
@@ -483,10 +481,16 @@
     constexpr int status_ready = 200;
     constexpr int status_not_ready = 503;
     constexpr int status_unknown = 404;
+    const std::string_view waits_for =
+        shared_.registry_.routes() == nullptr
+            ? (shared_.registry_.unreadable_latest()
+                   ? R"({"waits_for":"a configuration that can be read"})"
+                   : R"({"waits_for":"a configuration"})")
+            : "{}";
     const auto answer = http::json_response(!is_query ? status_unknown
                                             : ready   ? status_ready
                                                       : status_not_ready,
-                                            "{}");
+                                            std::string{waits_for});
     co_await exchange.respond(answer);
 }
 
@@ -497,6 +501,13 @@
         co_await exchange.respond(use);
         co_return;
     }
+    if (http::path_of(exchange.call().target_) == "/configuration") {
+        const auto report = http::json_response(
+            status_ok, configuration_as_json(shared_.registry_));
+        co_await exchange.respond(report);
+        co_return;
+    }
+    set_configuration_gauges(shared_.registry_, shared_.metrics_);
     shared_.metrics_.set_gauge("in_flight", shared_.in_flight_);
     shared_.metrics_.set_gauge(
         "instances", static_cast<double>(shared_.registry_.instances().size()));
--- a/pimentoferry/gateway/registry.cpp
+++ b/pimentoferry/gateway/registry.cpp
@@ -44,8 +44,10 @@
         log::log_error("configuration_unreadable",
                        {{"revision", std::to_string(item.revision_)},
                         {"reason", failure->reason_}});
+        unreadable_ = unreadable_configuration{item.revision_, *failure};
         return registry_change::nothing;
     }
+    unreadable_.reset();
     auto& next = std::get<routing::configuration>(read);
     const auto before = routes_ ? routes_->version() : 0;
     if (routes_ && next.version_ <= before) {
@@ -61,7 +63,16 @@
          {"revision", std::to_string(item.revision_)},
          {"routes", std::to_string(next.routes_.size())},
          {"accounts",
-          next.accounts_ ? std::to_string(next.accounts_->size()) : "none"}});
+          next.accounts_ ? std::to_string(next.accounts_->size()) : "none"},
+         {"unread_parts", std::to_string(next.unread_parts_.size())}});
+    std::ranges::for_each(
+        next.unread_parts_, [&next](const routing::unread_part& each) {
+            log::log_error("configuration_part_unreadable",
+                           {{"version", std::to_string(next.version_)},
+                            {"object", each.object_},
+                            {"field", each.field_},
+                            {"reason", each.detail_}});
+        });
     apply_accounts(next);
     routes_ = std::make_shared<const routing::route_table>(std::move(next));
     return registry_change::configuration;
--- a/pimentoferry/gateway/registry.hpp
+++ b/pimentoferry/gateway/registry.hpp
@@ -11,8 +11,9 @@
 /// What the gateway has acted upon stays true when the store comes back from an
 /// older copy: a configuration takes effect only if its version is higher than
 /// that of the one in force, and `routing::instance_table` keeps which
-/// instances drain or are gone. When a value cannot be decoded, the
-/// configuration in force stays, and an instance is not used.
+/// instances drain or are gone. When nothing of a value can be decoded, the
+/// configuration in force stays, and an instance is not used. When a part of a
+/// configuration cannot be decoded, the rest of it takes effect.
 #ifndef PIMENTOFERRY_GATEWAY_REGISTRY_HPP
 #define PIMENTOFERRY_GATEWAY_REGISTRY_HPP
 
@@ -33,6 +34,12 @@
 /// The part of the registry that a change of the replica affected.
 enum class registry_change : std::uint8_t { nothing, configuration, instances };
 
+/// The latest value of the configuration, if nothing of it can be read.
+struct unreadable_configuration {
+    store::revision revision_{0};
+    unreadable failure_;
+};
+
 /// Live instances register again within about 2 s after the store's return;
 /// the rest is the time until every gateway has received the registration.
 inline constexpr base::milliseconds lapse_window{2500};
@@ -67,6 +74,11 @@
         return routes_;
     }
 
+    /// Unset if the latest configuration could be read.
+    const std::optional<unreadable_configuration>& unreadable_latest() const {
+        return unreadable_;
+    }
+
     /// The keys of the accounts of the configuration in force; null if it has
     /// none.
     std::shared_ptr<const accounts::key_table> account_keys() const {
@@ -96,6 +108,7 @@
     accounts::hash_secret hash_secret_{accounts::make_secret()};
     std::shared_ptr<const routing::route_table> routes_;
     std::shared_ptr<const accounts::key_table> account_keys_;
+    std::optional<unreadable_configuration> unreadable_;
     routing::instance_table instances_;
 };
 
--- a/pimentoferry/gateway/request_account.cpp
+++ b/pimentoferry/gateway/request_account.cpp
@@ -4,11 +4,10 @@
 
 namespace pimentoferry::gateway {
 
-std::variant<request_account, unauthorized_request>
-identify(const accounts::key_table& table,
-         const credential& given,
-         const routing::route& route) {
-    using result = std::variant<request_account, unauthorized_request>;
+identified_account identify(const accounts::key_table& table,
+                            const credential& given,
+                            const routing::route& route) {
+    using result = identified_account;
     const auto without_account = [&route](const char* detail) -> result {
         if (route.public_) {
             return request_account{};
@@ -29,6 +28,9 @@
                                  return without_account(
                                      "no account holds the key");
                              }
+                             if (holder->closed_) {
+                                 return closed_account{};
+                             }
                              return request_account{digest, *holder};
                          }},
         given);
@@ -40,7 +42,9 @@
         return true;
     }
     const auto* holder = table->find(*identity->key_);
-    return holder != nullptr && holder->name_ == identity->account_.name_;
+    // An account that has been closed meanwhile still holds the key.
+    return holder != nullptr &&
+           (holder->closed_ || holder->name_ == identity->account_.name_);
 }
 
 double quota_cost(const routing::account_quota& quota,
--- a/pimentoferry/gateway/request_account.hpp
+++ b/pimentoferry/gateway/request_account.hpp
@@ -30,10 +30,16 @@
     std::string detail_; ///< Contains no part of the credential.
 };
 
-std::variant<request_account, unauthorized_request>
-identify(const accounts::key_table& table,
-         const credential& given,
-         const routing::route& route);
+/// The account of the request cannot be read from the configuration. The
+/// request is refused, as its quota or its name would be missing.
+struct closed_account {};
+
+using identified_account =
+    std::variant<request_account, unauthorized_request, closed_account>;
+
+identified_account identify(const accounts::key_table& table,
+                            const credential& given,
+                            const routing::route& route);
 
 /// Whether the account still holds the key of the request. `table`: the keys in
 /// force now; null if the configuration has no accounts.
--- a/pimentoferry/gateway/request_account_test.cpp
+++ b/pimentoferry/gateway/request_account_test.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(request_account_test);
     CPPUNIT_TEST(a_key_is_required_unless_the_route_is_public);
     CPPUNIT_TEST(public_routes_serve_known_accounts_as_such);
+    CPPUNIT_TEST(a_closed_account_is_not_served);
     CPPUNIT_TEST(a_key_taken_away_is_noticed);
     CPPUNIT_TEST(the_cost_of_a_request_follows_the_unit);
     CPPUNIT_TEST(the_priority_of_the_account_goes_first);
@@ -35,8 +36,7 @@
     }
 
 private:
-    static bool refused(
-        const std::variant<request_account, unauthorized_request>& identified) {
+    static bool refused(const identified_account& identified) {
         return std::holds_alternative<unauthorized_request>(identified);
     }
 
@@ -63,6 +63,20 @@
         CPPUNIT_ASSERT_EQUAL(std::string{"club"}, known.account_.name_.value_);
     }
 
+    // Guards against a request without the quota of its account, and against
+    // one that is told to have no valid key.
+    void a_closed_account_is_not_served() {
+        routing::client_account account;
+        account.keys_ = {"k"};
+        account.closed_ = true;
+        const auto keys = accounts::make_key_table({account}, secret_);
+        for (const auto& route : {closed_, open_}) {
+            CPPUNIT_ASSERT(std::holds_alternative<closed_account>(
+                identify(keys, bearer_key{"k"}, route)));
+        }
+        CPPUNIT_ASSERT(refused(identify(keys, bearer_key{"other"}, closed_)));
+    }
+
     // Guards against a request that waits or is sent once more after its key
     // was taken away, or given to another account.
     void a_key_taken_away_is_noticed() {
--- a/pimentoferry/http/message.cpp
+++ b/pimentoferry/http/message.cpp
@@ -24,6 +24,17 @@
     return it == fields.end() ? std::string_view{} : it->value_;
 }
 
+bool is_field_value(std::string_view value) {
+    const auto is_blank = [](char c) { return c == ' ' || c == '\t'; };
+    const bool padded =
+        !value.empty() && (is_blank(value.front()) || is_blank(value.back()));
+    return !padded && std::ranges::all_of(value, [&is_blank](char c) {
+        constexpr unsigned char first_obs_text = 0x80;
+        return is_blank(c) || (c > ' ' && c <= '~') ||
+               static_cast<unsigned char>(c) >= first_obs_text;
+    });
+}
+
 std::string_view path_of(std::string_view target) {
     return target.substr(0, target.find('?'));
 }
--- a/pimentoferry/http/message.hpp
+++ b/pimentoferry/http/message.hpp
@@ -45,6 +45,10 @@
 /// Whether two field names are equal, ignoring case.
 bool same_name(std::string_view first, std::string_view second);
 
+/// Whether a field can have this value and arrive unchanged (RFC 9110, section
+/// 5.5): no control characters but the tab, no space or tab at either end.
+bool is_field_value(std::string_view value);
+
 /// Returns the path of a target, without its query.
 std::string_view path_of(std::string_view target);
 
--- a/pimentoferry/routing/configuration.hpp
+++ b/pimentoferry/routing/configuration.hpp
@@ -102,11 +102,21 @@
 
 /// A customer on whose behalf requests are sent, identified by a key.
 struct client_account {
-    base::account_name name_;
+    base::account_name name_;       ///< Empty if it cannot be read.
     std::vector<std::string> keys_; ///< Any of them identifies the account.
     /// Takes precedence over the priority of the route; 0 is the most urgent.
     std::optional<std::uint32_t> priority_;
     std::optional<account_quota> quota_; ///< Unset: no limit.
+    /// Its name or quota cannot be read, so its requests are refused.
+    bool closed_{false};
+};
+
+/// A part of a configuration that cannot be read. The other parts are in force.
+struct unread_part {
+    std::string object_; ///< Such as `account club` or `account 3`.
+    std::string name_;   ///< Of the object; empty if it cannot be read.
+    std::string field_;  ///< Empty if it is the whole object.
+    std::string detail_; ///< Contains no part of a key.
 };
 
 struct configuration {
@@ -116,6 +126,7 @@
     caller_limits limits_;
     /// Unset: requests need no key, and fields about accounts have no meaning.
     std::optional<std::vector<client_account>> accounts_;
+    std::vector<unread_part> unread_parts_;
 };
 
 } // namespace pimentoferry::routing
--- a/pimentoferry/routing/configuration_check.cpp
+++ b/pimentoferry/routing/configuration_check.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <iterator>
 #include <map>
 #include <set>
 #include <utility>
@@ -55,6 +56,12 @@
     explicit problem_list(const configuration& checked) : checked_(checked) {}
 
     std::vector<problem> find() {
+        std::ranges::transform(
+            checked_.unread_parts_, std::back_inserter(found_),
+            [](const unread_part& each) {
+                return problem{problem_kind::unreadable, each.object_,
+                               each.name_, each.field_, each.detail_};
+            });
         check_routes();
         check_services();
         check_accounts();
@@ -310,7 +317,15 @@
 } // namespace
 
 std::string_view to_string(problem_kind kind) {
-    return kind == problem_kind::no_effect ? "no_effect" : "contradiction";
+    switch (kind) {
+    case problem_kind::unreadable:
+        return "unreadable";
+    case problem_kind::no_effect:
+        return "no_effect";
+    case problem_kind::contradiction:
+        return "contradiction";
+    }
+    return "unknown";
 }
 
 std::string_view to_string(change_kind kind) {
--- a/pimentoferry/routing/configuration_check.hpp
+++ b/pimentoferry/routing/configuration_check.hpp
@@ -17,6 +17,7 @@
 namespace pimentoferry::routing {
 
 enum class problem_kind : std::uint8_t {
+    unreadable,    ///< It cannot be read; what depends on it is refused.
     no_effect,     ///< The entry can never match or never serves.
     contradiction, ///< Two limits of which one makes the other useless.
 };
--- a/standins/platform_replica.cpp
+++ b/standins/platform_replica.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iomanip>
 #include <iostream>
 
 namespace pimentoferry::standins {
@@ -149,7 +150,7 @@
     };
     log_with_time("arrived " + call.header(request_id) + ' ' + kind);
     std::cout << "told " << call.header(request_id) << ' '
-              << value_or_none("X-Tenant") << ' '
+              << std::quoted(value_or_none("X-Tenant")) << ' '
               << value_or_none("Authorization") << std::endl;
 }
 
--- a/tests/process/configuration_test.cpp
+++ b/tests/process/configuration_test.cpp
@@ -6,6 +6,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <csignal>
 #include <optional>
 #include <string>
 
@@ -17,12 +18,15 @@
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unauthorized = 401;
+constexpr unsigned status_unavailable = 503;
 // The platform's bound for a change of the configuration.
 constexpr auto apply_time = 3s;
 
 class configuration_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(configuration_test);
     CPPUNIT_TEST(no_key_is_valid_after_the_last_account_is_removed);
+    CPPUNIT_TEST(an_account_with_an_unusual_name_keeps_no_removed_key);
+    CPPUNIT_TEST(an_account_that_cannot_be_read_concerns_no_other);
     CPPUNIT_TEST_SUITE_END();
 
     // Optional because CppUnit constructs all fixtures before the first test.
@@ -68,6 +72,47 @@
         CPPUNIT_ASSERT_EQUAL(status_unauthorized, call(1, ""));
         CPPUNIT_ASSERT_EQUAL(runs, system_->runs().size());
     }
+
+    // Guards against a version that is not taken because of the name of an
+    // account, so that a removed key stays valid, also after a restart.
+    void an_account_with_an_unusual_name_keeps_no_removed_key() {
+        const std::string name = "Club Quetzal, S.A.";
+        system_.emplace(
+            gateway_fleet_options{.accounts_ = {{"club", {"key-one"}}}});
+        CPPUNIT_ASSERT(system_->start());
+        system_->put_accounts({{name, {"key-two"}}});
+        CPPUNIT_ASSERT(all_come_to_answer("key-one", status_unauthorized));
+        CPPUNIT_ASSERT(all_come_to_answer("key-two", status_ok));
+        const auto told =
+            system_->accounts_told("request-" + std::to_string(requests_));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, told.size());
+        CPPUNIT_ASSERT_EQUAL(name, told.front().first);
+        system_->gateway(0).signal(SIGKILL);
+        system_->gateway(0).wait(2s);
+        system_->restart_gateway(0);
+        CPPUNIT_ASSERT(wait_for([this] { return system_->is_ready(0); }, 10s));
+        CPPUNIT_ASSERT_EQUAL(status_unauthorized, call(0, "key-one"));
+    }
+
+    // Guards against an account that stops the version for the others, and
+    // against requests of such an account that run without its quota.
+    void an_account_that_cannot_be_read_concerns_no_other() {
+        system_.emplace(gateway_fleet_options{
+            .accounts_ = {{"club", {"key-one"}}, {"rival", {"key-two"}}}});
+        CPPUNIT_ASSERT(system_->start());
+        system_->put_configuration_with(
+            {{"tenants",
+              R"([{"name":"club","api_keys":["key-three"]},{"name":"rival",
+                   "api_keys":["key-two"],"requests_per_s":"5"}])"}});
+        CPPUNIT_ASSERT(all_come_to_answer("key-one", status_unauthorized));
+        CPPUNIT_ASSERT(all_come_to_answer("key-three", status_ok));
+        CPPUNIT_ASSERT(all_come_to_answer("key-two", status_unavailable));
+        const auto log = system_->gateway_log(0);
+        CPPUNIT_ASSERT(log.find("event=configuration_part_unreadable") !=
+                       std::string::npos);
+        CPPUNIT_ASSERT(log.find("object=\"account rival\" "
+                                "field=requests_per_s") != std::string::npos);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(configuration_test);
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -15,6 +15,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <random>
 #include <set>
@@ -474,7 +475,8 @@
         std::string id;
         std::string account;
         std::string credential;
-        if (words >> id >> account >> credential && id == request) {
+        if (words >> id >> std::quoted(account) >> credential &&
+            id == request) {
             told.emplace_back(account, credential);
         }
     });
