One route that cannot be read no longer stops a version

What callers saw: a version that split a route by 99.5 to 0.5 and dropped another route never took effect. With 99 and 0.5 the version was taken, and the second service got nothing.

Change: weights are any finite numbers of 0 or more. A route or service is read by itself: if what it needs cannot be read, its requests get 503 configuration_unreadable, not run, and the rest of the version takes effect. A closed route keeps its prefix, so that its requests don't fall to a shorter one; a split of which one row cannot be read is closed as a whole, because the rest could be more than a small service bears. A service whose engine cannot be read was taken for a plain one, and is closed now. Members with a safe value (public, resumable, max_attempts, limits and others) take it, and are reported.

--- a/pimentoferry/gateway/caller_service.cpp
+++ b/pimentoferry/gateway/caller_service.cpp
@@ -18,6 +18,22 @@
 // Callers that were refused together do not return together.
 constexpr base::milliseconds quota_retry_spread{100};
 
+/// Why the configuration serves no request of the route; unset if it does.
+/// `chosen` is the service of the request, null if no service has a weight.
+std::optional<base::refusal_code> closed_by(const routing::route_table& routes,
+                                            const routing::route& route,
+                                            const base::service_name* chosen) {
+    if (route.closed_) {
+        return base::refusal_code::configuration_unreadable;
+    }
+    if (chosen == nullptr) {
+        return base::refusal_code::no_upstream;
+    }
+    return routes.is_closed(*chosen)
+               ? std::optional{base::refusal_code::configuration_unreadable}
+               : std::nullopt;
+}
+
 } // namespace
 
 http::awaitable<void> caller_service::refuse_unrouted(http::exchange& exchange,
@@ -100,9 +116,13 @@
     }
     const auto* matched_route = routes->find(request.host_, request.path_);
     if (matched_route == nullptr) {
-        base::refusal refusal{base::refusal_code::unknown_call,
-                              base::ran_state::not_run, std::nullopt,
-                              "no route has this host and path"};
+        const bool may_match = routes->source().has_unmatchable_route_;
+        base::refusal refusal{
+            may_match ? base::refusal_code::configuration_unreadable
+                      : base::refusal_code::unknown_call,
+            base::ran_state::not_run, std::nullopt,
+            may_match ? "it may belong to a route that cannot be read"
+                      : "no route has this host and path"};
         co_await refuse_unrouted(exchange, request.id_, std::move(refusal));
         co_return;
     }
@@ -127,8 +147,15 @@
         }
         account = std::get<request_account>(std::move(identified));
     }
-    const auto& name =
+    const auto* chosen =
         routing::choose_service(*matched_route, shared_.random_fraction());
+    if (const auto closed = closed_by(*routes, *matched_route, chosen)) {
+        base::refusal refusal{*closed, base::ran_state::not_run, std::nullopt,
+                              "the configuration leads to no service"};
+        co_await refuse_unrouted(exchange, request.id_, std::move(refusal));
+        co_return;
+    }
+    const auto& name = *chosen;
     const auto* service = routes->find_service(name);
     const auto deadline =
         arrived + std::min(request.patience_, matched_route->timeout_);
--- a/pimentoferry/routing/configuration.hpp
+++ b/pimentoferry/routing/configuration.hpp
@@ -29,7 +29,7 @@
 /// A service and its weight in the traffic of a route.
 struct traffic_share {
     base::service_name service_;
-    std::uint32_t weight_{0};
+    double weight_{0}; ///< Finite, not negative.
 };
 
 struct route {
@@ -37,7 +37,7 @@
     std::string host_;        ///< In lower case, without a port.
     std::string path_prefix_; ///< Begins and ends with a slash.
     call_kind kind_{call_kind::non_idempotent};
-    /// At least one; several split the traffic by weight.
+    /// Several split the traffic by weight. Without any weight nothing serves.
     std::vector<traffic_share> services_;
     /// Longest time for which a request waits for its response.
     base::milliseconds timeout_{0};
@@ -53,6 +53,10 @@
     /// Whether a broken stream may continue on another engine after the last
     /// event delivered.
     bool resumable_{false};
+    /// Its kind, services or timeout cannot be read, so requests that match it
+    /// are refused. They are not left to a shorter prefix, which may lead to
+    /// another service.
+    bool closed_{false};
 };
 
 /// Properties that all engines of a service share.
@@ -75,6 +79,8 @@
     /// Connections that a replica accepts from all its clients together.
     std::uint32_t max_connections_{0};
     std::optional<engine_traits> engine_; ///< Unset for a plain service.
+    /// It cannot be told what its replicas are, so its requests are refused.
+    bool closed_{false};
 };
 
 /// Limits on the requests of a caller.
@@ -123,6 +129,12 @@
     std::uint64_t version_{0};
     std::vector<route> routes_;
     std::map<base::service_name, service> services_;
+    /// Host or prefix of some route cannot be read. A request that matches no
+    /// other route may be one of it.
+    bool has_unmatchable_route_{false};
+    /// The name of some service cannot be read. One that is missing from
+    /// `services_` may be it.
+    bool has_unnamed_service_{false};
     caller_limits limits_;
     /// Unset: requests need no key, and fields about accounts have no meaning.
     std::optional<std::vector<client_account>> accounts_;
--- a/pimentoferry/routing/configuration_check.cpp
+++ b/pimentoferry/routing/configuration_check.cpp
@@ -46,7 +46,7 @@
     std::string text;
     for (const auto& each : shares) {
         text += (text.empty() ? "" : ", ") + each.service_.value_ + ":" +
-                std::to_string(each.weight_);
+                text_of(each.weight_);
     }
     return text;
 }
@@ -99,7 +99,10 @@
     }
 
     void check_route(const route& each) {
-        std::uint64_t weight = 0;
+        if (each.closed_) {
+            return;
+        }
+        double weight = 0;
         for (const auto& share : each.services_) {
             weight += share.weight_;
             if (!checked_.services_.contains(share.service_)) {
@@ -155,6 +158,9 @@
         std::map<std::string, std::string> holders;
         std::set<std::string> names;
         for (const auto& each : *checked_.accounts_) {
+            if (each.closed_) {
+                continue;
+            }
             const auto& name = each.name_.value_;
             if (!names.insert(name).second) {
                 add(problem_kind::contradiction, "account", name, "name",
--- a/pimentoferry/routing/configuration_check_test.cpp
+++ b/pimentoferry/routing/configuration_check_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(a_sound_configuration_has_no_problem);
     CPPUNIT_TEST(entries_without_effect_are_found);
     CPPUNIT_TEST(limits_that_contradict_each_other_are_found);
+    CPPUNIT_TEST(parts_that_cannot_be_read_are_named);
     CPPUNIT_TEST(changes_are_named_without_keys);
     CPPUNIT_TEST_SUITE_END();
 
@@ -105,6 +106,17 @@
         CPPUNIT_ASSERT(finds(checked, kind, "account rival", "name"));
     }
 
+    // Guards against a part that is dropped without a word.
+    void parts_that_cannot_be_read_are_named() {
+        auto checked = sound();
+        checked.unread_parts_ = {{"route r1", "r1", "kind", "it is unknown"}};
+        checked.routes_.front().closed_ = true;
+        checked.routes_.front().services_.clear();
+        CPPUNIT_ASSERT(
+            finds(checked, problem_kind::unreadable, "route r1", "kind"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, find_problems(checked).size());
+    }
+
     // Guards against keys in what an operator prints or stores.
     void changes_are_named_without_keys() {
         auto next = sound();
--- a/pimentoferry/routing/route_table.cpp
+++ b/pimentoferry/routing/route_table.cpp
@@ -42,18 +42,29 @@
     return found == source_.services_.end() ? nullptr : &found->second;
 }
 
-const base::service_name& choose_service(const route& chosen, double point) {
+bool route_table::is_closed(const base::service_name& name) const {
+    const auto* found = find_service(name);
+    return found != nullptr ? found->closed_ : source_.has_unnamed_service_;
+}
+
+const base::service_name* choose_service(const route& chosen, double point) {
     const auto& shares = chosen.services_;
     const auto total = std::accumulate(
         shares.begin(), shares.end(), 0.0,
         [](double sum, const traffic_share& s) { return sum + s.weight_; });
     double remaining = point * total;
-    const auto found =
-        std::ranges::find_if(shares, [&remaining](const traffic_share& share) {
-            remaining -= share.weight_;
-            return remaining < 0;
+    const auto is_chosen = [&remaining](const traffic_share& share) {
+        remaining -= share.weight_;
+        return remaining < 0;
+    };
+    auto found = std::ranges::find_if(shares, is_chosen);
+    if (found == shares.end()) {
+        // Rounding may leave a rest; a service without weight gets nothing.
+        found = std::ranges::find_if(shares, [](const traffic_share& share) {
+            return share.weight_ > 0;
         });
-    return found == shares.end() ? shares.back().service_ : found->service_;
+    }
+    return found == shares.end() ? nullptr : &found->service_;
 }
 
 } // namespace pimentoferry::routing
--- a/pimentoferry/routing/route_table.hpp
+++ b/pimentoferry/routing/route_table.hpp
@@ -3,7 +3,7 @@
 ///
 ///     routing::route_table table{configuration};
 ///     if (const auto* found = table.find("shop.example", "/orders/7")) {
-///         const auto& service = routing::choose_service(*found, point);
+///         const auto* service = routing::choose_service(*found, point);
 ///     }
 ///
 /// The returned pointers are valid as long as the table.
@@ -30,6 +30,9 @@
     /// Null if there is no such service.
     const service* find_service(const base::service_name& name) const;
 
+    /// Whether the service cannot be read, or may be one that cannot.
+    bool is_closed(const base::service_name& name) const;
+
     const configuration& source() const { return source_; }
     std::uint64_t version() const { return source_.version_; }
 
@@ -43,9 +46,10 @@
         by_host_;
 };
 
-/// Returns the service for `point`, a random number in [0, 1). With weights 90
-/// and 10, points below 0.9 select the first service.
-const base::service_name& choose_service(const route& chosen, double point);
+/// Returns the service for `point`, a random number in [0, 1). With
+/// weights 99.5 and 0.5, points below 0.995 select the first service. Returns
+/// null if no service has a weight.
+const base::service_name* choose_service(const route& chosen, double point);
 
 /// Returns the host in lower case and without its port.
 std::string canonical_host(std::string_view host);
