A keeper that does not answer is not waited for

What callers saw: the gateway that wrote last to the store was stopped, and 1.9 s later four of seven others were killed.

Cause: the first keeper of a service writes streams to the store, and the second one what is still missing after 2 s. While the first one stood still, and was not yet found dead, the streams of two seconds were known to the second keeper and their own gateways only.

Change: at each review with something to write the second keeper asks the first one whether it is there (origin_search). After 150 ms without an answer it writes everything at once, until an answer comes (routing::write_turn). A first keeper that answers but does not write is noticed by what is missing after 2 s, as before, and then not waited for again for 5 s. Keepers of different ranks take different slots of the ring. The write is logged (stream_origins_written), which tells who writes; the ring has a file of its own.

Evidence: streams_go_on_although_their_first_keeper_stands_still (real processes) fails in 3 of 3 runs of this program with write_turn's answer taken out, and passes in 3 of 3 with it. The price is two messages each 500 ms and service while there is something to write.

--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -317,8 +317,13 @@
                                        const origin_query& query) {
         origins_.receive(from, query);
     };
-    handlers.on_origin_reply_ = [this](const origin_reply& reply) {
-        origins_.receive(reply);
+    handlers.on_origin_reply_ = [this](base::instance_id from,
+                                       const origin_reply& reply) {
+        origins_.receive(from, reply);
+    };
+    handlers.on_origin_search_ = [this](base::instance_id from,
+                                        const origin_search& search) {
+        origins_.receive(from, search);
     };
     handlers.on_upstream_reach_report_ =
         [this](base::instance_id from, const upstream_reach_report& message) {
--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -19,10 +19,6 @@
 
 namespace {
 
-constexpr const char* streams_prefix = "pimentoferry/stream-origins/";
-// The writes are spaced so that the ring reaches back as far as streams are
-// continued.
-constexpr std::size_t ring_size = 128;
 constexpr base::milliseconds review_interval{500};
 constexpr std::size_t max_streams_in_write = 2000;
 // Within the size of a message; a gateway with more forgets the oldest.
@@ -32,9 +28,6 @@
 // Tolerates the loss of one keeper together with the gateway of a stream.
 constexpr std::size_t keeper_count = 2;
 constexpr base::milliseconds query_timeout{150};
-// If what one keeper has to write is still missing in the store after this
-// time, the next one writes it.
-constexpr base::milliseconds turn{2000};
 // Callers continue a stream until their deadline, which is about the limit of
 // its route.
 constexpr int kept_route_timeouts = 2;
@@ -59,26 +52,6 @@
     }
 }
 
-std::string slot_key(std::size_t slot) {
-    return streams_prefix + std::to_string(slot);
-}
-
-store::revision revision_of(const store::mirror& replica,
-                            const std::string& key) {
-    const auto found = replica.items().find(key);
-    return found == replica.items().end() ? 0 : found->second.revision_;
-}
-
-/// The slot of the ring that was written first, or not yet.
-std::string oldest_slot(const store::mirror& replica) {
-    const auto slots =
-        std::views::iota(std::size_t{0}, ring_size) |
-        std::views::transform([](std::size_t slot) { return slot_key(slot); });
-    return std::ranges::min(slots, {}, [&replica](const std::string& key) {
-        return revision_of(replica, key);
-    });
-}
-
 } // namespace
 
 std::vector<base::instance_id>
@@ -193,7 +166,7 @@
 
 http::awaitable<origin_exchange::keeper_replies>
 origin_exchange::ask_keepers(base::service_name service, std::uint64_t stream) {
-    const base::attempt_id id{peers_.self(), ++last_query_};
+    const auto id = next_query();
     auto pending = std::make_shared<pending_query>(io_);
     queries_.emplace(id, pending);
     const auto keepers = other_keepers_of(service);
@@ -297,7 +270,23 @@
     peers_.send(to, origin_reply{query.id_, version});
 }
 
-void origin_exchange::receive(const origin_reply& reply) {
+// Only what this gateway knows of the stream itself.
+void origin_exchange::receive(base::instance_id from,
+                              const origin_search& search) {
+    const auto found = services_.find(search.service_);
+    auto version = found != services_.end()
+                       ? found->second.origins_.find(search.stream_)
+                       : std::nullopt;
+    peers_.send(from, origin_reply{search.id_, std::move(version)});
+}
+
+void origin_exchange::receive(base::instance_id from,
+                              const origin_reply& reply) {
+    for (auto& [service, state] : services_) {
+        if (state.first_keeper_ == from) {
+            state.turn_.answered();
+        }
+    }
     const auto found = queries_.find(reply.id_);
     if (found == queries_.end()) {
         return;
@@ -319,7 +308,7 @@
 
 void origin_exchange::receive(const store::item& item) {
     record_.receive(item);
-    if (!item.key_.starts_with(streams_prefix)) {
+    if (!item.key_.starts_with(origin_ring::prefix)) {
         return;
     }
     const auto decoded = wire::decode<began_streams>(item.value_);
@@ -401,35 +390,24 @@
         // left long ago.
         set_instances(registry_view, now);
     }
-    record_.update(versions_since(now, keep_.time()), versions_since(now, turn),
-                   now);
+    record_.update(versions_since(now, keep_.time()),
+                   versions_since(now, routing::write_turn::patience), now);
     for (auto& [service, state] : services_) {
         if (state.untold_ || (review && !state.own_.empty())) {
             tell_keepers(service, state, now);
         }
+        if (review) {
+            ask_first_keeper(service, state, now);
+        }
+        if (review || state.turn_.find_silent(now)) {
+            write_streams(service, state, replica, now);
+        }
     }
     if (!review) {
         return;
     }
     next_review_ = now + review_interval;
     forget_old_streams(now);
-    write_streams(replica, now);
-}
-
-void origin_exchange::write(std::string key,
-                            std::string value,
-                            const store::mirror& replica) {
-    write_pending_ = true;
-    const auto expected = revision_of(replica, key);
-    store_.submit({store::token{1}, store::put{std::move(key), std::move(value),
-                                               expected, store::lease_id{}}},
-                  [this](const store::result& result) {
-                      write_pending_ = false;
-                      const bool done = std::holds_alternative<store::written>(
-                          result.outcome_);
-                      counters_.count_store_call("stream_origins",
-                                                 done ? "ok" : "unavailable");
-                  });
 }
 
 routing::versions_in_use
@@ -445,28 +423,59 @@
     return known;
 }
 
-void origin_exchange::write_streams(const store::mirror& replica,
+std::optional<std::size_t>
+origin_exchange::rank_of_self(const base::service_name& service) const {
+    const auto keepers = keepers_of(service);
+    const auto found = std::ranges::find(keepers, peers_.self());
+    return found == keepers.end() ? std::nullopt
+                                  : std::optional{static_cast<std::size_t>(
+                                        found - keepers.begin())};
+}
+
+bool origin_exchange::records_streams(const service_state& state,
+                                      base::time_point now) const {
+    return state.history_.possible(now, keep_.time()).size() > 1;
+}
+
+// Asks the first keeper whether it is there, if there is something to write.
+void origin_exchange::ask_first_keeper(const base::service_name& service,
+                                       service_state& state,
+                                       base::time_point now) {
+    const auto first = keepers_of(service).front();
+    if (first != state.first_keeper_) {
+        state.first_keeper_ = first;
+        state.turn_.reset();
+    }
+    const auto rank = rank_of_self(service);
+    if (!rank || *rank == 0 || !records_streams(state, now) ||
+        state.origins_.unrecorded(1, now).empty()) {
+        return;
+    }
+    state.turn_.asked(now);
+    constexpr std::uint64_t no_stream = 0;
+    peers_.send(first, origin_search{next_query(), service, no_stream});
+}
+
+void origin_exchange::write_streams(const base::service_name& service,
+                                    service_state& state,
+                                    const store::mirror& replica,
                                     base::time_point now) {
-    for (auto& [service, state] : services_) {
-        const bool mixed =
-            state.history_.possible(now, keep_.time()).size() > 1;
-        const auto writers = keepers_of(service);
-        const auto rank =
-            std::ranges::find(writers, peers_.self()) - writers.begin();
-        if (write_pending_ || !mixed || now < state.next_write_ ||
-            rank == static_cast<std::ptrdiff_t>(writers.size())) {
-            continue;
-        }
-        began_streams message{
-            service,
-            state.origins_.unrecorded(max_streams_in_write, now - turn * rank)};
-        if (!message.groups_.empty()) {
-            write(oldest_slot(replica), wire::encode(message), replica);
-            const auto writers_of_ring = static_cast<int>(services_.size());
-            state.next_write_ =
-                now + keep_.time() * writers_of_ring / int{ring_size};
-        }
+    const auto rank = rank_of_self(service);
+    if (!rank || ring_.writing() || now < state.next_write_ ||
+        !records_streams(state, now)) {
+        return;
+    }
+    const began_streams message{
+        service, state.origins_.unrecorded(max_streams_in_write,
+                                           state.turn_.due_before(*rank, now))};
+    if (message.groups_.empty()) {
+        return;
     }
+    state.turn_.wrote(*rank, now);
+    ring_.write(message, *rank, replica);
+    const auto writers_of_ring = static_cast<int>(services_.size());
+    state.next_write_ =
+        now + keep_.time() * writers_of_ring / origin_ring::size;
 }
 
 } // namespace pimentoferry::gateway
--- a/pimentoferry/gateway/origin_exchange.hpp
+++ b/pimentoferry/gateway/origin_exchange.hpp
@@ -10,7 +10,9 @@
 /// both when a caller continues a stream that it does not know. If all gateways
 /// that know a stream are killed, the store still does: while several versions
 /// may have begun streams, a keeper writes those that are not written yet, many
-/// to a call, into a ring of keys that every gateway follows. While only one
+/// to a call, into a ring of keys that every gateway follows. The second keeper
+/// writes in place of the first one if that does not answer it, see
+/// `routing::write_turn`. While only one
 /// version is possible, every stream is known to be of it, and nothing is
 /// written but the list of the possible versions, see `version_record`. A
 /// gateway or keeper concludes that only from the list as the store has it
@@ -28,6 +30,7 @@
 #include "pimentoferry/base/software_version.hpp"
 #include "pimentoferry/base/time.hpp"
 #include "pimentoferry/gateway/metrics.hpp"
+#include "pimentoferry/gateway/origin_ring.hpp"
 #include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/gateway/registry.hpp"
 #include "pimentoferry/gateway/store_follower.hpp"
@@ -35,6 +38,7 @@
 #include "pimentoferry/http/awaitable.hpp"
 #include "pimentoferry/http/mailbox.hpp"
 #include "pimentoferry/routing/stream_origins.hpp"
+#include "pimentoferry/routing/write_turn.hpp"
 #include "pimentoferry/store/http_store.hpp"
 #include "pimentoferry/store/mirror.hpp"
 
@@ -71,8 +75,8 @@
                     store::http_store& store,
                     const store_follower& follower,
                     metrics& counters)
-        : io_(io), peers_(peer_gateways), store_(store), follower_(follower),
-          counters_(counters),
+        : io_(io), peers_(peer_gateways), follower_(follower),
+          counters_(counters), ring_(store, counters),
           record_(io,
                   peer_gateways,
                   store,
@@ -102,7 +106,8 @@
 
     void receive(const began_streams& message);
     void receive(base::instance_id from, const origin_query& query);
-    void receive(const origin_reply& reply);
+    void receive(base::instance_id from, const origin_search& search);
+    void receive(base::instance_id from, const origin_reply& reply);
     /// Takes over what the store keeps.
     void receive(const store::item& item);
     void receive(const store::item_removed& removed) {
@@ -132,6 +137,9 @@
         /// Whether the keepers have not been told of some of these.
         bool untold_{false};
         std::vector<base::instance_id> keepers_;
+        /// The keeper that `turn_` is about.
+        base::instance_id first_keeper_;
+        routing::write_turn turn_;
         base::time_point next_write_;
     };
     /// A query of this gateway that waits for its replies.
@@ -188,13 +196,25 @@
     routing::versions_in_use versions_since(base::time_point now,
                                             base::milliseconds time) const;
     void forget_old_streams(base::time_point now);
-    void write_streams(const store::mirror& replica, base::time_point now);
-    void
-    write(std::string key, std::string value, const store::mirror& replica);
+    /// The number of keepers of the service before this gateway; unset if it
+    /// is none of them.
+    std::optional<std::size_t>
+    rank_of_self(const base::service_name& service) const;
+    /// Whether streams have to be in the store, as it is not known otherwise
+    /// where they may go on.
+    bool records_streams(const service_state& state,
+                         base::time_point now) const;
+    void ask_first_keeper(const base::service_name& service,
+                          service_state& state,
+                          base::time_point now);
+    void write_streams(const base::service_name& service,
+                       service_state& state,
+                       const store::mirror& replica,
+                       base::time_point now);
+    base::attempt_id next_query() { return {peers_.self(), ++last_query_}; }
 
     boost::asio::io_context& io_;
     peers& peers_;
-    store::http_store& store_;
     const store_follower& follower_;
     metrics& counters_;
     std::map<base::service_name, service_state> services_;
@@ -203,7 +223,7 @@
     /// How long streams and versions are kept.
     routing::retention keep_;
     base::time_point next_review_;
-    bool write_pending_{false};
+    origin_ring ring_;
     version_record record_;
 };
 
--- a/pimentoferry/gateway/peers.cpp
+++ b/pimentoferry/gateway/peers.cpp
@@ -263,7 +263,10 @@
             },
             [&](const began_streams& m) { handlers_.on_began_streams_(m); },
             [&](const origin_query& m) { handlers_.on_origin_query_(from, m); },
-            [&](const origin_reply& m) { handlers_.on_origin_reply_(m); },
+            [&](const origin_reply& m) { handlers_.on_origin_reply_(from, m); },
+            [&](const origin_search& m) {
+                handlers_.on_origin_search_(from, m);
+            },
             [&](const upstream_reach_report& m) {
                 handlers_.on_upstream_reach_report_(from, m);
             }},
--- a/pimentoferry/gateway/peers.hpp
+++ b/pimentoferry/gateway/peers.hpp
@@ -341,6 +341,18 @@
     }
 };
 
+/// Asks a keeper for a stream that it knows of. Unlike for `origin_query` it
+/// does not conclude the version, and replies at once.
+struct origin_search {
+    base::attempt_id id_; ///< Of the query.
+    base::service_name service_;
+    std::uint64_t stream_{0}; ///< 0: none, the reply shows that it is there.
+    template <class Self>
+    static auto fields(Self& self) {
+        return std::tie(self.id_, self.service_, self.stream_);
+    }
+};
+
 /// New alternatives are added at the end.
 using peer_message = std::variant<membership::message,
                                   replica_position,
@@ -367,7 +379,8 @@
                                   origin_reply,
                                   replica_offer,
                                   replica_request,
-                                  upstream_reach_report>;
+                                  upstream_reach_report,
+                                  origin_search>;
 
 struct peer_handlers {
     std::function<void(base::instance_id from, const replica_position&)>
@@ -406,7 +419,10 @@
     std::function<void(const began_streams&)> on_began_streams_;
     std::function<void(base::instance_id from, const origin_query&)>
         on_origin_query_;
-    std::function<void(const origin_reply&)> on_origin_reply_;
+    std::function<void(base::instance_id from, const origin_reply&)>
+        on_origin_reply_;
+    std::function<void(base::instance_id from, const origin_search&)>
+        on_origin_search_;
     std::function<void(base::instance_id from, const upstream_reach_report&)>
         on_upstream_reach_report_;
     /// A gateway joined or left, began to drain, or is suspected or dead.
--- a/tests/process/software_version_test.cpp
+++ b/tests/process/software_version_test.cpp
@@ -2,6 +2,7 @@
 // streams off and takes them up again. Checks that a stream goes on only at the
 // version that began it.
 
+#include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -33,6 +34,7 @@
     CPPUNIT_TEST(a_stream_of_the_only_version_goes_on_without_its_request);
     CPPUNIT_TEST(a_stream_that_nobody_knows_is_refused);
     CPPUNIT_TEST(a_gateway_that_was_stopped_does_not_guess_the_version);
+    CPPUNIT_TEST(streams_go_on_although_their_first_keeper_stands_still);
     CPPUNIT_TEST_SUITE_END();
 
     // Optional because CppUnit constructs all fixtures before the first test.
@@ -42,9 +44,11 @@
     std::string next_id() { return "request-" + std::to_string(++requests_); }
 
     /// Starts decode engines with these versions.
-    void start(const std::vector<std::string>& versions) {
+    void start(const std::vector<std::string>& versions,
+               std::size_t gateways = 2) {
         system_.emplace(
-            gateway_fleet_options{.plain_replicas_ = 1,
+            gateway_fleet_options{.gateways_ = gateways,
+                                  .plain_replicas_ = 1,
                                   .decode_engines_ = versions.size(),
                                   .route_timeout_ = 20'000ms});
         CPPUNIT_ASSERT(system_->start_standins());
@@ -99,6 +103,34 @@
         return versions;
     }
 
+    /// The gateways whose logs have this text.
+    std::vector<std::size_t> gateways_that_logged(const std::string& text) {
+        std::vector<std::size_t> found;
+        for (std::size_t g = 0; g < system_->gateway_count(); ++g) {
+            if (system_->gateway_log(g).find(text) != std::string::npos) {
+                found.push_back(g);
+            }
+        }
+        return found;
+    }
+
+    /// Takes the stream up at the gateway, up to three times as the answers
+    /// say; returns whether it went on.
+    bool goes_on(std::size_t gateway, const std::string& began) {
+        constexpr int tries = 3;
+        for (int i = 0; i < tries; ++i) {
+            const auto id = next_id();
+            auto stream = take_up(gateway, id, began, 1);
+            if (stream.next_event()) {
+                CPPUNIT_ASSERT_EQUAL(versions_of(began).front(),
+                                     versions_of(id).front());
+                return true;
+            }
+            std::this_thread::sleep_for(500ms);
+        }
+        return false;
+    }
+
     void kill_gateway(std::size_t gateway) {
         system_->gateway(gateway).signal(SIGKILL);
         system_->gateway(gateway).wait(2000ms);
@@ -293,6 +325,50 @@
                        arrival.replica_ == stays.id_;
             }));
     }
+
+    // Guards against streams that nobody is left to know, because the gateway
+    // that should have written them to the store stood still.
+    void streams_go_on_although_their_first_keeper_stands_still() {
+        start({"v1", "v2"}, 5);
+        const auto known = next_id();
+        auto first = begin(0, known);
+        CPPUNIT_ASSERT(first.next_event().has_value());
+        const std::string written = "event=stream_origins_written";
+        CPPUNIT_ASSERT(wait_for(
+            [&] { return !gateways_that_logged(written).empty(); }, 3s));
+        const auto writer = gateways_that_logged(written).front();
+        // Whoever is asked for a stream that nobody began is a keeper.
+        (void)take_up((writer + 1) % 5, next_id(), "nobody-began", 1)
+            .next_event();
+        auto lost = gateways_that_logged("event=stream_origin_told");
+        std::erase(lost, writer);
+        CPPUNIT_ASSERT(lost.size() <= 1U);
+        std::size_t owner = 0;
+        while (owner == writer || std::ranges::count(lost, owner) > 0) {
+            ++owner;
+        }
+        lost.push_back(owner);
+        std::size_t left = 0;
+        while (left == writer || std::ranges::count(lost, left) > 0) {
+            ++left;
+        }
+        system_->gateway(writer).signal(SIGSTOP);
+        std::vector<std::string> began;
+        std::vector<http_stream> open;
+        const auto kill_at = std::chrono::steady_clock::now() + 1900ms;
+        while (std::chrono::steady_clock::now() < kill_at) {
+            began.push_back(next_id());
+            open.push_back(begin(owner, began.back()));
+            CPPUNIT_ASSERT(open.back().next_event().has_value());
+            std::this_thread::sleep_for(80ms);
+        }
+        std::ranges::for_each(lost, [this](auto each) { kill_gateway(each); });
+        const auto gone_on = std::ranges::count_if(
+            began, [&](const auto& each) { return goes_on(left, each); });
+        system_->gateway(writer).signal(SIGCONT);
+        // The rule of the platform: half of them, as all new ones begin.
+        CPPUNIT_ASSERT(2 * static_cast<std::size_t>(gone_on) >= began.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(software_version_test);
