A stream of a split route goes on at the service that began it

With one version a service a stream went on at another service's engines, which nobody had reported.

Cause: the service of each request was drawn by weight, whether it continued a stream or not. What is remembered of a stream is found by the hash of its service and request, so that another service's keepers cannot name it.

Change: origin_exchange::find_service looks a continued stream up among all services with engines, in the own table and with their keepers, which answer from what they know and conclude nothing. It goes on where it began. If that service no longer serves the route it is refused, not run, as a version forbids to run it there. If nobody knows its service, it goes on only if the route has led to one service throughout the time in which streams are continued (routing::route_history). Streams of services that share a route are written to the store with one version as well. New streams are drawn as before; where one service has engines nothing is asked.

--- a/pimentoferry/gateway/caller_service.cpp
+++ b/pimentoferry/gateway/caller_service.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/gateway/caller_service.hpp"
 
 #include "pimentoferry/gateway/account_quotas.hpp"
+#include "pimentoferry/gateway/origin_exchange.hpp"
 #include "pimentoferry/gateway/peer_relay.hpp"
 #include "pimentoferry/gateway/plain_relay.hpp"
 #include "pimentoferry/gateway/stream_relay.hpp"
@@ -18,20 +19,18 @@
 // Callers that were refused together do not return together.
 constexpr base::milliseconds quota_retry_spread{100};
 
-/// Why the configuration serves no request of the route; unset if it does.
-/// `chosen` is the service of the request, null if no service has a weight.
-std::optional<base::refusal_code> closed_by(const routing::route_table& routes,
-                                            const routing::route& route,
-                                            const base::service_name* chosen) {
-    if (route.closed_) {
-        return base::refusal_code::configuration_unreadable;
-    }
-    if (chosen == nullptr) {
-        return base::refusal_code::no_upstream;
-    }
-    return routes.is_closed(*chosen)
-               ? std::optional{base::refusal_code::configuration_unreadable}
-               : std::nullopt;
+base::refusal not_run(base::refusal_code code, std::string detail) {
+    return {code, base::ran_state::not_run, std::nullopt, std::move(detail)};
+}
+
+/// Whether streams of the route are served by engines.
+bool leads_to_engines(const routing::route_table& routes,
+                      const routing::route& route) {
+    return route.kind_ == routing::call_kind::stream &&
+           std::ranges::any_of(route.services_, [&routes](const auto& share) {
+               const auto* service = routes.find_service(share.service_);
+               return service != nullptr && service->engine_;
+           });
 }
 
 } // namespace
@@ -103,6 +102,43 @@
     --shared_.in_flight_;
 }
 
+http::awaitable<std::variant<base::service_name, base::refusal>>
+caller_service::service_of(const caller_request& request,
+                           const routing::route_table& routes,
+                           const routing::route& route) {
+    using code = base::refusal_code;
+    if (route.closed_) {
+        co_return not_run(code::configuration_unreadable,
+                          "the route cannot be read from the configuration");
+    }
+    std::optional<base::service_name> service;
+    if (request.last_event_ && leads_to_engines(routes, route)) {
+        // A continued stream goes on where it began.
+        const auto found =
+            co_await shared_.origins_->find_service(route, request.resumes_);
+        if (const auto* unknown = std::get_if<unknown_origin>(&found)) {
+            co_return refusal_of(*unknown);
+        }
+        if (std::holds_alternative<former_service>(found)) {
+            co_return not_run(code::no_upstream,
+                              "the service that began the stream no longer "
+                              "serves its route");
+        }
+        service = std::get<serving_service>(found).service_;
+    } else if (const auto* chosen =
+                   routing::choose_service(route, shared_.random_fraction())) {
+        service = *chosen;
+    }
+    if (!service) {
+        co_return not_run(code::no_upstream, "no service has a weight");
+    }
+    if (routes.is_closed(*service)) {
+        co_return not_run(code::configuration_unreadable,
+                          "the service cannot be read from the configuration");
+    }
+    co_return *service;
+}
+
 http::awaitable<void> caller_service::route(http::exchange& exchange,
                                             caller_request request,
                                             base::time_point arrived) {
@@ -147,15 +183,12 @@
         }
         account = std::get<request_account>(std::move(identified));
     }
-    const auto* chosen =
-        routing::choose_service(*matched_route, shared_.random_fraction());
-    if (const auto closed = closed_by(*routes, *matched_route, chosen)) {
-        base::refusal refusal{*closed, base::ran_state::not_run, std::nullopt,
-                              "the configuration leads to no service"};
-        co_await refuse_unrouted(exchange, request.id_, std::move(refusal));
+    const auto choice = co_await service_of(request, *routes, *matched_route);
+    if (const auto* refusal = std::get_if<base::refusal>(&choice)) {
+        co_await refuse_unrouted(exchange, request.id_, *refusal);
         co_return;
     }
-    const auto& name = *chosen;
+    const auto& name = std::get<base::service_name>(choice);
     const auto* service = routes->find_service(name);
     const auto deadline =
         arrived + std::min(request.patience_, matched_route->timeout_);
--- a/pimentoferry/gateway/caller_service.hpp
+++ b/pimentoferry/gateway/caller_service.hpp
@@ -6,6 +6,7 @@
 #include "pimentoferry/gateway/runtime.hpp"
 
 #include <string>
+#include <variant>
 
 namespace pimentoferry::gateway {
 
@@ -19,6 +20,11 @@
     http::awaitable<void> route(http::exchange& exchange,
                                 caller_request request,
                                 base::time_point arrived);
+    /// The service that is to serve the request, or why none is.
+    http::awaitable<std::variant<base::service_name, base::refusal>>
+    service_of(const caller_request& request,
+               const routing::route_table& routes,
+               const routing::route& route);
     /// What the quota of its account counts for the call; 0 without a quota.
     static double quota_cost_of(const routed_call& call);
     /// Refuses the call if its account has used its quota.
--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -1,6 +1,7 @@
 #include "pimentoferry/gateway/origin_exchange.hpp"
 
 #include "pimentoferry/base/hash.hpp"
+#include "pimentoferry/base/overloaded.hpp"
 #include "pimentoferry/log/log.hpp"
 #include "pimentoferry/membership/ownership.hpp"
 #include "pimentoferry/wire/codec.hpp"
@@ -120,6 +121,107 @@
     co_return origin;
 }
 
+origin_exchange::pending_search
+origin_exchange::start_search(const base::service_name& service,
+                              std::uint64_t stream) {
+    const auto keepers = other_keepers_of(service);
+    pending_search search{service, stream, next_query(), keepers.size(),
+                          std::make_shared<pending_query>(io_)};
+    queries_.emplace(search.id_, search.query_);
+    std::ranges::for_each(keepers, [&](base::instance_id keeper) {
+        peers_.send(keeper, origin_search{search.id_, service, stream});
+    });
+    return search;
+}
+
+// A stream is known by the hash of its service and request, so that each
+// service has keepers of its own to ask.
+http::awaitable<std::variant<base::service_name, unknown_origin>>
+origin_exchange::search_services(std::string request) {
+    for (const auto& [service, state] : services_) {
+        if (state.origins_.find(stream_hash(service, request))) {
+            co_return service;
+        }
+    }
+    std::vector<pending_search> searches;
+    std::ranges::transform(
+        services_, std::back_inserter(searches), [&](const auto& each) {
+            return start_search(each.first, stream_hash(each.first, request));
+        });
+    auto until = base::clock::now() + query_timeout;
+    std::variant<base::service_name, unknown_origin> found = unknown_origin{};
+    for (const auto& search : searches) {
+        const auto& query = search.query_;
+        while (!query->version_ && query->replies_ < search.asked_ &&
+               base::clock::now() < until) {
+            co_await query->signal_.wait_until(until);
+        }
+        queries_.erase(search.id_);
+        if (query->version_) {
+            services_[search.service_].origins_.add(
+                search.stream_, *query->version_, base::clock::now());
+            found = search.service_;
+            until = base::clock::now();
+        } else if (auto* unknown = std::get_if<unknown_origin>(&found)) {
+            unknown->may_be_known_later_ =
+                unknown->may_be_known_later_ || query->replies_ < search.asked_;
+        }
+    }
+    co_return found;
+}
+
+http::awaitable<stream_service>
+origin_exchange::find_service(const routing::route& route,
+                              std::optional<std::string> request) {
+    const auto asked_at = base::clock::now();
+    const auto serving = routing::serving(route);
+    stream_service result = unknown_origin{};
+    if (services_.size() > 1 && request) {
+        const auto found = co_await search_services(*request);
+        if (const auto* unknown = std::get_if<unknown_origin>(&found)) {
+            result = *unknown;
+        } else {
+            const auto& service = std::get<base::service_name>(found);
+            result = serving.contains(service)
+                         ? stream_service{serving_service{service}}
+                         : stream_service{former_service{service}};
+        }
+    }
+    const auto possible =
+        route_history_.services_of(route, asked_at, keep_.time());
+    if (std::holds_alternative<unknown_origin>(result) && serving.size() == 1 &&
+        possible == serving) {
+        result = serving_service{*serving.begin()};
+    }
+    log::log_info(
+        "stream_service",
+        {{"resumes", request.value_or("none")},
+         {"route", route.name_},
+         {"service",
+          std::visit(
+              base::overloaded{
+                  [](const unknown_origin&) { return std::string{"unknown"}; },
+                  [](const auto& known) { return known.service_.value_; }},
+              result)},
+         {"serves",
+          std::holds_alternative<serving_service>(result) ? "yes" : "no"},
+         {"possible", std::to_string(possible.size())},
+         {"ms", std::to_string(base::age_ms(asked_at, base::clock::now()))}});
+    co_return result;
+}
+
+base::refusal refusal_of(const unknown_origin& unknown) {
+    // By then the loss of a gateway is known, and others keep what it kept.
+    constexpr base::milliseconds retry_after{1000};
+    // A caller that waits learns nothing new, unless a gateway was out of
+    // reach.
+    return {base::refusal_code::no_upstream, base::ran_state::not_run,
+            unknown.may_be_known_later_ ? std::optional{retry_after}
+                                        : std::nullopt,
+            "it is not known which service and software version began the "
+            "stream"};
+}
+
 void origin_exchange::log_origin(const base::service_name& service,
                                  const std::optional<std::string>& request,
                                  const stream_origin& origin,
@@ -197,6 +299,7 @@
             }
         });
     keep_.update(wanted, now);
+    note_routes(routes, now);
     for (const auto& [name, service] : routes->source().services_) {
         if (!service.engine_) {
             continue;
@@ -210,6 +313,18 @@
     }
 }
 
+void origin_exchange::note_routes(
+    const std::shared_ptr<const routing::route_table>& routes,
+    base::time_point now) {
+    if (routes_ && routes_ != routes) {
+        route_history_.replaced(routes_->source(), now);
+    }
+    routes_ = routes;
+    route_history_.expire(now - keep_.time());
+    sharing_ =
+        route_history_.sharing_a_route(routes->source(), now, keep_.time());
+}
+
 void origin_exchange::receive(const began_streams& message) {
     const auto now = base::clock::now();
     auto& state = services_[message.service_];
@@ -432,9 +547,11 @@
                                         found - keepers.begin())};
 }
 
-bool origin_exchange::records_streams(const service_state& state,
+bool origin_exchange::records_streams(const base::service_name& service,
+                                      const service_state& state,
                                       base::time_point now) const {
-    return state.history_.possible(now, keep_.time()).size() > 1;
+    return sharing_.contains(service) ||
+           state.history_.possible(now, keep_.time()).size() > 1;
 }
 
 // Asks the first keeper whether it is there, if there is something to write.
@@ -447,7 +564,7 @@
         state.turn_.reset();
     }
     const auto rank = rank_of_self(service);
-    if (!rank || *rank == 0 || !records_streams(state, now) ||
+    if (!rank || *rank == 0 || !records_streams(service, state, now) ||
         state.origins_.unrecorded(1, now).empty()) {
         return;
     }
@@ -462,7 +579,7 @@
                                     base::time_point now) {
     const auto rank = rank_of_self(service);
     if (!rank || ring_.writing() || now < state.next_write_ ||
-        !records_streams(state, now)) {
+        !records_streams(service, state, now)) {
         return;
     }
     const began_streams message{
--- a/pimentoferry/gateway/origin_exchange.hpp
+++ b/pimentoferry/gateway/origin_exchange.hpp
@@ -13,11 +13,11 @@
 /// to a call, into a ring of keys that every gateway follows. The second keeper
 /// writes in place of the first one if that does not answer it, see
 /// `routing::write_turn`. While only one
-/// version is possible, every stream is known to be of it, and nothing is
-/// written but the list of the possible versions, see `version_record`. A
-/// gateway or keeper concludes that only from the list as the store has it
-/// after the question: an older view, or a peer that does not contradict,
-/// proves nothing.
+/// version is possible and the route leads to no other service, every stream is
+/// known to be of it, and nothing is written but the list of the possible
+/// versions, see `version_record`. A gateway or keeper concludes that only from
+/// the list as the store has it after the question: an older view, or a peer
+/// that does not contradict, proves nothing.
 ///
 /// Alternatives considered: the owner of a service's scheduler alone is lost
 /// together with the gateway that owned the stream in one of three kills of a
@@ -27,6 +27,7 @@
 #define PIMENTOFERRY_GATEWAY_ORIGIN_EXCHANGE_HPP
 
 #include "pimentoferry/base/ids.hpp"
+#include "pimentoferry/base/refusal.hpp"
 #include "pimentoferry/base/software_version.hpp"
 #include "pimentoferry/base/time.hpp"
 #include "pimentoferry/gateway/metrics.hpp"
@@ -37,6 +38,8 @@
 #include "pimentoferry/gateway/version_record.hpp"
 #include "pimentoferry/http/awaitable.hpp"
 #include "pimentoferry/http/mailbox.hpp"
+#include "pimentoferry/routing/route_history.hpp"
+#include "pimentoferry/routing/route_table.hpp"
 #include "pimentoferry/routing/stream_origins.hpp"
 #include "pimentoferry/routing/write_turn.hpp"
 #include "pimentoferry/store/http_store.hpp"
@@ -47,6 +50,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -68,6 +72,20 @@
 };
 using stream_origin = std::variant<known_origin, unknown_origin>;
 
+/// The stream may go on at this service.
+struct serving_service {
+    base::service_name service_;
+};
+/// The route no longer leads to the service that began the stream.
+struct former_service {
+    base::service_name service_;
+};
+using stream_service =
+    std::variant<serving_service, former_service, unknown_origin>;
+
+/// Refuses to continue a stream of which it is not known where it began.
+base::refusal refusal_of(const unknown_origin& unknown);
+
 class origin_exchange {
 public:
     origin_exchange(boost::asio::io_context& io,
@@ -101,6 +119,12 @@
     http::awaitable<stream_origin> resolve(base::service_name service,
                                            std::optional<std::string> request);
 
+    /// The service at which a stream of the route may go on: the one that began
+    /// it. `request` as for `resolve`.
+    http::awaitable<stream_service>
+    find_service(const routing::route& route,
+                 std::optional<std::string> request);
+
     /// Notes the versions that are in use after a change of the registry.
     void set_instances(const registry& registry_view, base::time_point now);
 
@@ -157,6 +181,22 @@
         std::optional<base::software_version> version_;
     };
 
+    /// A question to the keepers of one service.
+    struct pending_search {
+        base::service_name service_;
+        std::uint64_t stream_{0};
+        base::attempt_id id_;
+        std::size_t asked_{0};
+        std::shared_ptr<pending_query> query_;
+    };
+
+    http::awaitable<std::variant<base::service_name, unknown_origin>>
+    search_services(std::string request);
+    pending_search start_search(const base::service_name& service,
+                                std::uint64_t stream);
+    void note_routes(const std::shared_ptr<const routing::route_table>& routes,
+                     base::time_point now);
+
     std::vector<base::instance_id>
     keepers_of(const base::service_name& service) const;
     std::vector<base::instance_id>
@@ -202,7 +242,8 @@
     rank_of_self(const base::service_name& service) const;
     /// Whether streams have to be in the store, as it is not known otherwise
     /// where they may go on.
-    bool records_streams(const service_state& state,
+    bool records_streams(const base::service_name& service,
+                         const service_state& state,
                          base::time_point now) const;
     void ask_first_keeper(const base::service_name& service,
                           service_state& state,
@@ -223,6 +264,10 @@
     /// How long streams and versions are kept.
     routing::retention keep_;
     base::time_point next_review_;
+    std::shared_ptr<const routing::route_table> routes_;
+    routing::route_history route_history_;
+    /// Services that share a route with others.
+    std::set<base::service_name> sharing_;
     origin_ring ring_;
     version_record record_;
 };
--- a/pimentoferry/gateway/stream_call.hpp
+++ b/pimentoferry/gateway/stream_call.hpp
@@ -96,8 +96,6 @@
     http::awaitable<void> finish(stream_outcome outcome);
     http::awaitable<void>
     refuse_placement(const placement::stream_refusal& refused);
-    /// Refuses to continue a stream if it is not known which version began it.
-    http::awaitable<void> refuse_unknown_origin(bool may_be_known_later);
     /// Whether the caller has events of the stream.
     bool resumed() const {
         return any_event_sent_ || call_.request_.last_event_;
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -23,8 +23,6 @@
 constexpr std::uint32_t max_placements = 3;
 
 constexpr base::milliseconds no_engine_retry_after{1500};
-// By then the loss of a gateway is known, and others keep what it kept.
-constexpr base::milliseconds unknown_origin_retry_after{1000};
 // The version of an instance is recorded soon after its registration.
 constexpr base::milliseconds longest_record_wait{500};
 constexpr base::milliseconds record_poll_interval{10};
@@ -171,7 +169,8 @@
         const auto origin = co_await shared_.origins_->resolve(
             call_.service_, call_.request_.resumes_);
         if (const auto* unknown = std::get_if<unknown_origin>(&origin)) {
-            co_await refuse_unknown_origin(unknown->may_be_known_later_);
+            auto refusal = refusal_of(*unknown);
+            co_await refuse(shared_, call_, std::move(refusal));
             co_return;
         }
         origin_ = std::get<known_origin>(origin).version_;
@@ -232,17 +231,6 @@
     co_await finish(std::move(outcome));
 }
 
-// A caller that waits learns nothing new, unless a gateway was out of reach.
-http::awaitable<void>
-stream_call::refuse_unknown_origin(bool may_be_known_later) {
-    base::refusal refusal{
-        base::refusal_code::no_upstream, base::ran_state::not_run,
-        may_be_known_later ? std::optional{unknown_origin_retry_after}
-                           : std::nullopt,
-        "the software version that began the stream is not known"};
-    co_await refuse(shared_, call_, std::move(refusal));
-}
-
 bool stream_call::is_in_service(const base::software_version& version) const {
     return std::ranges::any_of(shared_.registry_.instances().usable(
                                    call_.service_, base::clock::now()),
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -267,7 +267,8 @@
 void gateway_fleet::register_replica(const platform_replica_process& replica,
                                      const std::string& state) const {
     Json::Value entry;
-    entry["service"] = replica.stage_.empty() ? "desk" : "chat";
+    const std::string by_stage = replica.stage_.empty() ? "desk" : "chat";
+    entry["service"] = replica.service_.empty() ? by_stage : replica.service_;
     entry["address"] = loopback_address(replica.registered_port_);
     entry["zone"] = "north";
     entry["state"] = state;
--- a/tests/process/gateway_fleet.hpp
+++ b/tests/process/gateway_fleet.hpp
@@ -65,6 +65,8 @@
     std::uint16_t port_{0};
     /// In its registration; empty: the registration names none.
     std::string software_version_;
+    /// In its registration; empty: that of the fleet's configuration.
+    std::string service_;
     /// The port in its registration; differs from `port_` behind a proxy.
     std::uint16_t registered_port_{0};
     std::string log_;
--- a/tests/process/software_version_test.cpp
+++ b/tests/process/software_version_test.cpp
@@ -35,17 +35,21 @@
     CPPUNIT_TEST(a_stream_that_nobody_knows_is_refused);
     CPPUNIT_TEST(a_gateway_that_was_stopped_does_not_guess_the_version);
     CPPUNIT_TEST(streams_go_on_although_their_first_keeper_stands_still);
+    CPPUNIT_TEST(a_stream_of_a_split_route_goes_on_at_its_service);
+    CPPUNIT_TEST(a_stream_whose_service_left_its_route_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
     // Optional because CppUnit constructs all fixtures before the first test.
     std::optional<gateway_fleet> system_;
     std::size_t requests_{0};
+    std::vector<http_stream> open_;
 
     std::string next_id() { return "request-" + std::to_string(++requests_); }
 
     /// Starts decode engines with these versions.
     void start(const std::vector<std::string>& versions,
-               std::size_t gateways = 2) {
+               std::size_t gateways = 2,
+               const std::vector<std::string>& services = {}) {
         system_.emplace(
             gateway_fleet_options{.gateways_ = gateways,
                                   .plain_replicas_ = 1,
@@ -53,7 +57,11 @@
                                   .route_timeout_ = 20'000ms});
         CPPUNIT_ASSERT(system_->start_standins());
         auto version = versions.begin();
+        auto service = services.begin();
         for (auto& replica : system_->replicas()) {
+            if (replica.stage_ == "decode" && service != services.end()) {
+                replica.service_ = *service++;
+            }
             replica.software_version_ =
                 replica.stage_ == "decode" ? *version++ : versions.front();
         }
@@ -131,6 +139,46 @@
         return false;
     }
 
+    /// Writes a version in which the resumable route leads to these services;
+    /// there are two services with engines.
+    void route_to(const std::string& services) {
+        const std::string engine =
+            R"("engine":{"slots":64,"kv_tokens":100000,"stride":1}})";
+        system_->put_configuration_with(
+            {{"services", R"([{"name":"desk"},{"name":"chat",)" + engine +
+                              R"(,{"name":"chat-2",)" + engine + "]"},
+             {"routes", R"([{"name":"talk","host":"silage.example",
+                "path_prefix":"/talk/","kind":"streaming","timeout_ms":20000,
+                "target_latency_ms":900,"target_gap_ms":300,"max_attempts":2,
+                "resumable":true,)" +
+                            services + "}]"}});
+        std::this_thread::sleep_for(2000ms); // Every gateway has it.
+    }
+
+    std::string service_of(const std::string& request) {
+        const auto arrivals = system_->arrivals();
+        const auto run = std::ranges::find_if(arrivals, [&](const auto& each) {
+            return each.request_ == request && each.kind_ == "run";
+        });
+        CPPUNIT_ASSERT(run != arrivals.end());
+        return std::ranges::find(system_->replicas(), run->replica_,
+                                 &platform_replica_process::id_)
+            ->service_;
+    }
+
+    /// Begins streams at the first gateway and waits until the others know
+    /// them.
+    std::vector<std::string> begin_streams(std::size_t count) {
+        std::vector<std::string> began;
+        for (std::size_t i = 0; i < count; ++i) {
+            began.push_back(next_id());
+            open_.push_back(begin(0, began.back()));
+            CPPUNIT_ASSERT(open_.back().next_event().has_value());
+        }
+        std::this_thread::sleep_for(1500ms);
+        return began;
+    }
+
     void kill_gateway(std::size_t gateway) {
         system_->gateway(gateway).signal(SIGKILL);
         system_->gateway(gateway).wait(2000ms);
@@ -162,7 +210,10 @@
     }
 
 public:
-    void tearDown() override { system_.reset(); }
+    void tearDown() override {
+        open_.clear();
+        system_.reset();
+    }
 
     // Guards against an answer that is joined from two versions because its
     // engine broke off.
@@ -369,6 +420,45 @@
         // The rule of the platform: half of them, as all new ones begin.
         CPPUNIT_ASSERT(2 * static_cast<std::size_t>(gone_on) >= began.size());
     }
+
+    // Guards against a take-up at a service that is drawn anew, where the
+    // stream is not known or goes on with another service's text.
+    void a_stream_of_a_split_route_goes_on_at_its_service() {
+        for (const std::string other_version : {"v1", "v2"}) {
+            start({"v1", other_version, "v1", other_version}, 3,
+                  {"chat", "chat", "chat-2", "chat-2"});
+            route_to(R"("traffic_split":[{"service":"chat","weight":50},
+                                         {"service":"chat-2","weight":50}])");
+            const auto began = begin_streams(12);
+            kill_gateway(0);
+            for (std::size_t i = 0; i < began.size(); ++i) {
+                const auto id = next_id();
+                CPPUNIT_ASSERT(check_take_up(
+                    take_up(1 + i % 2, id, began[i], 1), id, began[i]));
+                CPPUNIT_ASSERT_EQUAL(service_of(began[i]), service_of(id));
+            }
+            tearDown();
+        }
+    }
+
+    // Guards against a stream that goes on at the service to which its route
+    // has moved.
+    void a_stream_whose_service_left_its_route_is_refused() {
+        start({"v1", "v1"}, 3, {"chat", "chat-2"});
+        route_to(R"("service":"chat")");
+        const auto began = begin_streams(4);
+        route_to(R"("service":"chat-2")");
+        kill_gateway(0);
+        for (std::size_t i = 0; i < began.size(); ++i) {
+            const auto id = next_id();
+            CPPUNIT_ASSERT(!check_take_up(take_up(1 + i % 2, id, began[i], 1),
+                                          id, began[i]));
+        }
+        const auto fresh = next_id();
+        auto stream = begin(1, fresh);
+        CPPUNIT_ASSERT(stream.next_event().has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string{"chat-2"}, service_of(fresh));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(software_version_test);
