Two crashed replicas do not pass for a gateway without links

Cause: a gateway that has failed to reach two replicas in a row may be cut off from all of them, so it asks one more before it blames a call. That one was drawn among all usable ones, and could be one of the two that had just crashed.

Change: only an upstream that is not part of the evidence is asked. If none is left, two failures confirm nothing; more than two still do, as a call is refused after two crashes, so that it cannot have caused them alone. The check that ends an isolation still asks any upstream.

--- a/pimentoferry/gateway/peer_relay.cpp
+++ b/pimentoferry/gateway/peer_relay.cpp
@@ -82,7 +82,7 @@
     }
 }
 
-std::optional<routing::instance> peer_relay::any_upstream() {
+std::optional<routing::instance> peer_relay::draw_upstream(bool unfailed_only) {
     const auto routes = shared_.registry_.routes();
     if (!routes) {
         return std::nullopt;
@@ -93,6 +93,11 @@
         std::ranges::copy(shared_.registry_.instances().usable(name, now),
                           std::back_inserter(candidates));
     }
+    if (unfailed_only) {
+        std::erase_if(candidates, [this](const routing::instance* each) {
+            return reach_.has_failed(each->id_);
+        });
+    }
     if (candidates.empty()) {
         return std::nullopt;
     }
@@ -102,11 +107,15 @@
 }
 
 http::awaitable<bool> peer_relay::confirm_isolation() {
-    const auto upstream = isolated() ? any_upstream() : std::nullopt;
-    if (upstream) {
-        // An answer is recorded where answers are observed.
-        co_await probe_upstream(shared_, *upstream);
+    if (!isolated()) {
+        co_return false;
+    }
+    const auto upstream = draw_upstream(true);
+    if (!upstream) {
+        co_return reach_.isolated_unconfirmed();
     }
+    // An answer is recorded where answers are observed.
+    co_await probe_upstream(shared_, *upstream);
     co_return isolated();
 }
 
@@ -115,7 +124,10 @@
     asio::co_spawn(
         shared_.io_,
         [this]() -> http::awaitable<void> {
-            co_await confirm_isolation();
+            // Any that answers ends the isolation, also one that failed before.
+            if (const auto upstream = draw_upstream(false)) {
+                co_await probe_upstream(shared_, *upstream);
+            }
             checking_ = false;
         },
         asio::detached);
--- a/pimentoferry/gateway/peer_relay.hpp
+++ b/pimentoferry/gateway/peer_relay.hpp
@@ -38,8 +38,8 @@
     /// Whether this gateway reaches no upstream.
     bool isolated() const { return reach_.isolated(); }
 
-    /// As `isolated`, after asking one more upstream: several may have ended
-    /// one after the other.
+    /// As `isolated`, after asking an upstream that has not failed: those that
+    /// have may have ended one after the other.
     http::awaitable<bool> confirm_isolation();
 
     /// Whether a request should be passed to another gateway before any
@@ -73,7 +73,9 @@
     http::awaitable<relay_result> relay_to(base::endpoint address,
                                            routed_call& call);
     http::awaitable<void> forward(http::open_answer& answer, routed_call& call);
-    std::optional<routing::instance> any_upstream();
+    /// A usable upstream; unset if there is none. `unfailed_only`: one that is
+    /// not part of the evidence for an isolation.
+    std::optional<routing::instance> draw_upstream(bool unfailed_only);
     void check_one_upstream();
     void report();
 
--- a/pimentoferry/routing/upstream_reach.cpp
+++ b/pimentoferry/routing/upstream_reach.cpp
@@ -27,4 +27,8 @@
     return unreached_.size() >= isolated_from;
 }
 
+bool upstream_reach::isolated_unconfirmed() const {
+    return unreached_.size() > isolated_from;
+}
+
 } // namespace pimentoferry::routing
--- a/pimentoferry/routing/upstream_reach.hpp
+++ b/pimentoferry/routing/upstream_reach.hpp
@@ -5,6 +5,9 @@
 /// none over a new connection, it is the gateway's own links that are at fault.
 /// Open connections prove nothing: they may live on while new ones fail.
 ///
+/// Instances that have ended look the same, so that only one that has not
+/// failed yet can confirm it.
+///
 ///     reach.failed(instance.id_);   // no connection, or silence
 ///     reach.connected();            // an answer over a new connection
 ///     if (reach.isolated()) { ... }
@@ -27,6 +30,15 @@
 
     bool isolated() const;
 
+    /// Whether the instance is part of the evidence.
+    bool has_failed(const base::upstream_name& instance) const {
+        return unreached_.contains(instance);
+    }
+
+    /// Whether the evidence suffices if no instance is left that could confirm
+    /// it: more have failed than one call is let end.
+    bool isolated_unconfirmed() const;
+
 private:
     /// Instances that could not be reached since the last new connection.
     std::set<base::upstream_name> unreached_;
