A keeper learns of its own writes when the store acknowledges them

Cause: a keeper that does not watch the store sees its own write with the next copy from a peer, up to a second later. Until then it wrote the streams again, and expected the slot's old revision, so that each second write failed. A failed write was repeated at the next review only.

Change: what the store acknowledges is recorded at once (store::slot_ring, finish_write). A conflict shows the slot's revision, and the write is repeated with the next slot. Writers skip different numbers of slots. A keeper that finds the first one silent during the pause between two writes writes after it instead of at the next review.

--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -435,10 +435,13 @@
         return;
     }
     // The ring also has streams of versions that left long ago.
-    auto& state = services_[message->service_];
-    add_streams(state, *message, base::clock::now());
-    auto& origins = state.origins_;
-    for (const auto& group : message->groups_) {
+    add_streams(services_[message->service_], *message, base::clock::now());
+    set_recorded(*message);
+}
+
+void origin_exchange::set_recorded(const began_streams& message) {
+    auto& origins = services_[message.service_].origins_;
+    for (const auto& group : message.groups_) {
         std::ranges::for_each(group.streams_, [&origins](std::uint64_t stream) {
             origins.set_recorded(stream);
         });
@@ -490,7 +493,20 @@
     counters_.set_gauge("software_versions", static_cast<double>(versions));
 }
 
+// The replica shows what was written only some time later.
+void origin_exchange::finish_write(const began_streams& message,
+                                   origin_ring::write_result result) {
+    if (result == origin_ring::write_result::written) {
+        set_recorded(message);
+    } else if (result == origin_ring::write_result::slot_taken) {
+        auto& state = services_[message.service_];
+        state.write_due_ = true;
+        state.next_write_ = {};
+    }
+}
+
 void origin_exchange::forget_records() {
+    ring_.forget();
     for (auto& [service, state] : services_) {
         state.origins_.clear_recorded();
     }
@@ -514,7 +530,9 @@
         if (review) {
             ask_first_keeper(service, state, now);
         }
-        if (review || state.turn_.find_silent(now)) {
+        state.write_due_ =
+            state.turn_.find_silent(now) || review || state.write_due_;
+        if (state.write_due_) {
             write_streams(service, state, replica, now);
         }
     }
@@ -577,9 +595,12 @@
                                     service_state& state,
                                     const store::mirror& replica,
                                     base::time_point now) {
+    if (ring_.writing() || now < state.next_write_) {
+        return;
+    }
+    state.write_due_ = false;
     const auto rank = rank_of_self(service);
-    if (!rank || ring_.writing() || now < state.next_write_ ||
-        !records_streams(service, state, now)) {
+    if (!rank || !records_streams(service, state, now)) {
         return;
     }
     const began_streams message{
@@ -589,7 +610,9 @@
         return;
     }
     state.turn_.wrote(*rank, now);
-    ring_.write(message, *rank, replica);
+    ring_.write(message, *rank, replica, [this, message](auto result) {
+        finish_write(message, result);
+    });
     const auto writers_of_ring = static_cast<int>(services_.size());
     state.next_write_ =
         now + keep_.time() * writers_of_ring / origin_ring::size;
--- a/pimentoferry/gateway/origin_exchange.hpp
+++ b/pimentoferry/gateway/origin_exchange.hpp
@@ -94,7 +94,8 @@
                     const store_follower& follower,
                     metrics& counters)
         : io_(io), peers_(peer_gateways), follower_(follower),
-          counters_(counters), ring_(store, counters),
+          counters_(counters),
+          ring_(store, counters, peer_gateways.self().value_),
           record_(io,
                   peer_gateways,
                   store,
@@ -165,6 +166,8 @@
         base::instance_id first_keeper_;
         routing::write_turn turn_;
         base::time_point next_write_;
+        /// There may be something to write, as soon as that is possible.
+        bool write_due_{false};
     };
     /// A query of this gateway that waits for its replies.
     struct pending_query {
@@ -252,6 +255,9 @@
                        service_state& state,
                        const store::mirror& replica,
                        base::time_point now);
+    void finish_write(const began_streams& message,
+                      origin_ring::write_result result);
+    void set_recorded(const began_streams& message);
     base::attempt_id next_query() { return {peers_.self(), ++last_query_}; }
 
     boost::asio::io_context& io_;
--- a/pimentoferry/gateway/origin_ring.cpp
+++ b/pimentoferry/gateway/origin_ring.cpp
@@ -3,19 +3,19 @@
 #include "pimentoferry/log/log.hpp"
 #include "pimentoferry/wire/codec.hpp"
 
-#include <algorithm>
 #include <functional>
 #include <numeric>
-#include <ranges>
 #include <string>
 #include <utility>
-#include <vector>
 
 namespace pimentoferry::gateway {
 
 namespace {
 
-std::string slot_key(int slot) {
+// Writers with different views of the members may write at the same time.
+constexpr std::size_t slots_of_writers = 8;
+
+std::string slot_key(std::size_t slot) {
     return std::string{origin_ring::prefix} + std::to_string(slot);
 }
 
@@ -25,27 +25,18 @@
     return found == replica.items().end() ? 0 : found->second.revision_;
 }
 
-/// The slot that was written first, or not yet, after `skipped` others.
-std::string oldest_slot(const store::mirror& replica, std::size_t skipped) {
-    std::vector<std::pair<store::revision, int>> slots;
-    std::ranges::transform(
-        std::views::iota(0, origin_ring::size), std::back_inserter(slots),
-        [&replica](int slot) {
-            return std::pair{revision_of(replica, slot_key(slot)), slot};
-        });
-    const auto found = slots.begin() + static_cast<std::ptrdiff_t>(
-                                           std::min(skipped, slots.size() - 1));
-    std::ranges::nth_element(slots, found);
-    return slot_key(found->second);
-}
-
 } // namespace
 
 void origin_ring::write(const began_streams& message,
                         std::size_t rank,
-                        const store::mirror& replica) {
+                        const store::mirror& replica,
+                        done_handler on_done) {
     writing_ = true;
-    auto key = oldest_slot(replica, rank);
+    const auto slot = slots_.oldest(
+        writer_ % slots_of_writers, [&replica](std::size_t number) {
+            return revision_of(replica, slot_key(number));
+        });
+    auto key = slot_key(slot.number_);
     const auto streams = std::transform_reduce(
         message.groups_.begin(), message.groups_.end(), std::size_t{0},
         std::plus{}, [](const auto& group) { return group.streams_.size(); });
@@ -54,16 +45,27 @@
                    {"streams", std::to_string(streams)},
                    {"rank", std::to_string(rank)},
                    {"key", key}});
-    const auto expected = revision_of(replica, key);
     store_.submit(
         {store::token{1}, store::put{std::move(key), wire::encode(message),
-                                     expected, store::lease_id{}}},
-        [this](const store::result& result) {
+                                     slot.revision_, store::lease_id{}}},
+        [this, number = slot.number_,
+         on_done = std::move(on_done)](const store::result& result) {
             writing_ = false;
-            const bool done =
-                std::holds_alternative<store::written>(result.outcome_);
-            counters_.count_store_call("stream_origins",
-                                       done ? "ok" : "unavailable");
+            const auto* done = std::get_if<store::written>(&result.outcome_);
+            const auto* taken = std::get_if<store::conflict>(&result.outcome_);
+            auto outcome = write_result::not_written;
+            std::string_view counted = "unavailable";
+            if (done != nullptr) {
+                slots_.learned(number, done->revision_);
+                outcome = write_result::written;
+                counted = "ok";
+            } else if (taken != nullptr) {
+                slots_.learned(number, taken->current_);
+                outcome = write_result::slot_taken;
+                counted = "conflict";
+            }
+            counters_.count_store_call("stream_origins", counted);
+            on_done(outcome);
         });
 }
 
--- a/pimentoferry/gateway/origin_ring.hpp
+++ b/pimentoferry/gateway/origin_ring.hpp
@@ -1,10 +1,9 @@
 /// Writes streams and their versions into a ring of keys in the store, which
 /// every gateway follows.
 ///
-///     if (!ring.writing()) { ring.write(message, rank, replica); }
+///     if (!ring.writing()) { ring.write(message, rank, replica, on_done); }
 ///
-/// A write replaces the slot that was written first. Keepers of different ranks
-/// take different slots, so that one does not undo the other's write.
+/// A write replaces a slot that was written long ago, see `store::slot_ring`.
 #ifndef PIMENTOFERRY_GATEWAY_ORIGIN_RING_HPP
 #define PIMENTOFERRY_GATEWAY_ORIGIN_RING_HPP
 
@@ -12,8 +11,11 @@
 #include "pimentoferry/gateway/peers.hpp"
 #include "pimentoferry/store/http_store.hpp"
 #include "pimentoferry/store/mirror.hpp"
+#include "pimentoferry/store/slot_ring.hpp"
 
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <string_view>
 
 namespace pimentoferry::gateway {
@@ -25,8 +27,18 @@
     /// Number of keys.
     static constexpr int size{128};
 
-    origin_ring(store::http_store& store, metrics& counters)
-        : store_(store), counters_(counters) {}
+    enum class write_result : std::uint8_t {
+        written,
+        slot_taken,  ///< By another writer; another slot is free.
+        not_written, ///< The store has refused, or not answered in time.
+    };
+    using done_handler = std::function<void(write_result)>;
+
+    /// `writer` is a number by which writers differ.
+    origin_ring(store::http_store& store,
+                metrics& counters,
+                std::uint64_t writer)
+        : store_(store), counters_(counters), writer_(writer) {}
 
     /// Whether a write is in progress.
     bool writing() const { return writing_; }
@@ -35,11 +47,17 @@
     /// called during a write.
     void write(const began_streams& message,
                std::size_t rank,
-               const store::mirror& replica);
+               const store::mirror& replica,
+               done_handler on_done);
+
+    /// The store has come back from an older copy.
+    void forget() { slots_.forget(); }
 
 private:
     store::http_store& store_;
     metrics& counters_;
+    std::uint64_t writer_;
+    store::slot_ring slots_{size};
     bool writing_{false};
 };
 
--- a/tests/process/software_version_test.cpp
+++ b/tests/process/software_version_test.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <csignal>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -35,6 +36,7 @@
     CPPUNIT_TEST(a_stream_that_nobody_knows_is_refused);
     CPPUNIT_TEST(a_gateway_that_was_stopped_does_not_guess_the_version);
     CPPUNIT_TEST(streams_go_on_although_their_first_keeper_stands_still);
+    CPPUNIT_TEST(a_keeper_writes_each_stream_once);
     CPPUNIT_TEST(a_stream_of_a_split_route_goes_on_at_its_service);
     CPPUNIT_TEST(a_stream_whose_service_left_its_route_is_refused);
     CPPUNIT_TEST_SUITE_END();
@@ -421,6 +423,33 @@
         CPPUNIT_ASSERT(2 * static_cast<std::size_t>(gone_on) >= began.size());
     }
 
+    // Guards against a keeper that writes again, and over its own last write,
+    // what its replica does not show yet.
+    void a_keeper_writes_each_stream_once() {
+        start({"v1", "v2"}, 12); // The keeper is rarely a watcher of the store.
+        constexpr std::size_t streams = 30;
+        for (std::size_t i = 0; i < streams; ++i) {
+            open_.push_back(begin(0, next_id()));
+            CPPUNIT_ASSERT(open_.back().next_event().has_value());
+            std::this_thread::sleep_for(100ms);
+        }
+        std::this_thread::sleep_for(1500ms);
+        std::size_t written = 0;
+        for (std::size_t g = 0; g < system_->gateway_count(); ++g) {
+            std::istringstream log{system_->gateway_log(g)};
+            const std::string count = " streams=";
+            for (std::string line; std::getline(log, line);) {
+                const auto at = line.find(count);
+                if (line.find("event=stream_origins_written") !=
+                        std::string::npos &&
+                    line.find("rank=0") != std::string::npos) {
+                    written += std::stoul(line.substr(at + count.size()));
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(streams, written);
+    }
+
     // Guards against a take-up at a service that is drawn anew, where the
     // stream is not known or goes on with another service's text.
     void a_stream_of_a_split_route_goes_on_at_its_service() {
