A gateway whose question is not answered asks another watcher at once

The gateway that serves the stream knew the new engine 0.4 to 1 s after the watchers of the store.

Cause: a gateway that does not watch the store asks one watcher each 500 ms. One that has stopped, or is behind itself, does not answer, and the gateway waited for its next turn.

Change: without a confirmation within 150 ms the gateway asks another watcher, once a turn. The test and its waits are as they were.

--- a/pimentoferry/gateway/replica_exchange.cpp
+++ b/pimentoferry/gateway/replica_exchange.cpp
@@ -12,6 +12,8 @@
 // A change that only some gateways receive reaches the others in about two
 // rounds; a configuration has to take effect everywhere within 2 s.
 constexpr base::milliseconds compare_interval{500};
+// A position and a small difference cross the fleet's network once each.
+constexpr base::milliseconds answer_limit{150};
 // A configuration of some hundred routes; registrations are far smaller.
 constexpr std::size_t large_update_bytes = std::size_t{64} << 10;
 // Requests of callers wait for as long behind an update that is sent.
@@ -27,24 +29,35 @@
       awaited_(own_link_), random_(peer_gateways.self().value_) {}
 
 void replica_exchange::tick(base::time_point now) {
-    if (now < next_compare_) {
-        return;
+    if (now >= next_compare_) {
+        next_compare_ = now + compare_interval;
+        next_watcher_at_ = now + answer_limit;
+        unconfirmed_by_ = send_position_to_one(peers_.watchers(), now);
+        send_position_to_one(peers_.others(), now);
+    } else if (unconfirmed_by_ && now >= next_watcher_at_) {
+        send_position_to_one(watchers_without(*unconfirmed_by_), now);
+        unconfirmed_by_.reset();
     }
-    next_compare_ = now + compare_interval;
-    send_position_to_one(peers_.watchers(), now);
-    send_position_to_one(peers_.others(), now);
 }
 
-void replica_exchange::send_position_to_one(
+std::vector<base::instance_id>
+replica_exchange::watchers_without(base::instance_id excluded) {
+    auto watchers = peers_.watchers();
+    std::erase(watchers, excluded);
+    return watchers;
+}
+
+std::optional<base::instance_id> replica_exchange::send_position_to_one(
     std::vector<base::instance_id> candidates, base::time_point now) {
     std::erase(candidates, peers_.self());
     std::vector<base::instance_id> chosen;
     std::ranges::sample(candidates, std::back_inserter(chosen), 1, random_);
-    if (!chosen.empty()) {
-        peers_.send(chosen.front(),
-                    replica_position{follower_.replica().current(),
-                                     follower_.confirmed(now)});
+    if (chosen.empty()) {
+        return std::nullopt;
     }
+    peers_.send(chosen.front(), replica_position{follower_.replica().current(),
+                                                 follower_.confirmed(now)});
+    return chosen.front();
 }
 
 bool replica_exchange::may_send_large(std::size_t bytes,
@@ -108,6 +121,9 @@
 }
 
 void replica_exchange::receive(const replica_update& message) {
+    if (message.current_) {
+        unconfirmed_by_.reset();
+    }
     follower_.merge(message);
     awaited_.reached(follower_.replica().current());
 }
--- a/pimentoferry/gateway/replica_exchange.hpp
+++ b/pimentoferry/gateway/replica_exchange.hpp
@@ -1,11 +1,13 @@
 /// Exchange of the store's data among gateways.
 ///
 /// Every 500 ms a gateway sends the position of its replica to a watcher of the
-/// store and to another gateway. A peer that is ahead sends the difference, or,
-/// if that is large, offers it. Large differences are sent on request only, to
-/// each gateway one at a time, see `store::transfer_request`. Gateways whose
-/// link would be busy for long offer them only if they watch the store or the
-/// receiver has not heard from a watcher.
+/// store and to another gateway, and if no watcher confirms its replica in
+/// time, because that one has stopped or is behind itself, to another watcher.
+/// A peer that is ahead sends the difference, or, if that is large, offers it.
+/// Large differences are sent on request only, to each gateway one at a time,
+/// see `store::transfer_request`. Gateways whose link would be busy for long
+/// offer them only if they watch the store or the receiver has not heard from a
+/// watcher.
 #ifndef PIMENTOFERRY_GATEWAY_REPLICA_EXCHANGE_HPP
 #define PIMENTOFERRY_GATEWAY_REPLICA_EXCHANGE_HPP
 
@@ -15,6 +17,7 @@
 #include "pimentoferry/gateway/store_follower.hpp"
 #include "pimentoferry/store/replica_transfer.hpp"
 
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -35,8 +38,12 @@
     void tick(base::time_point now);
 
 private:
-    void send_position_to_one(std::vector<base::instance_id> candidates,
-                              base::time_point now);
+    /// Returns the gateway that was chosen; unset if there is no candidate.
+    std::optional<base::instance_id>
+    send_position_to_one(std::vector<base::instance_id> candidates,
+                         base::time_point now);
+    /// The watchers but `excluded`.
+    std::vector<base::instance_id> watchers_without(base::instance_id excluded);
     bool may_send_large(std::size_t bytes,
                         bool receiver_confirmed,
                         base::time_point now) const;
@@ -48,6 +55,9 @@
     store::transfer_request awaited_;
     std::mt19937_64 random_;
     base::time_point next_compare_;
+    /// The watcher that was asked last, until one confirms the replica.
+    std::optional<base::instance_id> unconfirmed_by_;
+    base::time_point next_watcher_at_;
 };
 
 } // namespace pimentoferry::gateway
