An engine is not blamed by a gateway that has not heard of it yet

What was seen: a_gateway_out_of_step_does_not_guess_the_version failed in 2 of 40 runs. The log of one: the owner of the streams granted a new engine, the gateway of the request did not know it yet and said that it was gone, and for the next second the owner gave all streams to an engine that was full.

Cause: an engine that is not usable here was always reported as unreachable. That is right for one that was removed, of which the owner may not have heard, but not for one of which this gateway has not heard.

Change: instance_table::is_unknown tells the two apart. An unknown engine is left out for this request only, as one that asked this gateway for a pause is.

--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -373,8 +373,7 @@
 stream_call::decode(placement::stream_grant grant,
                     std::optional<kv_source> source,
                     placement_guard& guard) {
-    stream_outcome outcome = stream_not_run{
-        "the decode engine is gone", placement::decode_rejection::unreachable};
+    stream_outcome outcome = stream_not_run{};
     for (std::uint32_t i = 0; i < max_decode_sends; ++i) {
         const auto engine = find_engine(grant.decode_);
         const bool paused = engine && is_paused(*engine);
@@ -402,6 +401,8 @@
         } else if (engine) {
             outcome =
                 co_await send_decode(*engine, source, grant.attempt_, guard);
+        } else {
+            outcome = missing_engine(grant.decode_);
         }
         if (!std::holds_alternative<stream_not_run>(outcome) ||
             caller_disconnected()) {
@@ -431,6 +432,18 @@
     co_return outcome;
 }
 
+// The owner and this gateway hear of engines at different times. Of one that
+// was removed the owner must not choose again; one that is new here serves
+// others.
+stream_not_run stream_call::missing_engine(const base::upstream_name& engine) {
+    if (shared_.registry_.instances().is_unknown(engine)) {
+        unknown_engines_.push_back(engine);
+        return {"the engine is not known here yet",
+                placement::decode_rejection::excluded};
+    }
+    return {"the engine is gone", placement::decode_rejection::unreachable};
+}
+
 http::awaitable<stream_outcome>
 stream_call::run_attempt(placement::stream_grant grant,
                          placement_guard& guard) {
@@ -438,10 +451,11 @@
     const auto prefill_engine = find_engine(grant.prefill_);
     if (!grant.prefill_.value_.empty()) {
         if (!prefill_engine) {
-            // The owner may not have received the removal yet and would choose
-            // the engine again.
-            shared_.streams_->engine_failed(call_.service_, grant.prefill_);
-            co_return stream_not_run{"the prefill engine is gone"};
+            auto missing = missing_engine(grant.prefill_);
+            if (missing.reason_ == placement::decode_rejection::unreachable) {
+                shared_.streams_->engine_failed(call_.service_, grant.prefill_);
+            }
+            co_return missing;
         }
         if (is_paused(*prefill_engine)) {
             co_return stream_not_run{"the prefill engine has asked for a pause",
--- a/pimentoferry/gateway/stream_call.hpp
+++ b/pimentoferry/gateway/stream_call.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace pimentoferry::gateway {
 
@@ -112,6 +113,8 @@
     send_options send_options_for(const base::upstream_name& engine) const;
     std::optional<routing::instance>
     find_engine(const base::upstream_name& engine) const;
+    /// Why a stream cannot run at an engine that is not usable.
+    stream_not_run missing_engine(const base::upstream_name& engine);
     /// Whether the engine has asked this gateway for a pause that lasts.
     bool is_paused(const routing::instance& engine) const;
     /// Whether the engine may not begin streams until its version is recorded.
@@ -140,6 +143,8 @@
     std::optional<base::software_version> origin_;
     /// Whether this request has sent any event to the caller.
     bool any_event_sent_{false};
+    /// Engines that were granted and are not registered here yet.
+    std::vector<base::upstream_name> unknown_engines_;
     /// Where the last decode was sent.
     routing::instance decode_engine_;
     base::time_point decode_sent_at_;
--- a/pimentoferry/gateway/stream_relay.cpp
+++ b/pimentoferry/gateway/stream_relay.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <variant>
 
 namespace pimentoferry::gateway {
@@ -80,6 +81,7 @@
             request.excluded_.push_back(each->id_);
         }
     }
+    std::ranges::copy(unknown_engines_, std::back_inserter(request.excluded_));
     if (call_.account_ && call_.account_->key_) {
         const auto& account = call_.account_->account_;
         request.account_ = base::hash_bytes(account.name_.value_);
--- a/pimentoferry/routing/instance_table.hpp
+++ b/pimentoferry/routing/instance_table.hpp
@@ -128,6 +128,12 @@
     const instance* find_usable(const base::upstream_name& id,
                                 base::time_point now) const;
 
+    /// Whether the instance has never been registered as far as this table
+    /// knows, so that nothing says that it has ended.
+    bool is_unknown(const base::upstream_name& id) const {
+        return !records_.contains(id) && !gone_.contains(id);
+    }
+
     /// Erases lapsed registrations that are no longer kept, and takes instances
     /// into use whose entries have outlasted those of dead ones. Returns
     /// whether there were any.
--- a/pimentoferry/routing/instance_table_test.cpp
+++ b/pimentoferry/routing/instance_table_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(an_earlier_run_does_not_stop_a_later_one);
     CPPUNIT_TEST(a_statement_that_precedes_the_registration_holds);
     CPPUNIT_TEST(a_new_registration_without_start_time_is_a_new_run);
+    CPPUNIT_TEST(an_instance_that_was_never_registered_is_unknown);
     CPPUNIT_TEST_SUITE_END();
 
     instance_table table_;
@@ -60,6 +61,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, usable());
     }
 
+    // Guards against a new instance that is reported as ended by a gateway that
+    // has not heard of it yet.
+    void an_instance_that_was_never_registered_is_unknown() {
+        const base::upstream_name id{"a"};
+        CPPUNIT_ASSERT(table_.is_unknown(id));
+        table_.put(make_run(7, true));
+        CPPUNIT_ASSERT(!table_.is_unknown(id));
+        table_.remove(id, now_);
+        CPPUNIT_ASSERT(!table_.is_unknown(id));
+    }
+
     // Guards against requests to an instance that says that it leaves, while
     // its registration does not say so yet or lapses.
     void an_instance_that_says_it_leaves_gets_no_new_requests() {
