A continued stream is looked up at the store's watchers if a keeper is silent

What callers saw: right after the kill of a stream's gateway and keepers, streams that the store had were refused for up to a second, at gateways whose copy of the store did not have them yet.

Cause: only keepers were asked. They had just been killed, and nobody had found out yet.

Change: if a keeper does not reply within 150 ms, the watchers of the store are asked as well, which have what was written within milliseconds.

The price is four messages and up to 150 ms for take-ups whose keeper is silent.

--- a/pimentoferry/gateway/origin_exchange.hpp
+++ b/pimentoferry/gateway/origin_exchange.hpp
@@ -7,7 +7,8 @@
 ///
 /// Each service has two keepers among the gateways, computed from the members.
 /// A gateway tells both of the streams that it began, every 50 ms, and asks
-/// both when a caller continues a stream that it does not know. If all gateways
+/// both when a caller continues a stream that it does not know, and if one does
+/// not reply, the watchers of the store. If all gateways
 /// that know a stream are killed, the store still does: while several versions
 /// may have begun streams, a keeper writes those that are not written yet, many
 /// to a call, into a ring of keys that every gateway follows. The second keeper
@@ -196,7 +197,14 @@
     http::awaitable<std::variant<base::service_name, unknown_origin>>
     search_services(std::string request);
     pending_search start_search(const base::service_name& service,
-                                std::uint64_t stream);
+                                std::uint64_t stream,
+                                std::vector<base::instance_id> gateways);
+    http::awaitable<void> finish_search(pending_search search,
+                                        base::time_point until);
+    http::awaitable<std::variant<base::service_name, unknown_origin>>
+    await_searches(std::vector<pending_search> searches);
+    http::awaitable<std::optional<base::software_version>>
+    ask_watchers(base::service_name service, std::uint64_t stream);
     void note_routes(const std::shared_ptr<const routing::route_table>& routes,
                      base::time_point now);
 
--- a/pimentoferry/routing/stream_origins.cpp
+++ b/pimentoferry/routing/stream_origins.cpp
@@ -1,5 +1,7 @@
 #include "pimentoferry/routing/stream_origins.hpp"
 
+#include "pimentoferry/base/hash.hpp"
+
 #include <algorithm>
 #include <iterator>
 
@@ -13,6 +15,12 @@
 
 } // namespace
 
+std::uint64_t stream_hash(const base::service_name& service,
+                          const std::string& request) {
+    return base::hash_combine(base::hash_bytes(service.value_),
+                              base::hash_bytes(request));
+}
+
 std::size_t origin_table::position_of(const base::software_version& version) {
     const auto found = std::ranges::find(versions_, version);
     const auto position =
--- a/pimentoferry/routing/stream_origins.hpp
+++ b/pimentoferry/routing/stream_origins.hpp
@@ -16,6 +16,7 @@
 #ifndef PIMENTOFERRY_ROUTING_STREAM_ORIGINS_HPP
 #define PIMENTOFERRY_ROUTING_STREAM_ORIGINS_HPP
 
+#include "pimentoferry/base/ids.hpp"
 #include "pimentoferry/base/software_version.hpp"
 #include "pimentoferry/base/time.hpp"
 
@@ -25,6 +26,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
@@ -32,8 +34,12 @@
 
 namespace pimentoferry::routing {
 
-/// Streams that one version began. A stream is a hash of its service and of the
-/// caller's request that brought its first event.
+/// A stream is named by a hash of its service and of the caller's request that
+/// brought its first event.
+std::uint64_t stream_hash(const base::service_name& service,
+                          const std::string& request);
+
+/// Streams that one version began.
 struct streams_of_version {
     base::software_version version_;
     std::vector<std::uint64_t> streams_;
--- a/tests/process/software_version_test.cpp
+++ b/tests/process/software_version_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(a_gateway_that_was_stopped_does_not_guess_the_version);
     CPPUNIT_TEST(streams_go_on_although_their_first_keeper_stands_still);
     CPPUNIT_TEST(a_keeper_writes_each_stream_once);
+    CPPUNIT_TEST(a_stream_goes_on_at_once_after_its_keepers_were_killed);
     CPPUNIT_TEST(a_stream_of_a_split_route_goes_on_at_its_service);
     CPPUNIT_TEST(a_stream_whose_service_left_its_route_is_refused);
     CPPUNIT_TEST_SUITE_END();
@@ -124,6 +125,29 @@
         return found;
     }
 
+    struct keepers {
+        std::size_t writer_{0}; ///< Writes streams to the store.
+        std::optional<std::size_t> second_;
+    };
+
+    /// The gateways that keep the versions of streams, as their logs tell.
+    keepers find_keepers() {
+        open_.push_back(begin(0, next_id()));
+        CPPUNIT_ASSERT(open_.back().next_event().has_value());
+        const std::string written = "event=stream_origins_written";
+        CPPUNIT_ASSERT(wait_for(
+            [&] { return !gateways_that_logged(written).empty(); }, 3s));
+        const auto writer = gateways_that_logged(written).front();
+        // Whoever is asked for a stream that nobody began is a keeper.
+        const auto other = (writer + 1) % system_->gateway_count();
+        (void)take_up(other, next_id(), "nobody-began", 1).next_event();
+        auto asked = gateways_that_logged("event=stream_origin_told");
+        std::erase(asked, writer);
+        CPPUNIT_ASSERT(asked.size() <= 1U);
+        return {writer,
+                asked.empty() ? std::nullopt : std::optional{asked.front()}};
+    }
+
     /// Takes the stream up at the gateway, up to three times as the answers
     /// say; returns whether it went on.
     bool goes_on(std::size_t gateway, const std::string& began) {
@@ -383,19 +407,11 @@
     // that should have written them to the store stood still.
     void streams_go_on_although_their_first_keeper_stands_still() {
         start({"v1", "v2"}, 5);
-        const auto known = next_id();
-        auto first = begin(0, known);
-        CPPUNIT_ASSERT(first.next_event().has_value());
-        const std::string written = "event=stream_origins_written";
-        CPPUNIT_ASSERT(wait_for(
-            [&] { return !gateways_that_logged(written).empty(); }, 3s));
-        const auto writer = gateways_that_logged(written).front();
-        // Whoever is asked for a stream that nobody began is a keeper.
-        (void)take_up((writer + 1) % 5, next_id(), "nobody-began", 1)
-            .next_event();
-        auto lost = gateways_that_logged("event=stream_origin_told");
-        std::erase(lost, writer);
-        CPPUNIT_ASSERT(lost.size() <= 1U);
+        const auto [writer, second] = find_keepers();
+        std::vector<std::size_t> lost;
+        if (second) {
+            lost.push_back(*second);
+        }
         std::size_t owner = 0;
         while (owner == writer || std::ranges::count(lost, owner) > 0) {
             ++owner;
@@ -450,6 +466,37 @@
         CPPUNIT_ASSERT_EQUAL(streams, written);
     }
 
+    // Guards against a refusal of streams that the store has, but the copy of
+    // the gateway that is asked has not yet.
+    void a_stream_goes_on_at_once_after_its_keepers_were_killed() {
+        start({"v1", "v2"}, 12);
+        const auto [writer, second] = find_keepers();
+        std::size_t owner = 0;
+        while (owner == writer || owner == second) {
+            ++owner;
+        }
+        std::vector<std::string> began;
+        for (int i = 0; i < 4; ++i) {
+            began.push_back(next_id());
+            open_.push_back(begin(owner, began.back()));
+            CPPUNIT_ASSERT(open_.back().next_event().has_value());
+        }
+        std::this_thread::sleep_for(650ms); // They are in the store.
+        for (const auto each : {owner, writer, second.value_or(writer)}) {
+            kill_gateway(each);
+        }
+        std::size_t gateway = owner;
+        for (const auto& each : began) {
+            do {
+                gateway = (gateway + 1) % system_->gateway_count();
+            } while (gateway == owner || gateway == writer ||
+                     gateway == second);
+            const auto id = next_id();
+            CPPUNIT_ASSERT(
+                check_take_up(take_up(gateway, id, each, 1), id, each));
+        }
+    }
+
     // Guards against a take-up at a service that is drawn anew, where the
     // stream is not known or goes on with another service's text.
     void a_stream_of_a_split_route_goes_on_at_its_service() {
