What would end a request's head early is not written into it

A request of which the method, the target, a name or a value could end or divide its head is not sent at all (http::is_writable, with the check of values that names of accounts use).

--- a/pimentoferry/http/client.hpp
+++ b/pimentoferry/http/client.hpp
@@ -45,7 +45,8 @@
     timed_out,
     cancelled,
     broken,    ///< The connection ended before the response did.
-    malformed, ///< The response is not valid HTTP or not a valid event stream.
+    malformed, ///< The response is not valid HTTP or not a valid event stream,
+               ///< or the call cannot be written as HTTP and was not sent.
     too_large, ///< The head or the body exceeds a limit.
 };
 
--- a/pimentoferry/http/client_test.cpp
+++ b/pimentoferry/http/client_test.cpp
@@ -108,6 +108,7 @@
     CPPUNIT_TEST(responses_to_other_calls_without_end_are_a_failure);
     CPPUNIT_TEST(head_that_ends_early_is_a_failure);
     CPPUNIT_TEST(status_outside_of_the_protocol_is_a_failure);
+    CPPUNIT_TEST(request_that_would_end_its_head_early_is_not_sent);
     CPPUNIT_TEST(answer_that_is_reset_during_an_upload_is_a_failure);
     CPPUNIT_TEST_SUITE_END();
 
@@ -493,6 +494,48 @@
         }
     }
 
+    // Guards against a body that is read as another request, because a value
+    // from elsewhere ends the head before it.
+    void request_that_would_end_its_head_early_is_not_sent() {
+        request sound;
+        sound.method_ = "POST";
+        sound.target_ = "/x?y=%20";
+        sound.fields_ = {{"X-A", "a\tb c"}, {"X-B", ""}, {"X-C", "\xc3\xa4"}};
+        CPPUNIT_ASSERT(is_writable(sound));
+        const auto rejected = [&sound](const auto& change) {
+            auto changed = sound;
+            change(changed);
+            return !is_writable(changed);
+        };
+        for (const char* value :
+             {"a\r\n", "a\nb", "\r", "a ", "\ta", "a\x7f"}) {
+            CPPUNIT_ASSERT(
+                rejected([&](auto& c) { c.fields_[0].value_ = value; }));
+        }
+        for (const char* name : {"", "X A", "X:", "X\r\n"}) {
+            CPPUNIT_ASSERT(
+                rejected([&](auto& c) { c.fields_[0].name_ = name; }));
+        }
+        for (const char* target : {"", "/a b", "/a\r\n", "/a\x7f"}) {
+            CPPUNIT_ASSERT(rejected([&](auto& c) { c.target_ = target; }));
+        }
+        CPPUNIT_ASSERT(rejected([](auto& c) { c.method_ = "GET /"; }));
+        std::atomic<int> connections{0};
+        raw_upstream upstream{
+            [&connections](raw_upstream::tcp::socket&) { ++connections; }};
+        boost::asio::io_context context;
+        client sender{context, {}};
+        auto call = sound;
+        call.fields_[0].value_ = "a\r\n";
+        const auto result = run(
+            context, sender.call(upstream.address(), call,
+                                 with_deadline_in(std::chrono::seconds{2})));
+        const auto& failed = failure(result);
+        CPPUNIT_ASSERT(failed.kind_ == failure_kind::malformed);
+        CPPUNIT_ASSERT(!failed.sent_);
+        CPPUNIT_ASSERT_EQUAL(0, connections.load());
+    }
+
     // Guards against a part of a body without length that counts as complete,
     // because the write of the upload has consumed the error of the reset.
     void answer_that_is_reset_during_an_upload_is_a_failure() {
--- a/pimentoferry/http/message.cpp
+++ b/pimentoferry/http/message.cpp
@@ -35,6 +35,25 @@
     });
 }
 
+bool is_writable(const request& call) {
+    const auto is_token = [](std::string_view text) {
+        constexpr std::string_view separators = "\"(),/:;<=>?@[\\]{}";
+        return !text.empty() && std::ranges::all_of(text, [&](char c) {
+            return c > ' ' && c <= '~' &&
+                   separators.find(c) == std::string_view::npos;
+        });
+    };
+    const bool has_target =
+        !call.target_.empty() && std::ranges::all_of(call.target_, [](char c) {
+            constexpr char delete_character = 0x7f;
+            return static_cast<unsigned char>(c) > ' ' && c != delete_character;
+        });
+    return is_token(call.method_) && has_target &&
+           std::ranges::all_of(call.fields_, [&is_token](const field& each) {
+               return is_token(each.name_) && is_field_value(each.value_);
+           });
+}
+
 std::string_view path_of(std::string_view target) {
     return target.substr(0, target.find('?'));
 }
--- a/pimentoferry/http/message.hpp
+++ b/pimentoferry/http/message.hpp
@@ -49,6 +49,11 @@
 /// 5.5): no control characters but the tab, no space or tab at either end.
 bool is_field_value(std::string_view value);
 
+/// Whether the request can be written so that its head ends where it should:
+/// method and field names are tokens, the target has no space, and all values
+/// pass `is_field_value`.
+bool is_writable(const request& call);
+
 /// Returns the path of a target, without its query.
 std::string_view path_of(std::string_view target);
 
--- a/pimentoferry/http/upstream_call.cpp
+++ b/pimentoferry/http/upstream_call.cpp
@@ -108,6 +108,9 @@
 
 awaitable<std::optional<call_failure>>
 upstream_call::start(const request& call) {
+    if (!is_writable(call)) {
+        co_return call_failure{failure_kind::malformed, false};
+    }
     const std::string head = write_request_head(address_, call);
     const bool cancelled = options_.cancel_ && options_.cancel_->requested();
     if (cancelled) {
