--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -332,6 +332,8 @@
     ring_.write(message, *rank, replica, [this, message](auto result) {
         finish_write(message, result);
     });
+    // The writes are spaced so that the ring reaches back as far as streams are
+    // continued.
     const auto writers_of_ring = static_cast<int>(services_.size());
     state.next_write_ =
         now + keep_.time() * writers_of_ring / origin_ring::size;
