A peer that reads slowly is no longer taken for one that is gone

An upstream that paused while it read a long body lost the body.

Cause: TCP_USER_TIMEOUT of 3 s. Linux also applies it to a peer that acknowledges each probe of its closed window.

Change: the option is gone. connection_watch samples TCP_INFO of connections with a call in progress; peer_silence decides from the repetitions that nobody answered. What ends the answer to a caller that is alive is the deadline of its request. The relay reads on for a slow caller, up to 512 KB a stream; whole answers count against the memory until their caller has them. When that is used up, the caller that has accepted nothing for the longest time loses its answer. Answers that are cut off have a log line and a counter. A cut stream of an HTTP/1.0 caller ends with a reset.

--- a/pimentoferry/gateway/caller_service.cpp
+++ b/pimentoferry/gateway/caller_service.cpp
@@ -98,7 +98,9 @@
     }
     ++shared_.in_flight_;
     auto request = std::get<caller_request>(std::move(read));
+    const auto id = shared_.ids_in_flight_.insert(request.id_);
     co_await route(exchange, std::move(request), arrived);
+    shared_.ids_in_flight_.erase(id);
     --shared_.in_flight_;
 }
 
@@ -200,6 +202,7 @@
         co_await refuse_unrouted(exchange, request.id_, std::move(refusal));
         co_return;
     }
+    exchange.set_deadline(deadline);
     const bool is_engine_stream =
         service != nullptr && service->engine_ &&
         matched_route->kind_ == routing::call_kind::stream;
--- a/pimentoferry/gateway/gateway.cpp
+++ b/pimentoferry/gateway/gateway.cpp
@@ -62,6 +62,7 @@
 constexpr base::milliseconds idle_time_before_exit{300};
 // For the body of a request; the timeout of its head is configured.
 constexpr base::milliseconds body_timeout{10'000};
+constexpr std::size_t bytes_per_mb = std::size_t{1} << 20;
 
 base::instance_id make_instance_id() {
     base::instance_id instance;
@@ -147,13 +148,18 @@
 /// body is held twice while it is sent. At least one body of the largest size
 /// is accepted.
 std::size_t body_budget(std::uint32_t memory_mb, std::size_t largest_body) {
-    constexpr std::size_t bytes_per_mb = std::size_t{1} << 20;
     constexpr std::size_t copies = 2;
     constexpr std::size_t memory_divisor = 3;
     const auto bytes = memory_mb * bytes_per_mb / memory_divisor / copies;
     return memory_mb == 0 ? 0 : std::max(bytes, largest_body);
 }
 
+/// The bytes of events that may wait for slow callers.
+std::size_t stream_budget(std::uint32_t memory_mb) {
+    constexpr std::size_t memory_divisor = 16;
+    return memory_mb * bytes_per_mb / memory_divisor;
+}
+
 /// A key that cannot be parsed ends the process when the peer address is
 /// opened.
 wire::fleet_key fleet_key_of(const config::gateway_settings& settings) {
@@ -365,6 +371,10 @@
             return serve_metrics(call);
         });
     }
+    if (callers_) {
+        shared_.client_.set_free_bytes(
+            [this] { callers_->cut_longest_stalled(); });
+    }
     return callers_ && directory_ && readiness_;
 }
 
@@ -453,6 +463,7 @@
     applied.body_bytes_ = limits.body_bytes_;
     applied.body_budget_bytes_ =
         body_budget(shared_.settings_.memory_mb_, limits.body_bytes_);
+    applied.stream_budget_bytes_ = stream_budget(shared_.settings_.memory_mb_);
     applied.header_bytes_ = limits.header_bytes_;
     applied.header_timeout_ = limits.header_timeout_;
     applied.receive_timeout_ = body_timeout;
@@ -603,6 +614,10 @@
         if (!idle) {
             log::log_warn("drain_limit",
                           {{"in_flight", std::to_string(shared_.in_flight_)}});
+            std::ranges::for_each(shared_.ids_in_flight_, [](const auto& id) {
+                log::log_warn("answer_cut",
+                              {{"request", id}, {"reason", "drain_limit"}});
+            });
         }
         peers_.leave(now);
         io_.stop();
--- a/pimentoferry/gateway/metrics.cpp
+++ b/pimentoferry/gateway/metrics.cpp
@@ -60,6 +60,10 @@
         counters(registry_,
                  "pimentoferry_gateway_placements_total",
                  "Placement decisions for streams")};
+    prometheus::Family<prometheus::Counter>& cut_answers_{counters(
+        registry_,
+        "pimentoferry_gateway_cut_answers_total",
+        "Answers that were cut off for a slow or unresponsive caller")};
     prometheus::Family<prometheus::Counter>& limited_{
         counters(registry_,
                  "pimentoferry_gateway_limited_requests_total",
@@ -102,6 +106,10 @@
     families_->refusals_.Add({{"code", std::string{code}}}).Increment();
 }
 
+void metrics::count_cut_answer(std::string_view reason) {
+    families_->cut_answers_.Add({{"reason", std::string{reason}}}).Increment();
+}
+
 void metrics::count_send(std::string_view step, std::string_view outcome) {
     families_->sends_
         .Add({{"step", std::string{step}}, {"outcome", std::string{outcome}}})
--- a/pimentoferry/gateway/metrics.hpp
+++ b/pimentoferry/gateway/metrics.hpp
@@ -23,6 +23,9 @@
     /// `answered`, `failed`, `refused`, `broken` or `caller_gone`.
     void count_request(std::string_view kind, std::string_view outcome);
     void count_refusal(std::string_view code);
+    /// An answer that its caller did not get whole, although the caller had not
+    /// closed its connection. `reason`: see `http::caller_end`.
+    void count_cut_answer(std::string_view reason);
     /// `step`: `call`, `prefill`, `decode` or `release`.
     void count_send(std::string_view step, std::string_view outcome);
     void count_store_call(std::string_view operation, std::string_view outcome);
--- a/pimentoferry/gateway/peer_relay.cpp
+++ b/pimentoferry/gateway/peer_relay.cpp
@@ -242,9 +242,8 @@
     if (std::holds_alternative<http::call_failure>(body)) {
         co_return relay_result::lost;
     }
-    http::response received{answer.head().status_, answer.head().fields_,
-                            std::get<std::string>(std::move(body))};
-    const auto forwarded = http::forwarded_response(std::move(received));
+    const auto forwarded =
+        http::forwarded_response(std::get<http::response>(std::move(body)));
     co_await call.exchange_.respond(forwarded);
     record_end(shared_, call, "relayed", forwarded.status_);
     co_return relay_result::done;
--- a/pimentoferry/gateway/runtime.cpp
+++ b/pimentoferry/gateway/runtime.cpp
@@ -111,6 +111,15 @@
     const auto kind = to_string(call.route_.kind_);
     shared.metrics_.count_request(kind, outcome);
     shared.metrics_.observe_answer(kind, duration);
+    const auto ended_by = call.exchange_.ended_by();
+    if (ended_by != http::caller_end::none &&
+        ended_by != http::caller_end::closed) {
+        shared.metrics_.count_cut_answer(to_string(ended_by));
+        log::log_warn("answer_cut",
+                      {{"request", call.request_.id_},
+                       {"reason", std::string{to_string(ended_by)}},
+                       {"ms", std::to_string(duration.count())}});
+    }
     log::log_info("done", {{"request", call.request_.id_},
                            {"outcome", std::string{outcome}},
                            {"status", std::to_string(status)},
--- a/pimentoferry/gateway/runtime.hpp
+++ b/pimentoferry/gateway/runtime.hpp
@@ -94,6 +94,8 @@
     /// When the process ends at the latest; unset unless it drains.
     std::optional<base::time_point> ends_at_;
     std::uint32_t in_flight_{0};
+    /// The ids of the requests in flight, for log lines.
+    std::multiset<std::string> ids_in_flight_;
 
 private:
     requests::retry_limits share() const;
--- a/pimentoferry/gateway/stream_call.cpp
+++ b/pimentoferry/gateway/stream_call.cpp
@@ -347,10 +347,8 @@
     }
     if (meaning == answer_meaning::failure) {
         auto body = co_await answer.read_all();
-        if (auto* text = std::get_if<std::string>(&body)) {
-            co_return engine_error_response{{answer.head().status_,
-                                             answer.head().fields_,
-                                             std::move(*text)}};
+        if (auto* complete = std::get_if<http::response>(&body)) {
+            co_return engine_error_response{std::move(*complete)};
         }
         co_return stream_broken{
             "the error response of the engine is incomplete"};
--- a/pimentoferry/http/byte_budget.hpp
+++ b/pimentoferry/http/byte_budget.hpp
@@ -57,11 +57,15 @@
         return taken;
     }
 
-    void clear() {
-        budget_.give_back(held_);
-        held_ = 0;
+    void shrink_to(std::size_t bytes) {
+        if (bytes < held_) {
+            budget_.give_back(held_ - bytes);
+            held_ = bytes;
+        }
     }
 
+    void clear() { shrink_to(0); }
+
 private:
     byte_budget& budget_;
     std::size_t held_{0};
--- a/pimentoferry/http/client.cpp
+++ b/pimentoferry/http/client.cpp
@@ -39,22 +39,23 @@
     return call_->read(true);
 }
 
-awaitable<std::variant<std::string, call_failure>> open_answer::read_all() {
-    std::string body;
-    auto buffered = call_->buffered_bytes();
+awaitable<std::variant<response, call_failure>> open_answer::read_all() {
+    response complete{
+        call_->head().status_, call_->head().fields_, {}, call_->count_bytes()};
     while (true) {
         auto bytes = co_await call_->read(true);
         if (const auto* failure = std::get_if<call_failure>(&bytes)) {
             co_return *failure;
         }
         if (std::holds_alternative<body_end>(bytes)) {
-            co_return body;
+            complete.counted_->set_complete();
+            co_return complete;
         }
         const auto& text = std::get<std::string>(bytes);
-        if (!buffered.add(text.size())) {
+        if (!co_await call_->add_bytes(*complete.counted_, text.size())) {
             co_return call_failure{failure_kind::too_large, true};
         }
-        body += text;
+        complete.body_ += text;
     }
 }
 
@@ -104,16 +105,11 @@
     if (const auto* failure = std::get_if<call_failure>(&opened)) {
         co_return *failure;
     }
-    auto& answer = std::get<open_answer>(opened);
-    auto body = co_await answer.read_all();
-    if (const auto* failure = std::get_if<call_failure>(&body)) {
-        co_return *failure;
-    }
-    response complete;
-    complete.status_ = answer.head().status_;
-    complete.fields_ = answer.head().fields_;
-    complete.body_ = std::get<std::string>(std::move(body));
-    co_return complete;
+    co_return co_await std::get<open_answer>(opened).read_all();
+}
+
+void client::set_free_bytes(std::function<void()> free_bytes) {
+    pool_->set_free_bytes(std::move(free_bytes));
 }
 
 } // namespace pimentoferry::http
--- a/pimentoferry/http/client.hpp
+++ b/pimentoferry/http/client.hpp
@@ -91,9 +91,12 @@
 };
 
 struct client_limits {
-    /// Maximum size of all bodies that are read at the same time by
-    /// `client::call` and `open_answer::read_all`. A call that exceeds it fails
-    /// as too large, so a faulty upstream cannot exhaust the memory.
+    /// Maximum size of all bodies that are held: those that `client::call` and
+    /// `open_answer::read_all` read at the same time, and those that wait for
+    /// their callers, see `response::counted_`. Neither a faulty upstream nor a
+    /// slow caller can exhaust the memory. A call that exceeds it waits for
+    /// callers to accept their answers, and fails as too large if there are
+    /// none.
     std::size_t buffered_bytes_{std::size_t{16} << 20};
 };
 
@@ -124,8 +127,9 @@
     awaitable<std::variant<std::string, body_end, call_failure>>
     read_until_deadline();
 
-    /// Returns the rest of the body; limited by the deadline of the call.
-    awaitable<std::variant<std::string, call_failure>> read_all();
+    /// Returns the response with the rest of the body; limited by the deadline
+    /// of the call.
+    awaitable<std::variant<response, call_failure>> read_all();
 
 private:
     std::unique_ptr<internal::upstream_call> call_;
@@ -159,6 +163,10 @@
     awaitable<std::variant<response, call_failure>>
     call(base::endpoint address, request call, call_options options);
 
+    /// Sets the function that is called while a call waits for bytes of answers
+    /// that their callers do not accept. It may give up one of these.
+    void set_free_bytes(std::function<void()> free_bytes);
+
     /// Sends a call and reads the head of the response.
     awaitable<std::variant<open_answer, call_failure>>
     open(base::endpoint address, request call, call_options options);
--- a/pimentoferry/http/connection.cpp
+++ b/pimentoferry/http/connection.cpp
@@ -32,6 +32,8 @@
 // of the chunked coding that does not end.
 constexpr std::size_t max_unparsed_body_bytes = std::size_t{96} << 10;
 constexpr std::size_t max_discarded_bytes = std::size_t{16} << 20;
+// For an answer that is ready at the deadline.
+constexpr base::milliseconds last_write_time{250};
 // The bodies held are served within some hundred ms.
 constexpr base::milliseconds full_memory_retry_after{300};
 
@@ -101,13 +103,17 @@
 
 } // namespace
 
-connection::connection(asio::ip::tcp::socket socket,
-                       const server_limits& limits,
-                       byte_budget& bodies,
-                       const handler& handle)
-    : stream_(std::move(socket)), limits_(limits), handle_(handle),
-      body_(bodies), watch_ended_(stream_.get_executor()),
-      caller_disconnected_(std::make_shared<cancellation>()) {}
+connection::connection(asio::ip::tcp::socket socket, connection_context context)
+    : stream_(std::move(socket)), context_(std::move(context)),
+      limits_(context_.limits_), body_(context_.bodies_),
+      stream_buffer_(context_.stream_buffers_),
+      watch_ended_(stream_.get_executor()),
+      caller_disconnected_(std::make_shared<cancellation>()),
+      buffer_changed_(stream_.get_executor()),
+      write_timer_(stream_.get_executor()) {
+    error_code ignored;
+    stream_.socket().non_blocking(true, ignored);
+}
 
 awaitable<void> connection::run() {
     const auto self = shared_from_this();
@@ -133,6 +139,13 @@
 
 void connection::close() {
     error_code ignored;
+    if (response_state_ == response_state::streaming && !chunked_) {
+        // The end of the connection would mark the end of the answer.
+        stream_.socket().set_option(asio::socket_base::linger{true, 0},
+                                    ignored);
+        stream_.close();
+        return;
+    }
     stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     stream_.close();
 }
@@ -226,6 +239,7 @@
     call_.body_ = std::move(message.body());
     extra_fields_.clear();
     response_state_ = response_state::none;
+    deadline_.reset();
 }
 
 awaitable<void> connection::reject(error_code error) {
@@ -253,11 +267,17 @@
 awaitable<void> connection::serve_request() {
     watching_ = true;
     stream_.expires_never();
+    const auto watch =
+        context_.watch_->add(stream_.socket(), [self = shared_from_this()] {
+            self->end(caller_end::unresponsive);
+        });
     asio::co_spawn(
         stream_.get_executor(),
         [self = shared_from_this()] { return self->watch_for_disconnect(); },
         asio::detached);
     co_await call_handler();
+    co_await await_flushed();
+    context_.watch_->remove(watch);
     co_await stop_disconnect_watch();
 }
 
@@ -265,7 +285,7 @@
     exchange call{*this};
     bool failed = false;
     try {
-        co_await handle_(call);
+        co_await context_.handle_(call);
     } catch (const std::exception&) {
         failed = true;
     }
@@ -288,11 +308,29 @@
             break;
         }
     }
-    if (error && watching_) {
-        caller_disconnected_->request();
-    }
+    const bool disconnected = error && watching_;
     watching_ = false;
     watch_ended_.cancel();
+    if (disconnected) {
+        end(caller_end::closed);
+    }
+}
+
+void connection::end(caller_end reason) {
+    if (caller_disconnected_->requested()) {
+        return;
+    }
+    ended_by_ = reason;
+    if (held_answer_) {
+        held_answer_->release();
+    }
+    buffered_.clear();
+    stream_buffer_.clear();
+    buffer_changed_.cancel();
+    // Ends a write that waits for the caller.
+    error_code ignored;
+    stream_.socket().cancel(ignored);
+    caller_disconnected_->request();
 }
 
 awaitable<void> connection::stop_disconnect_watch() {
@@ -331,22 +369,24 @@
 }
 
 awaitable<write_result> connection::respond(const response& answer) {
-    std::string text =
+    const std::string head =
         write_head(answer.status_, answer.fields_, answer.body_.size());
-    if (call_.method_ != "HEAD") {
-        text += answer.body_;
-    }
     response_state_ = response_state::streaming;
-    const auto result = co_await send(text);
-    response_state_ = response_state::complete;
+    held_answer_ = answer.counted_;
+    const std::string_view body = answer.body_;
+    const auto result =
+        co_await send(head, call_.method_ != "HEAD" ? body : body.substr(0, 0));
+    held_answer_.reset();
+    if (result == write_result::written) {
+        response_state_ = response_state::complete;
+    }
     co_return result;
 }
 
 awaitable<write_result> connection::begin_stream(const response_head& head) {
-    const std::string text =
-        write_head(head.status_, head.fields_, std::nullopt);
+    std::string text = write_head(head.status_, head.fields_, std::nullopt);
     response_state_ = response_state::streaming;
-    co_return co_await send(text);
+    co_return co_await enqueue(std::move(text));
 }
 
 awaitable<write_result> connection::write(std::string_view bytes) {
@@ -360,32 +400,141 @@
     } else {
         text = bytes;
     }
-    co_return co_await send(text);
+    co_return co_await enqueue(std::move(text));
 }
 
 awaitable<write_result> connection::end_stream() {
     keep_alive_ = keep_alive_ && chunked_;
-    auto result = write_result::written;
     if (chunked_) {
-        result = co_await send("0\r\n\r\n");
+        std::string last_chunk{"0\r\n\r\n"};
+        co_await enqueue(std::move(last_chunk));
+    }
+    co_await await_flushed();
+    if (caller_disconnected_->requested()) {
+        co_return write_result::gone;
     }
     response_state_ = response_state::complete;
-    co_return result;
+    co_return write_result::written;
 }
 
-awaitable<write_result> connection::send(std::string_view bytes) {
-    if (caller_disconnected_->requested()) {
-        co_return write_result::gone;
+std::size_t connection::write_some(std::string_view head,
+                                   std::string_view body,
+                                   error_code& error) {
+    const std::array<asio::const_buffer, 2> parts{
+        asio::buffer(head.data(), head.size()),
+        asio::buffer(body.data(), body.size())};
+    const auto size = stream_.socket().write_some(parts, error);
+    if (error == asio::error::would_block) {
+        error = {};
     }
+    return size;
+}
+
+base::time_point connection::write_limit() const {
+    const auto now = base::clock::now();
+    return deadline_ ? std::max(*deadline_, now + last_write_time)
+                     : now + limits_.write_timeout_;
+}
+
+// Ends the connection if the caller accepts no byte until the limit.
+awaitable<error_code> connection::await_writable() {
+    stalled_since_ = base::clock::now();
+    write_timer_.expires_at(write_limit());
+    write_timer_.async_wait(
+        [weak = weak_from_this()](const error_code& cancelled) {
+            const auto self = weak.lock();
+            if (self && !cancelled && self->stalled_since_) {
+                self->end(caller_end::too_slow);
+            }
+        });
     error_code error;
-    stream_.expires_after(limits_.write_timeout_);
-    co_await asio::async_write(
-        stream_, asio::buffer(bytes.data(), bytes.size()), into(error));
-    if (error) {
-        caller_disconnected_->request();
+    co_await stream_.socket().async_wait(asio::ip::tcp::socket::wait_write,
+                                         into(error));
+    stalled_since_.reset();
+    write_timer_.cancel();
+    co_return caller_disconnected_->requested() ? asio::error::operation_aborted
+                                                : error;
+}
+
+awaitable<write_result> connection::send(std::string_view head,
+                                         std::string_view body) {
+    error_code error;
+    while (!error && !caller_disconnected_->requested()) {
+        const auto size = write_some(head, body, error);
+        const auto of_head = std::min(size, head.size());
+        head.remove_prefix(of_head);
+        body.remove_prefix(size - of_head);
+        if (head.empty() && body.empty()) {
+            co_return write_result::written;
+        }
+        if (!error) {
+            error = co_await await_writable();
+        }
+    }
+    end(caller_end::closed);
+    co_return write_result::gone;
+}
+
+bool connection::may_buffer(std::size_t bytes) {
+    if (bytes > limits_.stream_buffer_bytes_) {
+        return false;
+    }
+    return stream_buffer_.grow_to(bytes) ||
+           (context_.cut_longest_stalled_() && stream_buffer_.grow_to(bytes));
+}
+
+awaitable<write_result> connection::enqueue(std::string bytes) {
+    if (caller_disconnected_->requested()) {
         co_return write_result::gone;
     }
-    co_return write_result::written;
+    if (!flushing_) {
+        error_code error;
+        const auto size = write_some(bytes, {}, error);
+        if (error) {
+            end(caller_end::closed);
+            co_return write_result::gone;
+        }
+        if (size == bytes.size()) {
+            co_return write_result::written;
+        }
+        bytes.erase(0, size);
+    }
+    buffered_ += bytes;
+    if (!flushing_) {
+        flushing_ = true;
+        asio::co_spawn(
+            stream_.get_executor(),
+            [self = shared_from_this()] { return self->flush(); },
+            asio::detached);
+    }
+    while (flushing_ && !may_buffer(buffered_.size() + sending_.size())) {
+        buffer_changed_.expires_at(asio::steady_timer::time_point::max());
+        error_code ignored;
+        co_await buffer_changed_.async_wait(into(ignored));
+    }
+    co_return caller_disconnected_->requested() ? write_result::gone
+                                                : write_result::written;
+}
+
+awaitable<void> connection::flush() {
+    while (!buffered_.empty() && !caller_disconnected_->requested()) {
+        sending_ = std::exchange(buffered_, {});
+        co_await send(sending_);
+        sending_.clear();
+        stream_buffer_.shrink_to(buffered_.size());
+        buffer_changed_.cancel();
+    }
+    flushing_ = false;
+    stream_buffer_.clear();
+    buffer_changed_.cancel();
+}
+
+awaitable<void> connection::await_flushed() {
+    while (flushing_) {
+        buffer_changed_.expires_at(asio::steady_timer::time_point::max());
+        error_code ignored;
+        co_await buffer_changed_.async_wait(into(ignored));
+    }
 }
 
 } // namespace pimentoferry::http::internal
--- a/pimentoferry/http/connection.hpp
+++ b/pimentoferry/http/connection.hpp
@@ -5,6 +5,7 @@
 
 #include "pimentoferry/base/refusal.hpp"
 #include "pimentoferry/http/byte_budget.hpp"
+#include "pimentoferry/http/connection_watch.hpp"
 #include "pimentoferry/http/server.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -16,12 +17,21 @@
 
 namespace pimentoferry::http::internal {
 
+/// What the connections of a listener share. It belongs to the listener, which
+/// outlives its connections.
+struct connection_context {
+    const server_limits& limits_;
+    const handler& handle_;
+    byte_budget& bodies_;
+    byte_budget& stream_buffers_;
+    std::shared_ptr<connection_watch> watch_;
+    /// Frees stream buffers, see `server::cut_longest_stalled`.
+    std::function<bool()> cut_longest_stalled_;
+};
+
 class connection : public std::enable_shared_from_this<connection> {
 public:
-    connection(boost::asio::ip::tcp::socket socket,
-               const server_limits& limits,
-               byte_budget& bodies,
-               const handler& handle);
+    connection(boost::asio::ip::tcp::socket socket, connection_context context);
 
     /// Serves requests until the connection closes.
     awaitable<void> run();
@@ -34,6 +44,15 @@
     std::shared_ptr<cancellation> caller_disconnected() const {
         return caller_disconnected_;
     }
+    caller_end ended_by() const { return ended_by_; }
+    /// Stops writing; the caller receives an incomplete answer.
+    void end(caller_end reason);
+    /// Since when the caller has accepted none of the bytes that wait for it;
+    /// unset if none wait.
+    std::optional<base::time_point> stalled_since() const {
+        return stalled_since_;
+    }
+    void set_deadline(base::time_point deadline) { deadline_ = deadline; }
     void add_field(field extra) { extra_fields_.push_back(std::move(extra)); }
     awaitable<write_result> respond(const response& answer);
     awaitable<write_result> begin_stream(const response_head& head);
@@ -58,7 +77,22 @@
     /// disconnected.
     awaitable<void> watch_for_disconnect();
     awaitable<void> stop_disconnect_watch();
-    awaitable<write_result> send(std::string_view bytes);
+    /// Returns once the kernel has accepted all bytes.
+    awaitable<write_result> send(std::string_view head,
+                                 std::string_view body = {});
+    /// Returns once the bytes are sent or buffered.
+    awaitable<write_result> enqueue(std::string bytes);
+    /// Whether the buffer may grow to that size.
+    bool may_buffer(std::size_t bytes);
+    /// Sends what is buffered.
+    awaitable<void> flush();
+    awaitable<void> await_flushed();
+    /// Passes bytes to the kernel without waiting; returns their number.
+    std::size_t write_some(std::string_view head,
+                           std::string_view body,
+                           boost::system::error_code& error);
+    awaitable<boost::system::error_code> await_writable();
+    base::time_point write_limit() const;
     std::string write_head(int status,
                            const field_list& fields,
                            std::optional<std::size_t> length) const;
@@ -66,11 +100,10 @@
     void close();
 
     boost::beast::tcp_stream stream_;
-    /// The limits, the budget and the handler belong to the listener, which
-    /// outlives its connections.
+    const connection_context context_;
     const server_limits& limits_;
-    const handler& handle_;
     byte_reservation body_;
+    byte_reservation stream_buffer_;
     boost::beast::flat_buffer buffer_;
     boost::asio::steady_timer watch_ended_;
     bool watching_{false};
@@ -84,6 +117,18 @@
     std::shared_ptr<cancellation> caller_disconnected_;
     field_list extra_fields_;
     response_state response_state_{response_state::none};
+    std::optional<base::time_point> deadline_;
+    caller_end ended_by_{caller_end::none};
+    /// Bytes of a stream that wait for the caller, and those of them that are
+    /// being sent.
+    std::string buffered_;
+    std::string sending_;
+    bool flushing_{false};
+    boost::asio::steady_timer buffer_changed_;
+    boost::asio::steady_timer write_timer_;
+    std::optional<base::time_point> stalled_since_;
+    /// The whole answer that is being sent, if its bytes are counted.
+    std::shared_ptr<counted_bytes> held_answer_;
 };
 
 } // namespace pimentoferry::http::internal
--- a/pimentoferry/http/connection_pool.hpp
+++ b/pimentoferry/http/connection_pool.hpp
@@ -1,15 +1,18 @@
 /// Resources that the calls of one client share: idle connections to upstreams
-/// and the limit of buffered bodies. Internal to the library; includes Beast.
+/// and the limit of bytes of answers. Internal to the library; includes Beast.
 #ifndef PIMENTOFERRY_HTTP_CONNECTION_POOL_HPP
 #define PIMENTOFERRY_HTTP_CONNECTION_POOL_HPP
 
 #include "pimentoferry/base/ids.hpp"
 #include "pimentoferry/base/time.hpp"
+#include "pimentoferry/http/connection_watch.hpp"
+#include "pimentoferry/http/counted_bytes.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -18,42 +21,31 @@
 
 using stream_ptr = std::unique_ptr<boost::beast::tcp_stream>;
 
-/// The bytes that one call has buffered, counted against a common total until
-/// the share is destroyed.
-class buffered_share {
-public:
-    buffered_share(std::shared_ptr<std::size_t> total, std::size_t limit)
-        : total_(std::move(total)), limit_(limit) {}
-    buffered_share(const buffered_share&) = delete;
-    buffered_share& operator=(const buffered_share&) = delete;
-    ~buffered_share() { *total_ -= held_; }
-
-    /// Adds `bytes`; returns false if the total would exceed the limit.
-    bool add(std::size_t bytes) {
-        if (*total_ + bytes > limit_) {
-            return false;
-        }
-        *total_ += bytes;
-        held_ += bytes;
-        return true;
-    }
-
-private:
-    std::shared_ptr<std::size_t> total_;
-    std::size_t limit_;
-    std::size_t held_{0};
-};
-
 class connection_pool {
 public:
     connection_pool(boost::asio::io_context& context,
                     std::size_t max_buffered_bytes)
-        : context_(context), max_buffered_bytes_(max_buffered_bytes) {}
+        : context_(context), max_buffered_bytes_(max_buffered_bytes),
+          watch_(std::make_shared<connection_watch>(context)) {}
 
-    buffered_share buffered_bytes() {
-        return {buffered_bytes_, max_buffered_bytes_};
+    std::shared_ptr<counted_bytes> count_bytes() const {
+        return std::make_shared<counted_bytes>(answer_bytes_,
+                                               max_buffered_bytes_);
+    }
+    /// Whether answers that wait for their callers are held. `free_bytes` asks
+    /// their owner to give some of them up.
+    bool holds_complete_answers() const { return answer_bytes_->complete_ > 0; }
+    void free_bytes() const {
+        if (free_bytes_) {
+            free_bytes_();
+        }
+    }
+    void set_free_bytes(std::function<void()> free_bytes) {
+        free_bytes_ = std::move(free_bytes);
     }
 
+    connection_watch& watch() { return *watch_; }
+
     /// Removes and returns an open connection that was idle for less than
     /// `max_idle`; null if there is none. The upstream may still close it
     /// before it is used.
@@ -77,8 +69,10 @@
 
     boost::asio::io_context& context_;
     std::size_t max_buffered_bytes_;
-    std::shared_ptr<std::size_t> buffered_bytes_{
-        std::make_shared<std::size_t>(0)};
+    std::shared_ptr<answer_bytes> answer_bytes_{
+        std::make_shared<answer_bytes>()};
+    std::function<void()> free_bytes_;
+    std::shared_ptr<connection_watch> watch_;
     std::map<base::endpoint, std::vector<idle_connection>> idle_;
 };
 
--- a/pimentoferry/http/exchange.cpp
+++ b/pimentoferry/http/exchange.cpp
@@ -2,8 +2,16 @@
 
 #include "pimentoferry/http/connection.hpp"
 
+#include <array>
+
 namespace pimentoferry::http {
 
+std::string_view to_string(caller_end end) {
+    constexpr std::array<std::string_view, 5> texts{
+        "none", "closed", "unresponsive", "too_slow", "evicted"};
+    return texts.at(static_cast<std::size_t>(end));
+}
+
 exchange::exchange(internal::connection& connection)
     : connection_(connection) {}
 
@@ -15,6 +23,14 @@
     return connection_.caller_disconnected();
 }
 
+caller_end exchange::ended_by() const {
+    return connection_.ended_by();
+}
+
+void exchange::set_deadline(base::time_point deadline) {
+    connection_.set_deadline(deadline);
+}
+
 void exchange::add_field(std::string name, std::string value) {
     connection_.add_field({std::move(name), std::move(value)});
 }
--- a/pimentoferry/http/exchange.hpp
+++ b/pimentoferry/http/exchange.hpp
@@ -11,6 +11,7 @@
 #ifndef PIMENTOFERRY_HTTP_EXCHANGE_HPP
 #define PIMENTOFERRY_HTTP_EXCHANGE_HPP
 
+#include "pimentoferry/base/time.hpp"
 #include "pimentoferry/http/awaitable.hpp"
 #include "pimentoferry/http/cancellation.hpp"
 #include "pimentoferry/http/message.hpp"
@@ -28,9 +29,21 @@
 
 enum class write_result : std::uint8_t {
     written,
-    gone, ///< The caller closed the connection or stopped reading.
+    gone, ///< The caller gets no more bytes, see `caller_end`.
 };
 
+/// Why a caller gets no more bytes.
+enum class caller_end : std::uint8_t {
+    none,
+    closed,       ///< The caller closed its connection.
+    unresponsive, ///< The caller's host acknowledges nothing.
+    too_slow,     ///< The caller had not read its answer by the deadline.
+    evicted,      ///< The memory for answers was needed for other callers.
+};
+
+/// Returns the name of the enumerator, for logs. The names are stable.
+std::string_view to_string(caller_end end);
+
 class exchange {
 public:
     explicit exchange(internal::connection& connection);
@@ -42,6 +55,13 @@
     /// closes only its sending side counts as disconnected.
     std::shared_ptr<cancellation> caller_gone() const;
 
+    /// Why the caller is gone; `none` if it is not.
+    caller_end ended_by() const;
+
+    /// The time by which the caller has to accept the whole answer. Until it is
+    /// set, a caller may accept no bytes for `server_limits::write_timeout_`.
+    void set_deadline(base::time_point deadline);
+
     /// Adds a header field to the response that follows.
     void add_field(std::string name, std::string value);
 
@@ -51,14 +71,14 @@
     /// Sends the head of a stream; `write` sends the body.
     awaitable<write_result> begin_stream(const response_head& head);
 
-    /// Returns once the kernel has accepted all bytes, so that a slow caller
-    /// applies backpressure to the relay. A caller that accepts none for
-    /// `server_limits::write_timeout_` (30 s by default) counts as
-    /// disconnected.
+    /// Returns once the bytes are buffered: an upstream may cut off an answer
+    /// that nobody reads, so a relay has to go on reading for a slow caller.
+    /// Beyond `server_limits::stream_buffer_bytes_` the caller applies
+    /// backpressure to the relay.
     awaitable<write_result> write(std::string_view bytes);
 
-    /// Ends the stream. Without this call the caller receives an incomplete
-    /// response.
+    /// Ends the stream, and returns once the caller has accepted all of it.
+    /// Without this call the caller receives an incomplete response.
     awaitable<write_result> end_stream();
 
     /// Whether sending a response or the head of a stream has started.
--- a/pimentoferry/http/message.hpp
+++ b/pimentoferry/http/message.hpp
@@ -7,6 +7,9 @@
 #ifndef PIMENTOFERRY_HTTP_MESSAGE_HPP
 #define PIMENTOFERRY_HTTP_MESSAGE_HPP
 
+#include "pimentoferry/http/counted_bytes.hpp"
+
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,6 +39,9 @@
     int status_{200};
     field_list fields_;
     std::string body_;
+    /// Counts the body against the memory for answers; unset if it is not
+    /// counted.
+    std::shared_ptr<counted_bytes> counted_{};
 };
 
 /// Returns the value of the first field with that name, ignoring case; empty if
--- a/pimentoferry/http/server.cpp
+++ b/pimentoferry/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "pimentoferry/http/byte_budget.hpp"
 #include "pimentoferry/http/connection.hpp"
+#include "pimentoferry/http/connection_watch.hpp"
 #include "pimentoferry/http/error_token.hpp"
 #include "pimentoferry/http/unresponsive_peer.hpp"
 
@@ -12,6 +13,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <set>
 
 namespace pimentoferry::http {
@@ -39,8 +41,9 @@
              const server_limits& limits,
              handler handle)
         : context_(context), acceptor_(context), limits_(limits),
+          watch_(std::make_shared<connection_watch>(context)),
           handle_(std::move(handle)) {
-        bodies_.set_limit(limits.body_budget_bytes_);
+        apply_budgets();
     }
 
     error_code open(const base::endpoint& address) {
@@ -99,7 +102,22 @@
 
     void set_limits(const server_limits& limits) {
         limits_ = limits;
-        bodies_.set_limit(limits.body_budget_bytes_);
+        apply_budgets();
+    }
+
+    bool cut_longest_stalled() {
+        const auto stalled_since = [](const auto& each) {
+            return each->stalled_since().value_or(base::time_point::max());
+        };
+        const auto longest =
+            std::ranges::min_element(connections_, {}, stalled_since);
+        if (longest == connections_.end() ||
+            stalled_since(*longest) >
+                base::clock::now() - limits_.least_stall_) {
+            return false;
+        }
+        (*longest)->end(caller_end::evicted);
+        return true;
     }
 
 private:
@@ -108,7 +126,10 @@
         socket.set_option(tcp::no_delay{true}, ignored);
         detect_unresponsive_peer(socket);
         const auto accepted = std::make_shared<connection>(
-            std::move(socket), limits_, bodies_, handle_);
+            std::move(socket),
+            connection_context{limits_, handle_, bodies_, stream_buffers_,
+                               watch_,
+                               [this] { return cut_longest_stalled(); }});
         connections_.insert(accepted);
         asio::co_spawn(
             context_, [accepted] { return accepted->run(); },
@@ -117,10 +138,17 @@
             });
     }
 
+    void apply_budgets() {
+        bodies_.set_limit(limits_.body_budget_bytes_);
+        stream_buffers_.set_limit(limits_.stream_budget_bytes_);
+    }
+
     asio::io_context& context_;
     tcp::acceptor acceptor_;
     server_limits limits_;
     byte_budget bodies_;
+    byte_budget stream_buffers_;
+    std::shared_ptr<connection_watch> watch_;
     handler handle_;
     std::set<std::shared_ptr<connection>> connections_;
 };
@@ -167,6 +195,10 @@
     listener_->set_limits(limits);
 }
 
+bool server::cut_longest_stalled() {
+    return listener_->cut_longest_stalled();
+}
+
 void server::stop() {
     listener_->stop();
 }
--- a/pimentoferry/http/server.hpp
+++ b/pimentoferry/http/server.hpp
@@ -45,7 +45,15 @@
     /// For the body of a request, from the end of its head.
     base::milliseconds receive_timeout_{30000};
     base::milliseconds idle_timeout_{60000}; ///< Between two requests.
+    /// Without bytes that the caller accepts, see `exchange::set_deadline`.
     base::milliseconds write_timeout_{30000};
+    /// Events of one stream that wait for a slow caller.
+    std::size_t stream_buffer_bytes_{std::size_t{512} << 10};
+    /// Events of all streams that wait for slow callers; 0: no limit.
+    std::size_t stream_budget_bytes_{0};
+    /// When the budget is used up, a caller that has accepted nothing for this
+    /// long may lose its answer.
+    base::milliseconds least_stall_{1000};
 };
 
 /// The server could not listen on the address.
@@ -76,6 +84,11 @@
     /// operation on.
     void set_limits(const server_limits& limits);
 
+    /// Cuts off the answer whose caller has accepted nothing for the longest
+    /// time, but at least for `server_limits::least_stall_`. That caller is the
+    /// least likely to read on. Returns whether there was one.
+    bool cut_longest_stalled();
+
     /// Accepts no more connections and closes the idle ones. Calls in progress
     /// are completed, and their connections close after the response.
     void stop();
--- a/pimentoferry/http/test_support.hpp
+++ b/pimentoferry/http/test_support.hpp
@@ -12,6 +12,10 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -39,6 +43,12 @@
 
     const base::endpoint& address() const { return address_; }
 
+    /// Runs a function on the thread of the server.
+    void post(std::function<void(server&)> action) {
+        boost::asio::post(
+            context_, [this, action = std::move(action)] { action(*server_); });
+    }
+
     /// Stops the server after `steps` other completions. To be called on the
     /// thread of the server, by a handler.
     void stop_after(int steps) {
@@ -57,11 +67,28 @@
     std::thread thread_;
 };
 
+/// Makes the kernel drop everything that arrives on the connection, so that
+/// nothing is acknowledged, as if its host had lost its power.
+inline void fall_silent(boost::asio::ip::tcp::socket& socket) {
+    sock_filter drop_all{BPF_RET | BPF_K, 0, 0, 0};
+    const sock_fprog program{1, &drop_all};
+    setsockopt(socket.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+               sizeof program);
+}
+
 /// A blocking connection that sends and receives raw bytes.
 class raw_connection {
 public:
-    explicit raw_connection(const base::endpoint& address) : socket_(context_) {
+    /// `receive_buffer_bytes`: of the kernel; 0 leaves its default.
+    explicit raw_connection(const base::endpoint& address,
+                            int receive_buffer_bytes = 0)
+        : socket_(context_) {
         const auto ip = boost::asio::ip::make_address(address.ip_);
+        socket_.open(boost::asio::ip::tcp::v4());
+        if (receive_buffer_bytes > 0) {
+            socket_.set_option(boost::asio::socket_base::receive_buffer_size{
+                receive_buffer_bytes});
+        }
         socket_.connect({ip, address.port_});
     }
 
@@ -84,6 +111,8 @@
         return text;
     }
 
+    void fall_silent() { http::fall_silent(socket_); }
+
     void end_sending() {
         socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
     }
--- a/pimentoferry/http/unresponsive_peer.cpp
+++ b/pimentoferry/http/unresponsive_peer.cpp
@@ -11,12 +11,10 @@
 namespace asio = boost::asio;
 
 // The kernel sends a probe after 1 s without traffic and then each second; two
-// unacknowledged probes abort the connection. With the limit for unacknowledged
-// bytes, an unresponsive peer is detected within 3 s.
+// unacknowledged probes abort the connection after 3 s.
 constexpr int idle_before_probe_s = 1;
 constexpr int probe_interval_s = 1;
 constexpr int max_unanswered_probes = 2;
-constexpr int unacknowledged_limit_ms = 3000;
 
 template <int Level, int Name>
 using integer_option = asio::detail::socket_option::integer<Level, Name>;
@@ -36,9 +34,6 @@
     socket.set_option(
         integer_option<IPPROTO_TCP, TCP_KEEPCNT>{max_unanswered_probes},
         ignored);
-    socket.set_option(
-        integer_option<IPPROTO_TCP, TCP_USER_TIMEOUT>{unacknowledged_limit_ms},
-        ignored);
 }
 
 } // namespace pimentoferry::http
--- a/pimentoferry/http/unresponsive_peer.hpp
+++ b/pimentoferry/http/unresponsive_peer.hpp
@@ -8,9 +8,11 @@
 
 namespace pimentoferry::http {
 
-/// Makes the kernel abort a connection whose peer has acknowledged neither
-/// keep-alive probes nor sent bytes for about 3 s. A peer that lost its power
-/// or is behind a network partition sends no reset.
+/// Makes the kernel abort a connection without outstanding bytes whose peer has
+/// not acknowledged keep-alive probes for about 3 s. A peer that lost its power
+/// or is behind a network partition sends no reset. The kernel sends no such
+/// probes while bytes are outstanding; `internal::connection_watch` covers
+/// these connections.
 void detect_unresponsive_peer(boost::asio::ip::tcp::socket& socket);
 
 } // namespace pimentoferry::http
--- a/pimentoferry/http/upstream_call.cpp
+++ b/pimentoferry/http/upstream_call.cpp
@@ -4,6 +4,7 @@
 #include "pimentoferry/http/framing.hpp"
 #include "pimentoferry/http/unresponsive_peer.hpp"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -25,6 +26,8 @@
 constexpr int max_skipped_responses = 3;
 constexpr std::size_t max_skipped_bytes = std::size_t{64} << 10;
 constexpr std::size_t read_buffer_bytes = std::size_t{16} << 10;
+// Between two checks whether answers that waited for their callers are gone.
+constexpr base::milliseconds full_memory_pause{10};
 
 std::string write_request_head(const base::endpoint& address,
                                const request& call) {
@@ -100,7 +103,19 @@
     stop();
 }
 
+void upstream_call::watch_peer() {
+    watch_ = pool_->watch().add(stream_->socket(), [] {});
+}
+
+void upstream_call::unwatch_peer() {
+    if (watch_) {
+        pool_->watch().remove(*watch_);
+        watch_.reset();
+    }
+}
+
 void upstream_call::stop() {
+    unwatch_peer();
     if (stream_) {
         stream_->close();
     }
@@ -157,10 +172,12 @@
         co_return false;
     }
     stream_ = std::move(pooled);
+    watch_peer();
     const error_code error = co_await send(head, body);
     if (!error || sent_) {
         co_return true;
     }
+    unwatch_peer();
     stream_ = pool_->make();
     co_return false;
 }
@@ -191,6 +208,7 @@
         error_code ignored;
         stream_->socket().set_option(tcp::no_delay{true}, ignored);
         detect_unresponsive_peer(stream_->socket());
+        watch_peer();
     }
     co_return error;
 }
@@ -321,6 +339,23 @@
     co_return error;
 }
 
+awaitable<bool> upstream_call::add_bytes(counted_bytes& share,
+                                         std::size_t bytes) {
+    while (!share.add(bytes)) {
+        const bool cancelled =
+            options_.cancel_ && options_.cancel_->requested();
+        if (cancelled || !pool_->holds_complete_answers() ||
+            base::clock::now() >= options_.deadline_) {
+            co_return false;
+        }
+        pool_->free_bytes();
+        asio::steady_timer pause{stream_->get_executor(), full_memory_pause};
+        error_code ignored;
+        co_await pause.async_wait(into(ignored));
+    }
+    co_return true;
+}
+
 call_failure upstream_call::to_failure(error_code error) const {
     if (options_.cancel_ && options_.cancel_->requested()) {
         return {failure_kind::cancelled, sent_};
@@ -331,6 +366,7 @@
 void upstream_call::finish() {
     finished_ = true;
     cancel_ = {};
+    unwatch_peer();
     if (!skipped_any_ && parser_->get().keep_alive() && buffer_.size() == 0) {
         stream_->expires_never();
         pool_->give_back(address_, std::move(stream_),
--- a/pimentoferry/http/upstream_call.hpp
+++ b/pimentoferry/http/upstream_call.hpp
@@ -38,8 +38,14 @@
     awaitable<std::variant<std::string, body_end, call_failure>>
     read(bool until_deadline);
     const call_options& options() const { return options_; }
-    /// A share of the client's limit for bodies that are read at the same time.
-    buffered_share buffered_bytes() { return pool_->buffered_bytes(); }
+    /// A share of the client's limit for answers that are held.
+    std::shared_ptr<counted_bytes> count_bytes() {
+        return pool_->count_bytes();
+    }
+    /// Adds to a share. Waits until the deadline of the call if answers that
+    /// wait for their callers use the limit up; returns false if that does not
+    /// help.
+    awaitable<bool> add_bytes(counted_bytes& share, std::size_t bytes);
 
 private:
     using parser =
@@ -59,6 +65,8 @@
     void set_timeout(base::time_point deadline);
     void finish();
     void stop();
+    void watch_peer();
+    void unwatch_peer();
 
     std::shared_ptr<connection_pool> pool_;
     base::endpoint address_;
@@ -75,6 +83,8 @@
     /// When the current operation times out.
     base::time_point expires_at_{base::time_point::max()};
     subscription cancel_;
+    /// Of the connection in use.
+    std::optional<connection_watch::watch_id> watch_;
 };
 
 } // namespace pimentoferry::http::internal
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -215,13 +215,13 @@
         co_return;
     }
     const auto body = co_await answer->read_all();
-    const auto* text = std::get_if<std::string>(&body);
-    record.complete_ = text != nullptr;
+    const auto* whole = std::get_if<http::response>(&body);
+    record.complete_ = whole != nullptr;
     if (record.complete_ && record.status_ == status_ok) {
         const auto expected =
             "of " + record.id_ + " at " + path_of(record.kind_);
         record.from_other_request_ =
-            record.from_other_request_ || !text->ends_with(expected);
+            record.from_other_request_ || !whole->body_.ends_with(expected);
     }
 }
 
