No head is written that text of another process would end or divide

Change: write_request_head and write_response_head return nothing for a head that would not be read as it was meant. A caller gets 502 in place of such an answer; an upstream's answer with such a field is malformed. Log lines have no control characters.

--- a/pimentoferry/http/connection.cpp
+++ b/pimentoferry/http/connection.cpp
@@ -2,6 +2,7 @@
 
 #include "pimentoferry/http/error_token.hpp"
 #include "pimentoferry/http/framing.hpp"
+#include "pimentoferry/http/head_writer.hpp"
 #include "pimentoferry/http/problem.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -89,18 +90,6 @@
     return fields;
 }
 
-bool is_framing_field(std::string_view name) {
-    return same_name(name, "Content-Length") ||
-           same_name(name, "Transfer-Encoding") ||
-           same_name(name, "Connection");
-}
-
-void append_field(std::string& head,
-                  std::string_view name,
-                  std::string_view value) {
-    head.append(name).append(": ").append(value).append("\r\n");
-}
-
 } // namespace
 
 connection::connection(asio::ip::tcp::socket socket, connection_context context)
@@ -344,38 +333,34 @@
     co_await watch_ended_.async_wait(into(ignored));
 }
 
-std::string connection::write_head(int status,
-                                   const field_list& fields,
-                                   std::optional<std::size_t> length) const {
-    std::string head{chunked_ ? "HTTP/1.1 " : "HTTP/1.0 "};
-    const auto reason = beast::http::obsolete_reason(
-        beast::http::int_to_status(static_cast<unsigned>(status)));
-    head += std::to_string(status) + " " + std::string{reason} + "\r\n";
-    for (const auto* list : {&fields, &extra_fields_}) {
-        for (const auto& f : *list) {
-            if (!is_framing_field(f.name_)) {
-                append_field(head, f.name_, f.value_);
-            }
-        }
-    }
+std::optional<std::string>
+connection::write_head(const response_head& head,
+                       std::optional<std::size_t> length) const {
     const bool keep_open = keep_alive_ && !stopping_ && (length || chunked_);
-    append_field(head, "Connection", keep_open ? "keep-alive" : "close");
-    if (length) {
-        append_field(head, "Content-Length", std::to_string(*length));
-    } else if (chunked_) {
-        append_field(head, "Transfer-Encoding", "chunked");
-    }
-    return head + "\r\n";
+    return write_response_head(head, extra_fields_,
+                               {length, chunked_, keep_open});
+}
+
+awaitable<write_result> connection::refuse_unwritable() {
+    extra_fields_.clear();
+    const base::refusal refusal{
+        base::refusal_code::upstream_failed, base::ran_state::unknown,
+        std::nullopt, "the answer has a field that cannot be passed on"};
+    const auto answer = problem_response(refusal, {});
+    co_return co_await respond(answer);
 }
 
 awaitable<write_result> connection::respond(const response& answer) {
-    const std::string head =
-        write_head(answer.status_, answer.fields_, answer.body_.size());
+    const auto head =
+        write_head({answer.status_, answer.fields_}, answer.body_.size());
+    if (!head) {
+        co_return co_await refuse_unwritable();
+    }
     response_state_ = response_state::streaming;
     held_answer_ = answer.counted_;
     const std::string_view body = answer.body_;
-    const auto result =
-        co_await send(head, call_.method_ != "HEAD" ? body : body.substr(0, 0));
+    const auto result = co_await send(
+        *head, call_.method_ != "HEAD" ? body : body.substr(0, 0));
     held_answer_.reset();
     if (result == write_result::written) {
         response_state_ = response_state::complete;
@@ -384,9 +369,13 @@
 }
 
 awaitable<write_result> connection::begin_stream(const response_head& head) {
-    std::string text = write_head(head.status_, head.fields_, std::nullopt);
+    auto text = write_head(head, std::nullopt);
+    if (!text) {
+        co_await refuse_unwritable();
+        co_return write_result::gone;
+    }
     response_state_ = response_state::streaming;
-    co_return co_await enqueue(std::move(text));
+    co_return co_await enqueue(std::move(*text));
 }
 
 awaitable<write_result> connection::write(std::string_view bytes) {
--- a/pimentoferry/http/connection.hpp
+++ b/pimentoferry/http/connection.hpp
@@ -93,9 +93,12 @@
                            boost::system::error_code& error);
     awaitable<boost::system::error_code> await_writable();
     base::time_point write_limit() const;
-    std::string write_head(int status,
-                           const field_list& fields,
-                           std::optional<std::size_t> length) const;
+    /// Unset if the head would not be read as it is meant.
+    std::optional<std::string>
+    write_head(const response_head& head,
+               std::optional<std::size_t> length) const;
+    /// Answers in place of a response whose head cannot be written.
+    awaitable<write_result> refuse_unwritable();
     void set_request(parser& request_parser);
     void close();
 
--- a/pimentoferry/http/message.cpp
+++ b/pimentoferry/http/message.cpp
@@ -12,6 +12,14 @@
            std::tolower(static_cast<unsigned char>(second));
 }
 
+bool is_token(std::string_view text) {
+    constexpr std::string_view separators = "\"(),/:;<=>?@[\\]{}";
+    return !text.empty() && std::ranges::all_of(text, [&](char c) {
+        return c > ' ' && c <= '~' &&
+               separators.find(c) == std::string_view::npos;
+    });
+}
+
 } // namespace
 
 bool same_name(std::string_view first, std::string_view second) {
@@ -35,23 +43,19 @@
     });
 }
 
+bool are_writable(const field_list& fields) {
+    return std::ranges::all_of(fields, [](const field& each) {
+        return is_token(each.name_) && is_field_value(each.value_);
+    });
+}
+
 bool is_writable(const request& call) {
-    const auto is_token = [](std::string_view text) {
-        constexpr std::string_view separators = "\"(),/:;<=>?@[\\]{}";
-        return !text.empty() && std::ranges::all_of(text, [&](char c) {
-            return c > ' ' && c <= '~' &&
-                   separators.find(c) == std::string_view::npos;
-        });
-    };
     const bool has_target =
         !call.target_.empty() && std::ranges::all_of(call.target_, [](char c) {
             constexpr char delete_character = 0x7f;
             return static_cast<unsigned char>(c) > ' ' && c != delete_character;
         });
-    return is_token(call.method_) && has_target &&
-           std::ranges::all_of(call.fields_, [&is_token](const field& each) {
-               return is_token(each.name_) && is_field_value(each.value_);
-           });
+    return is_token(call.method_) && has_target && are_writable(call.fields_);
 }
 
 std::string_view path_of(std::string_view target) {
--- a/pimentoferry/http/message.hpp
+++ b/pimentoferry/http/message.hpp
@@ -55,9 +55,13 @@
 /// 5.5): no control characters but the tab, no space or tab at either end.
 bool is_field_value(std::string_view value);
 
+/// Whether the fields can be written: names are tokens, and all values pass
+/// `is_field_value`.
+bool are_writable(const field_list& fields);
+
 /// Whether the request can be written so that its head ends where it should:
-/// method and field names are tokens, the target has no space, and all values
-/// pass `is_field_value`.
+/// the method is a token, the target has no space, and the fields pass
+/// `are_writable`.
 bool is_writable(const request& call);
 
 /// Returns the path of a target, without its query.
--- a/pimentoferry/http/server_test.cpp
+++ b/pimentoferry/http/server_test.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(sends_a_stream_without_buffering);
     CPPUNIT_TEST(slow_caller_applies_backpressure);
     CPPUNIT_TEST(incomplete_stream_has_no_last_chunk);
+    CPPUNIT_TEST(response_that_would_end_its_head_early_is_not_written);
     CPPUNIT_TEST(failing_handler_results_in_status_500);
     CPPUNIT_TEST(request_that_arrives_with_the_stop_is_answered);
     CPPUNIT_TEST(connection_that_is_accepted_with_the_stop_is_closed);
@@ -281,6 +282,29 @@
         CPPUNIT_ASSERT(!contains(text, "0\r\n\r\n"));
     }
 
+    // Guards against text of an upstream that a caller takes for an answer to
+    // its next request.
+    void response_that_would_end_its_head_early_is_not_written() {
+        const response_head forged{
+            200, {{"Name", "value\r\n\r\nHTTP/1.1 200 OK\r\nForged: 1"}}};
+        const auto whole = [&forged](exchange& call) -> awaitable<void> {
+            const response answer{forged.status_, forged.fields_, "body"};
+            co_await call.respond(answer);
+        };
+        const auto stream = [&forged](exchange& call) -> awaitable<void> {
+            const auto begun = co_await call.begin_stream(forged);
+            CPPUNIT_ASSERT(begun == write_result::gone);
+        };
+        for (const handler& each : {handler{whole}, handler{stream}}) {
+            running_server server{each};
+            raw_connection caller{server.address()};
+            caller.send(post("x", close_field));
+            const auto text = caller.receive_all();
+            CPPUNIT_ASSERT_MESSAGE(text, text.starts_with("HTTP/1.1 502 "));
+            CPPUNIT_ASSERT(!contains(text, "Forged"));
+        }
+    }
+
     // Guards against a request that is handled although its connection was
     // closed as idle: it was received, but its reader had not resumed.
     void request_that_arrives_with_the_stop_is_answered() {
--- a/pimentoferry/http/upstream_call.cpp
+++ b/pimentoferry/http/upstream_call.cpp
@@ -2,6 +2,7 @@
 
 #include "pimentoferry/http/error_token.hpp"
 #include "pimentoferry/http/framing.hpp"
+#include "pimentoferry/http/head_writer.hpp"
 #include "pimentoferry/http/unresponsive_peer.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -29,21 +30,6 @@
 // Between two checks whether answers that waited for their callers are gone.
 constexpr base::milliseconds full_memory_pause{10};
 
-std::string write_request_head(const base::endpoint& address,
-                               const request& call) {
-    std::string head = call.method_ + " " + call.target_ + " HTTP/1.1\r\n";
-    if (find_field(call.fields_, "Host").empty()) {
-        head += "Host: " + base::to_string(address) + "\r\n";
-    }
-    for (const auto& f : call.fields_) {
-        head += f.name_ + ": " + f.value_ + "\r\n";
-    }
-    if (!call.body_.empty() || call.method_ != "GET") {
-        head += "Content-Length: " + std::to_string(call.body_.size()) + "\r\n";
-    }
-    return head + "\r\n";
-}
-
 // Statuses of HTTP (RFC 9110, section 15). The parser takes any three digits.
 constexpr int lowest_status = 100;
 constexpr int highest_status = 599;
@@ -123,17 +109,17 @@
 
 awaitable<std::optional<call_failure>>
 upstream_call::start(const request& call) {
-    if (!is_writable(call)) {
+    const auto head = write_request_head(address_, call);
+    if (!head) {
         co_return call_failure{failure_kind::malformed, false};
     }
-    const std::string head = write_request_head(address_, call);
     const bool cancelled = options_.cancel_ && options_.cancel_->requested();
     if (cancelled) {
         co_return call_failure{failure_kind::cancelled, false};
     }
     bool sent = false;
     if (!options_.fresh_connection_) {
-        sent = co_await send_on_pooled(head, call.body_);
+        sent = co_await send_on_pooled(*head, call.body_);
     }
     error_code error;
     const bool is_new_connection = !sent;
@@ -146,7 +132,7 @@
             }
             co_return failure;
         }
-        error = co_await send(head, call.body_);
+        error = co_await send(*head, call.body_);
     }
     if (!error) {
         error = co_await read_head();
@@ -284,6 +270,9 @@
         if (head_.status_ < lowest_status || head_.status_ > highest_status) {
             error = beast::http::error::bad_status;
         }
+        if (!are_writable(head_.fields_)) {
+            error = beast::http::error::bad_value;
+        }
         if (framing_fault(head_.fields_, message.version())) {
             error = beast::http::error::bad_transfer_encoding;
         }
--- a/pimentoferry/log/log.cpp
+++ b/pimentoferry/log/log.cpp
@@ -12,9 +12,17 @@
 
 namespace {
 
+bool is_control(char c) {
+    constexpr char delete_character = 0x7f;
+    return static_cast<unsigned char>(c) < ' ' || c == delete_character;
+}
+
 std::string quoted(std::string_view value) {
-    const bool plain = !value.empty() && value.find_first_of(" \"=\n\r\t\\") ==
-                                             std::string_view::npos;
+    const bool plain =
+        !value.empty() && std::ranges::none_of(value, [](char c) {
+            return is_control(c) || c == ' ' || c == '"' || c == '=' ||
+                   c == '\\';
+        });
     if (plain) {
         return std::string{value};
     }
@@ -23,8 +31,9 @@
         if (c == '"' || c == '\\') {
             text += '\\';
         }
-        // A line break in a value from a caller would forge a log line.
-        text += static_cast<unsigned char>(c) < ' ' ? ' ' : c;
+        // A line break in a value from another process would forge a log line,
+        // and an escape sequence would change what a terminal shows.
+        text += is_control(c) ? ' ' : c;
     }
     return text + "\"";
 }
--- a/pimentoferry/log/log_test.cpp
+++ b/pimentoferry/log/log_test.cpp
@@ -10,6 +10,7 @@
 class log_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(log_test);
     CPPUNIT_TEST(quotes_values_with_separators);
+    CPPUNIT_TEST(control_characters_are_not_written);
     CPPUNIT_TEST(limits_the_rate_of_lines);
     CPPUNIT_TEST_SUITE_END();
 
@@ -20,6 +21,14 @@
             format_line("refuse", {{"id", "7"}, {"detail", "a b\"c\nd"}}));
     }
 
+    // Guards against an upstream's text that changes what a terminal shows.
+    void control_characters_are_not_written() {
+        CPPUNIT_ASSERT_EQUAL(std::string{R"(event=refuse detail="a [2J b c")"},
+                             format_line("refuse", {{"detail", "a\x1b[2J\x7f"
+                                                               "b\x0b"
+                                                               "c"}}));
+    }
+
     // Guards against logging that takes CPU time from requests.
     void limits_the_rate_of_lines() {
         base::time_point now{};
