A part of an answer no longer passes for the whole after a failed write

Cause: send_on_pooled dropped the error of a write of which a part had been sent. The reset had been handed to that write, so the end that was read looked ordered. On a new connection the error ended the call, and a marked early answer was lost.

Change: http::is_whole judges the end of an answer, for new and used connections alike, from its mark, the last read and whether the call was written whole. After a failed write an answer with a marked end is passed on; one without is broken. Such a connection is not used again.

--- a/pimentoferry/gateway/peer_relay.cpp
+++ b/pimentoferry/gateway/peer_relay.cpp
@@ -239,7 +239,9 @@
         co_return relay_result::done;
     }
     auto body = co_await answer.read_all();
-    if (std::holds_alternative<http::call_failure>(body)) {
+    // A gateway marks the end of each answer.
+    if (std::holds_alternative<http::call_failure>(body) ||
+        !answer.end_is_marked()) {
         co_return relay_result::lost;
     }
     const auto forwarded =
--- a/pimentoferry/http/upstream_call.cpp
+++ b/pimentoferry/http/upstream_call.cpp
@@ -117,12 +117,12 @@
     if (cancelled) {
         co_return call_failure{failure_kind::cancelled, false};
     }
-    bool sent = false;
+    std::optional<error_code> pooled;
     if (!options_.fresh_connection_) {
-        sent = co_await send_on_pooled(*head, call.body_);
+        pooled = co_await send_on_pooled(*head, call.body_);
     }
-    error_code error;
-    const bool is_new_connection = !sent;
+    error_code error = pooled.value_or(error_code{});
+    const bool is_new_connection = !pooled;
     if (is_new_connection) {
         error = co_await connect();
         if (error) {
@@ -134,7 +134,8 @@
         }
         error = co_await send(*head, call.body_);
     }
-    if (!error) {
+    write_failed_ = may_be_answered_early(error);
+    if (!error || write_failed_) {
         error = co_await read_head();
     }
     if (error) {
@@ -149,23 +150,29 @@
     co_return std::nullopt;
 }
 
-// Returns false if a new connection is needed. Sending on another connection is
-// safe only if no byte was sent on the pooled one.
-awaitable<bool> upstream_call::send_on_pooled(const std::string& head,
-                                              const std::string& body) {
+// Sending on another connection is safe only if no byte was sent on the pooled
+// one.
+awaitable<std::optional<error_code>>
+upstream_call::send_on_pooled(const std::string& head,
+                              const std::string& body) {
     auto pooled = pool_->take(address_, options_.longest_idle_);
     if (!pooled) {
-        co_return false;
+        co_return std::nullopt;
     }
     stream_ = std::move(pooled);
     watch_peer();
     const error_code error = co_await send(head, body);
     if (!error || sent_) {
-        co_return true;
+        co_return error;
     }
     unwatch_peer();
     stream_ = pool_->make();
-    co_return false;
+    co_return std::nullopt;
+}
+
+bool upstream_call::may_be_answered_early(error_code error) const {
+    return sent_ && (error == asio::error::connection_reset ||
+                     error == asio::error::broken_pipe);
 }
 
 void upstream_call::set_timeout(base::time_point deadline) {
@@ -261,7 +268,9 @@
                                             into(error));
     if (!error) {
         const auto& message = parser_->get();
-        end_is_marked_ = !parser_->need_eof();
+        mark_ = parser_->need_eof()  ? end_mark::connection
+                : parser_->chunked() ? end_mark::last_chunk
+                                     : end_mark::length;
         head_.status_ = static_cast<int>(message.result_int());
         for (const auto& f : message) {
             head_.fields_.push_back(
@@ -282,11 +291,8 @@
 
 awaitable<std::variant<std::string, body_end, call_failure>>
 upstream_call::read(bool until_deadline) {
-    if (!finished_ && parser_->is_done()) {
-        finish();
-    }
-    if (finished_) {
-        co_return body_end{};
+    if (finished_ || parser_->is_done()) {
+        co_return end_body();
     }
     const auto gap_deadline = base::clock::now() + options_.gap_timeout_;
     set_timeout(until_deadline ? options_.deadline_ : gap_deadline);
@@ -296,12 +302,26 @@
         co_return to_failure(error);
     }
     if (bytes.empty() && parser_->is_done()) {
-        finish();
-        co_return body_end{};
+        co_return end_body();
     }
     co_return bytes;
 }
 
+std::variant<std::string, body_end, call_failure> upstream_call::end_body() {
+    const ended_answer answer{mark_,
+                              mark_ == end_mark::connection ? last_read::orderly
+                                                            : last_read::mark,
+                              !write_failed_};
+    if (!is_whole(answer)) {
+        stop();
+        return call_failure{failure_kind::broken, sent_};
+    }
+    if (!finished_) {
+        finish(is_connection_reusable(answer));
+    }
+    return body_end{};
+}
+
 awaitable<error_code> upstream_call::read_some(std::string& bytes) {
     error_code error;
     std::array<char, read_buffer_bytes> read_buffer{};
@@ -352,11 +372,12 @@
     return {to_failure_kind(error), sent_};
 }
 
-void upstream_call::finish() {
+void upstream_call::finish(bool reusable) {
     finished_ = true;
     cancel_ = {};
     unwatch_peer();
-    if (!skipped_any_ && parser_->get().keep_alive() && buffer_.size() == 0) {
+    if (reusable && !skipped_any_ && parser_->get().keep_alive() &&
+        buffer_.size() == 0) {
         stream_->expires_never();
         pool_->give_back(address_, std::move(stream_),
                          announced_keep_alive(head_.fields_));
--- a/pimentoferry/http/upstream_call.hpp
+++ b/pimentoferry/http/upstream_call.hpp
@@ -3,6 +3,7 @@
 #ifndef PIMENTOFERRY_HTTP_UPSTREAM_CALL_HPP
 #define PIMENTOFERRY_HTTP_UPSTREAM_CALL_HPP
 
+#include "pimentoferry/http/answer_end.hpp"
 #include "pimentoferry/http/client.hpp"
 #include "pimentoferry/http/connection_pool.hpp"
 
@@ -32,7 +33,7 @@
     awaitable<std::optional<call_failure>> start(const request& call);
 
     const response_head& head() const { return head_; }
-    bool end_is_marked() const { return end_is_marked_; }
+    bool end_is_marked() const { return mark_ != end_mark::connection; }
     /// Returns the next bytes of the body. Limited by the deadline of the call
     /// or else by the gap timeout.
     awaitable<std::variant<std::string, body_end, call_failure>>
@@ -51,8 +52,10 @@
     using parser =
         boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-    awaitable<bool> send_on_pooled(const std::string& head,
-                                   const std::string& body);
+    /// The result of sending the call on a pooled connection; unset if a new
+    /// one is needed.
+    awaitable<std::optional<boost::system::error_code>>
+    send_on_pooled(const std::string& head, const std::string& body);
     awaitable<boost::system::error_code> connect();
     awaitable<boost::system::error_code> send(const std::string& head,
                                               const std::string& body);
@@ -61,9 +64,13 @@
     awaitable<boost::system::error_code> skip_body();
     void begin_response();
     awaitable<boost::system::error_code> read_some(std::string& bytes);
+    /// Whether an upstream that has not read the whole call may have answered.
+    bool may_be_answered_early(boost::system::error_code error) const;
+    /// The end of the body, unless the answer is broken.
+    std::variant<std::string, body_end, call_failure> end_body();
     call_failure to_failure(boost::system::error_code error) const;
     void set_timeout(base::time_point deadline);
-    void finish();
+    void finish(bool reusable);
     void stop();
     void watch_peer();
     void unwatch_peer();
@@ -75,8 +82,10 @@
     boost::beast::flat_buffer buffer_{max_buffered_input_bytes};
     std::optional<parser> parser_; ///< Of the current response.
     response_head head_;
-    bool end_is_marked_{true};
+    end_mark mark_{end_mark::length};
     bool sent_{false};
+    /// Whether a write failed after a part of the call had been sent.
+    bool write_failed_{false};
     bool finished_{false};
     /// A response to another call was received on this connection.
     bool skipped_any_{false};
