A service without keepers no longer ends the gateways that drain

What callers saw: once no live member was left that did not drain (SIGTERM to all, or to the only gateway), every gateway ended by SIGSEGV within 0.5 s and cut what it carried.

Cause: ask_first_keeper took the first element of a list that is then empty.

Change: first_keeper_of returns an optional. While all drain, those that drain are the keepers, so that what they know of streams reaches the store. A fatal signal writes one line with the signal, the version and the build id, and remains the exit status. The fixtures of the process tests and the soak fail when a gateway ends in a way that nobody asked for; the soak sends SIGTERM to all, at once and in series.

--- a/pimentoferry/cli/main.cpp
+++ b/pimentoferry/cli/main.cpp
@@ -4,6 +4,7 @@
 #include "pimentoferry/cli/arguments.hpp"
 #include "pimentoferry/cli/commands.hpp"
 #include "pimentoferry/cli/exit_codes.hpp"
+#include "pimentoferry/cli/fatal_signals.hpp"
 #include "pimentoferry/cli/help.hpp"
 
 #include <algorithm>
@@ -57,6 +58,7 @@
 } // namespace
 
 int main(int argc, const char** argv) {
+    cli::report_fatal_signals(PIMENTOFERRY_VERSION);
     const auto parsed = cli::parse_arguments(argc, argv);
     if (const auto* error = std::get_if<cli::usage_error>(&parsed)) {
         return cli::fail(cli::exit_usage, error->message_);
--- a/pimentoferry/gateway/origin_exchange.cpp
+++ b/pimentoferry/gateway/origin_exchange.cpp
@@ -45,11 +45,24 @@
 origin_exchange::keepers_of(const base::service_name& service) const {
     const auto shard =
         static_cast<std::uint32_t>(base::hash_bytes(service.value_));
-    auto candidates = membership::shard_candidates(shard, peers_.live());
+    auto live = peers_.live();
+    // Gateways that drain are used only if there are no others: what they know
+    // has to reach the store before they end.
+    if (std::ranges::all_of(live, &membership::member::draining_)) {
+        std::ranges::for_each(
+            live, [](membership::member& each) { each.draining_ = false; });
+    }
+    auto candidates = membership::shard_candidates(shard, live);
     candidates.resize(std::min(candidates.size(), keeper_count));
     return candidates;
 }
 
+std::optional<base::instance_id>
+origin_exchange::first_keeper_of(const base::service_name& service) const {
+    const auto keepers = keepers_of(service);
+    return keepers.empty() ? std::nullopt : std::optional{keepers.front()};
+}
+
 std::vector<base::instance_id>
 origin_exchange::other_keepers_of(const base::service_name& service) const {
     auto keepers = keepers_of(service);
@@ -295,19 +308,20 @@
 void origin_exchange::ask_first_keeper(const base::service_name& service,
                                        service_state& state,
                                        base::time_point now) {
-    const auto first = keepers_of(service).front();
+    const auto first = first_keeper_of(service);
     if (first != state.first_keeper_) {
         state.first_keeper_ = first;
         state.turn_.reset();
     }
     const auto rank = rank_of_self(service);
-    if (!rank || *rank == 0 || !records_streams(service, state, now) ||
+    if (!first || !rank || *rank == 0 ||
+        !records_streams(service, state, now) ||
         state.origins_.unrecorded(1, now).empty()) {
         return;
     }
     state.turn_.asked(now);
     constexpr std::uint64_t no_stream = 0;
-    peers_.send(first, origin_search{next_query(), service, no_stream});
+    peers_.send(*first, origin_search{next_query(), service, no_stream});
 }
 
 void origin_exchange::write_streams(const base::service_name& service,
--- a/pimentoferry/gateway/origin_exchange.hpp
+++ b/pimentoferry/gateway/origin_exchange.hpp
@@ -164,7 +164,7 @@
         bool untold_{false};
         std::vector<base::instance_id> keepers_;
         /// The keeper that `turn_` is about.
-        base::instance_id first_keeper_;
+        std::optional<base::instance_id> first_keeper_;
         routing::write_turn turn_;
         base::time_point next_write_;
         /// There may be something to write, as soon as that is possible.
@@ -208,8 +208,13 @@
     void note_routes(const std::shared_ptr<const routing::route_table>& routes,
                      base::time_point now);
 
+    /// The gateways that keep where the streams of a service began, the one
+    /// that writes first in front. Empty if no member is known.
     std::vector<base::instance_id>
     keepers_of(const base::service_name& service) const;
+    /// Unset if the service has no keeper.
+    std::optional<base::instance_id>
+    first_keeper_of(const base::service_name& service) const;
     std::vector<base::instance_id>
     other_keepers_of(const base::service_name& service) const;
     static void add_streams(service_state& state,
--- a/pimentoferry/http/head_writer_fuzz_test.cpp
+++ b/pimentoferry/http/head_writer_fuzz_test.cpp
@@ -4,6 +4,8 @@
 #include "pimentoferry/http/head_writer.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -11,6 +13,7 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -67,17 +70,37 @@
     return fields;
 }
 
+/// A stream whose input is a text.
+class text_stream {
+public:
+    explicit text_stream(std::string_view text) : rest_(text) {}
+
+    template <class Buffers>
+    std::size_t read_some(const Buffers& buffers, beast::error_code& error) {
+        const auto size = boost::asio::buffer_copy(
+            buffers, boost::asio::buffer(rest_.data(), rest_.size()));
+        rest_.remove_prefix(size);
+        error = size == 0 ? boost::asio::error::eof : beast::error_code{};
+        return size;
+    }
+    template <class Buffers>
+    std::size_t read_some(const Buffers& buffers) {
+        beast::error_code ignored;
+        return read_some(buffers, ignored);
+    }
+
+private:
+    std::string_view rest_;
+};
+
 /// Reads one message; returns the bytes that it takes, or 0 if it is invalid.
 template <class Parser>
 std::size_t read_message(Parser& parser, const std::string& text) {
-    parser.eager(true);
+    text_stream stream{text};
+    beast::flat_buffer buffer;
     beast::error_code error;
-    std::size_t read = 0;
-    while (!error && !parser.is_done() && read < text.size()) {
-        read += parser.put(
-            boost::asio::buffer(text.data() + read, text.size() - read), error);
-    }
-    return !error && parser.is_done() ? read : 0;
+    const auto size = beast::http::read(stream, buffer, parser, error);
+    return error ? 0 : size;
 }
 
 template <class Message>
--- a/tests/process/account_test.cpp
+++ b/tests/process/account_test.cpp
@@ -1,6 +1,7 @@
 // Runs gateways as processes with client accounts in the configuration. Checks
 // who is served, and what replicas are told.
 
+#include "tests/process/checked_end.hpp"
 #include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 
@@ -62,7 +63,7 @@
     }
 
 public:
-    void tearDown() override { system_.reset(); }
+    void tearDown() override { end_checked(system_); }
 
     // Guards against requests that run without a valid key, against an account
     // that a caller chooses, and against keys that upstreams learn.
--- a/tests/process/announced_limit_test.cpp
+++ b/tests/process/announced_limit_test.cpp
@@ -2,6 +2,7 @@
 // many requests a second they accept. Checks what arrives at the replicas,
 // which is what the limit is about, and what callers receive.
 
+#include "tests/process/checked_end.hpp"
 #include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 
@@ -122,7 +123,7 @@
     std::atomic<std::size_t> requests_{0};
 
 public:
-    void tearDown() override { system_.reset(); }
+    void tearDown() override { end_checked(system_); }
 
     // Guards against gateways that each take the limit of a replica for their
     // own, or ignore it.
--- a/tests/process/call_placement_test.cpp
+++ b/tests/process/call_placement_test.cpp
@@ -1,6 +1,7 @@
 // Runs gateways as processes that place plain calls through the owner of the
 // service, and ends the owner.
 
+#include "tests/process/checked_end.hpp"
 #include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 
@@ -67,7 +68,7 @@
         std::this_thread::sleep_for(500ms);
     }
 
-    void tearDown() override { system_.reset(); }
+    void tearDown() override { end_checked(system_); }
 
     void calls_are_placed_by_the_owner() {
         for (std::size_t i = 0; i < 30; ++i) {
--- a/tests/process/configuration_test.cpp
+++ b/tests/process/configuration_test.cpp
@@ -1,6 +1,7 @@
 // Runs gateways as processes and writes configurations as operators' tools may
 // write them. Checks which requests run afterwards.
 
+#include "tests/process/checked_end.hpp"
 #include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 
@@ -59,7 +60,7 @@
     }
 
 public:
-    void tearDown() override { system_.reset(); }
+    void tearDown() override { end_checked(system_); }
 
     // Guards against requests that run without a valid key after a version
     // with an empty list of accounts.
--- a/tests/process/endless_answer_test.cpp
+++ b/tests/process/endless_answer_test.cpp
@@ -1,6 +1,7 @@
 // Runs a gateway as a process before replicas and engines that send bytes
 // without end. Checks its memory, and that callers get an end in time.
 
+#include "tests/process/checked_end.hpp"
 #include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 
@@ -114,7 +115,7 @@
     }
 
 public:
-    void tearDown() override { system_.reset(); }
+    void tearDown() override { end_checked(system_); }
 
     // Guards against a gateway that keeps the bytes of a faulty upstream until
     // it runs out of memory.
--- a/tests/process/faulty_replica_test.cpp
+++ b/tests/process/faulty_replica_test.cpp
@@ -2,6 +2,7 @@
 // answer a resumed stream with something else, or stop in the middle of a head.
 // Checks that callers are told the truth.
 
+#include "tests/process/checked_end.hpp"
 #include "tests/process/gateway_fleet.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -130,7 +131,7 @@
     }
 
 public:
-    void tearDown() override { system_.reset(); }
+    void tearDown() override { end_checked(system_); }
 
     // Guards against a placement that is paid as one repeated send, but sends a
     // second prefill and a second decode.
--- a/tests/process/gateway_fleet.cpp
+++ b/tests/process/gateway_fleet.cpp
@@ -501,6 +501,27 @@
     return read_text(path("gateway-" + std::to_string(gateway) + ".log"));
 }
 
+std::vector<std::string> gateway_fleet::unasked_ends() {
+    std::vector<std::string> ends;
+    for (std::size_t i = 0; i < gateways_.size(); ++i) {
+        const auto name = "gateway " + std::to_string(i);
+        std::istringstream log{gateway_log(i)};
+        for (std::string line; std::getline(log, line);) {
+            if (line.find("event=fatal_signal") != std::string::npos) {
+                ends.push_back(name);
+                ends.back().append(": ").append(line);
+            }
+        }
+        auto& process = gateways_.at(i);
+        const auto code = process.running() ? std::optional<int>{}
+                                            : process.wait(milliseconds{0});
+        if (code && *code != 0 && *code != -SIGKILL) {
+            ends.push_back(name + " ended with code " + std::to_string(*code));
+        }
+    }
+    return ends;
+}
+
 std::optional<std::size_t> peak_memory(pid_t pid) {
     std::ifstream status{"/proc/" + std::to_string(pid) + "/status"};
     const std::string name = "VmHWM:";
--- a/tests/process/gateway_fleet.hpp
+++ b/tests/process/gateway_fleet.hpp
@@ -166,6 +166,10 @@
     std::vector<replica_arrival> ends_of_runs() const;
 
     std::string gateway_log(std::size_t gateway) const;
+
+    /// Describes each gateway that ended otherwise than with status 0 or by
+    /// SIGKILL, and each fatal signal that any of its processes has logged.
+    std::vector<std::string> unasked_ends();
     const std::string& directory() const { return directory_; }
     void keep_files() { keep_files_ = true; }
 
--- a/tests/process/gateway_test.cpp
+++ b/tests/process/gateway_test.cpp
@@ -2,6 +2,7 @@
 // platform. Checks what callers and replicas receive when responses are lost,
 // truncated, rejected or late, and when a gateway drains or is killed.
 
+#include "tests/process/checked_end.hpp"
 #include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 #include "tests/process/loopback.hpp"
@@ -110,7 +111,7 @@
         system_.emplace(gateway_fleet_options{.route_timeout_ = 2000ms});
         CPPUNIT_ASSERT(system_->start());
     }
-    void tearDown() override { system_.reset(); }
+    void tearDown() override { end_checked(system_); }
 
     // Guards against a booking that runs twice because its response was lost.
     void non_idempotent_call_is_not_retried_after_a_lost_response() {
--- a/tests/process/leaving_replica_test.cpp
+++ b/tests/process/leaving_replica_test.cpp
@@ -1,6 +1,7 @@
 // Runs gateways as processes before replicas that say in their answers that
 // they leave. Checks what arrives at these replicas afterwards.
 
+#include "tests/process/checked_end.hpp"
 #include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 
@@ -104,7 +105,7 @@
     }
 
 public:
-    void tearDown() override { system_.reset(); }
+    void tearDown() override { end_checked(system_); }
 
     // Guards against calls to a replica that has said that it leaves, when the
     // store cannot say so.
--- a/tests/process/paused_replica_test.cpp
+++ b/tests/process/paused_replica_test.cpp
@@ -1,6 +1,7 @@
 // Runs gateways as processes before replicas that reject a request and ask for
 // a pause. Checks what arrives at these replicas meanwhile.
 
+#include "tests/process/checked_end.hpp"
 #include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 
@@ -89,7 +90,7 @@
     }
 
 public:
-    void tearDown() override { system_.reset(); }
+    void tearDown() override { end_checked(system_); }
 
     // Guards against requests to a replica that has rejected one with
     // `Retry-After`, and against a replica that stays unused.
--- a/tests/process/platform_store_test.cpp
+++ b/tests/process/platform_store_test.cpp
@@ -1,6 +1,7 @@
 // Runs gateways as processes before a store that comes back from an older copy
 // or holds entries of another writer.
 
+#include "tests/process/checked_end.hpp"
 #include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 
@@ -40,7 +41,7 @@
         CPPUNIT_ASSERT(system_->start());
     }
 
-    void tearDown() override { system_.reset(); }
+    void tearDown() override { end_checked(system_); }
 
     void control_store(const std::string& switches) {
         CPPUNIT_ASSERT(gateway_fleet::control(system_->store_port(), switches));
--- a/tests/process/replica_exchange_test.cpp
+++ b/tests/process/replica_exchange_test.cpp
@@ -1,6 +1,7 @@
 // Runs gateways as processes and changes a large configuration. Checks which
 // copies of it they send to each other.
 
+#include "tests/process/checked_end.hpp"
 #include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 
@@ -52,7 +53,7 @@
     }
 
 public:
-    void tearDown() override { system_.reset(); }
+    void tearDown() override { end_checked(system_); }
 
     // Guards against copies of one configuration that fill the links of slow
     // gateways, so that they learn of it too late.
--- a/tests/process/software_version_test.cpp
+++ b/tests/process/software_version_test.cpp
@@ -2,6 +2,7 @@
 // streams off and takes them up again. Checks that a stream goes on only at the
 // version that began it.
 
+#include "tests/process/checked_end.hpp"
 #include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 
@@ -238,7 +239,7 @@
 public:
     void tearDown() override {
         open_.clear();
-        system_.reset();
+        end_checked(system_);
     }
 
     // Guards against an answer that is joined from two versions because its
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -102,11 +102,9 @@
     if (terminating_.contains(number) || paused_[number]) {
         return;
     }
-    switch (random_below(7)) {
+    switch (random_below(8)) {
     case 0:
-        log_fault(name + " gets SIGTERM");
-        fleet_.gateway(number).signal(SIGTERM);
-        terminating_[number] = clock::now();
+        terminate_gateway(number);
         break;
     case 1:
         log_fault(name + " is killed");
@@ -134,6 +132,9 @@
     case 5:
         leave_behind(number);
         break;
+    case 6:
+        terminate_all_gateways();
+        break;
     default:
         log_fault(name + " reads its settings again");
         fleet_.gateway(number).signal(SIGHUP);
@@ -184,6 +185,25 @@
     });
 }
 
+void fault_injector::terminate_gateway(std::size_t number) {
+    if (terminating_.contains(number) || paused_[number]) {
+        return;
+    }
+    log_fault("gateway " + std::to_string(number) + " gets SIGTERM");
+    fleet_.gateway(number).signal(SIGTERM);
+    terminating_[number] = clock::now();
+}
+
+// In a series the next one gets it before the drain of the one before ends.
+void fault_injector::terminate_all_gateways() {
+    const bool at_once = random_below(2) == 0;
+    milliseconds delay{0};
+    for (std::size_t i = 0; i < fleet_.gateway_count(); ++i) {
+        schedule(delay, [this, i] { terminate_gateway(i); });
+        delay += at_once ? milliseconds{0} : random_duration(50, 600);
+    }
+}
+
 // Gateways that are paused or drain are killed, too.
 void fault_injector::kill_all_gateways() {
     kill_gateways([](std::size_t) { return true; });
--- a/tests/soak/faults.hpp
+++ b/tests/soak/faults.hpp
@@ -56,6 +56,9 @@
     void inject_gateway_fault();
     void leave_behind(std::size_t number);
     void kill_all_gateways();
+    /// Sends SIGTERM to all gateways, at once or one after the other.
+    void terminate_all_gateways();
+    void terminate_gateway(std::size_t number);
     void kill_gateways(const std::function<bool(std::size_t gateway)>& chosen);
     void isolate_gateway(std::size_t number);
     void inject_store_fault();
--- a/tests/soak/isolated_gateway_test.cpp
+++ b/tests/soak/isolated_gateway_test.cpp
@@ -1,6 +1,7 @@
 // Cuts one gateway off from all replicas while its callers, the store and the
 // other gateways still reach it.
 
+#include "tests/process/checked_end.hpp"
 #include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 #include "tests/soak/loopback_proxy.hpp"
@@ -94,7 +95,7 @@
 
 public:
     void tearDown() override {
-        system_.reset();
+        process_tests::end_checked(system_);
         keep_running_.reset();
         io_.stop();
         loop_.reset();
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -140,6 +140,8 @@
                           std::back_inserter(result.violations_));
         std::ranges::copy(faults.violations(),
                           std::back_inserter(result.violations_));
+        std::ranges::copy(fleet.unasked_ends(),
+                          std::back_inserter(result.violations_));
         result.calls_ = records.size();
         count_take_ups(records, result);
         result.served_ = static_cast<std::size_t>(
--- a/tests/soak/stale_gateway_test.cpp
+++ b/tests/soak/stale_gateway_test.cpp
@@ -2,6 +2,7 @@
 // out of step: stopped, cut off from the store, or left without peers. Streams
 // that began at these engines are then taken up.
 
+#include "tests/process/checked_end.hpp"
 #include "tests/process/fleet.hpp"
 #include "tests/process/gateway_fleet.hpp"
 #include "tests/soak/loopback_proxy.hpp"
@@ -179,7 +180,7 @@
 public:
     void tearDown() override {
         open_streams_.clear();
-        system_.reset();
+        process_tests::end_checked(system_);
         keep_running_.reset();
         io_.stop();
         loop_.reset();
