A stream is not cut off to make room for others

Cause: when the budget for events of slow callers was used up, the caller that had been stalled the longest lost its answer, although backpressure costs no memory. A connection that had been cut off could be chosen again before its handler had ended. The watch of a connection held the connection that holds the watch.

Change: beyond the budget a slow caller applies backpressure to its own relay. Only whole answers, which are held in any case, make room for others. The watch refers to the connection weakly.

--- a/pimentoferry/http/connection.cpp
+++ b/pimentoferry/http/connection.cpp
@@ -257,8 +257,10 @@
     watching_ = true;
     stream_.expires_never();
     const auto watch =
-        context_.watch_->add(stream_.socket(), [self = shared_from_this()] {
-            self->end(caller_end::unresponsive);
+        context_.watch_->add(stream_.socket(), [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->end(caller_end::unresponsive);
+            }
         });
     asio::co_spawn(
         stream_.get_executor(),
@@ -310,6 +312,7 @@
         return;
     }
     ended_by_ = reason;
+    stalled_since_.reset();
     if (held_answer_) {
         held_answer_->release();
     }
@@ -465,11 +468,8 @@
 }
 
 bool connection::may_buffer(std::size_t bytes) {
-    if (bytes > limits_.stream_buffer_bytes_) {
-        return false;
-    }
-    return stream_buffer_.grow_to(bytes) ||
-           (context_.cut_longest_stalled_() && stream_buffer_.grow_to(bytes));
+    return bytes <= limits_.stream_buffer_bytes_ &&
+           stream_buffer_.grow_to(bytes);
 }
 
 awaitable<write_result> connection::enqueue(std::string bytes) {
--- a/pimentoferry/http/connection.hpp
+++ b/pimentoferry/http/connection.hpp
@@ -25,8 +25,6 @@
     byte_budget& bodies_;
     byte_budget& stream_buffers_;
     std::shared_ptr<connection_watch> watch_;
-    /// Frees stream buffers, see `server::cut_longest_stalled`.
-    std::function<bool()> cut_longest_stalled_;
 };
 
 class connection : public std::enable_shared_from_this<connection> {
@@ -82,7 +80,7 @@
                                  std::string_view body = {});
     /// Returns once the bytes are sent or buffered.
     awaitable<write_result> enqueue(std::string bytes);
-    /// Whether the buffer may grow to that size.
+    /// Whether the buffer may grow to that size; if so, it is counted.
     bool may_buffer(std::size_t bytes);
     /// Sends what is buffered.
     awaitable<void> flush();
--- a/pimentoferry/http/server.cpp
+++ b/pimentoferry/http/server.cpp
@@ -126,10 +126,8 @@
         socket.set_option(tcp::no_delay{true}, ignored);
         detect_unresponsive_peer(socket);
         const auto accepted = std::make_shared<connection>(
-            std::move(socket),
-            connection_context{limits_, handle_, bodies_, stream_buffers_,
-                               watch_,
-                               [this] { return cut_longest_stalled(); }});
+            std::move(socket), connection_context{limits_, handle_, bodies_,
+                                                  stream_buffers_, watch_});
         connections_.insert(accepted);
         asio::co_spawn(
             context_, [accepted] { return accepted->run(); },
--- a/pimentoferry/http/server.hpp
+++ b/pimentoferry/http/server.hpp
@@ -49,10 +49,11 @@
     base::milliseconds write_timeout_{30000};
     /// Events of one stream that wait for a slow caller.
     std::size_t stream_buffer_bytes_{std::size_t{512} << 10};
-    /// Events of all streams that wait for slow callers; 0: no limit.
+    /// Events of all streams that wait for slow callers; 0: no limit. Beyond it
+    /// a slow caller applies backpressure to its relay.
     std::size_t stream_budget_bytes_{0};
-    /// When the budget is used up, a caller that has accepted nothing for this
-    /// long may lose its answer.
+    /// A caller that has accepted nothing for this long may lose its answer,
+    /// see `server::cut_longest_stalled`.
     base::milliseconds least_stall_{1000};
 };
 
